--- /dev/null
+++ b/src/transport/event_loop.cpp
@@ -0,0 +1,129 @@
+#include "transport/event_loop.hpp"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Thread.h>
+#include <condition_variable>
+
+namespace dotterelstack::transport {
+
+namespace internal {
+
+// Number of handles of one reactor: connections to agents and other entries, with room to spare.
+constexpr std::size_t reactor_handles = 16384;
+
+ACE_Time_Value to_time_value(base::duration value) {
+    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(value).count();
+    constexpr auto per_second = 1'000'000;
+    return ACE_Time_Value{static_cast<time_t>(us / per_second), static_cast<suseconds_t>(us % per_second)};
+}
+
+} // namespace internal
+
+class event_loop::task_handler final : public ACE_Event_Handler {
+public:
+    explicit task_handler(event_loop &owner) : owner_{owner} {}
+
+    int handle_exception(ACE_HANDLE /*handle*/) override {
+        owner_.run_tasks();
+        return 0;
+    }
+
+private:
+    event_loop &owner_;
+};
+
+class event_loop::timer_handler final : public ACE_Event_Handler {
+public:
+    explicit timer_handler(std::function<void()> task) : task_{std::move(task)} {}
+
+    int handle_timeout(const ACE_Time_Value & /*now*/, const void * /*argument*/) override {
+        task_();
+        return -1;
+    }
+
+    int handle_close(ACE_HANDLE /*handle*/, ACE_Reactor_Mask /*mask*/) override {
+        delete this;
+        return 0;
+    }
+
+private:
+    std::function<void()> task_;
+};
+
+event_loop::event_loop()
+    : reactor_{std::make_unique<ACE_Reactor>(new ACE_Dev_Poll_Reactor{internal::reactor_handles}, true)},
+      handler_{std::make_unique<task_handler>(*this)} {
+    thread_ = std::thread{[this] {
+        reactor_->owner(ACE_Thread::self());
+        while (!stopping_) {
+            reactor_->handle_events();
+        }
+    }};
+}
+
+event_loop::~event_loop() {
+    stop();
+}
+
+void event_loop::post(std::function<void()> task) {
+    bool first = false;
+    {
+        const std::scoped_lock lock{mutex_};
+        first = tasks_.empty();
+        tasks_.push_back(std::move(task));
+    }
+    if (first) {
+        reactor_->notify(handler_.get(), ACE_Event_Handler::EXCEPT_MASK);
+    }
+}
+
+void event_loop::run_and_wait(const std::function<void()> &task) {
+    if (on_loop_thread()) {
+        task();
+        return;
+    }
+    std::mutex mutex;
+    std::condition_variable done_signal;
+    bool done = false;
+    post([&] {
+        task();
+        const std::scoped_lock lock{mutex};
+        done = true;
+        done_signal.notify_one();
+    });
+    std::unique_lock lock{mutex};
+    done_signal.wait(lock, [&done] { return done; });
+}
+
+void event_loop::after(base::duration delay, std::function<void()> task) {
+    post([this, delay, task = std::move(task)]() mutable {
+        auto *timer = new timer_handler{std::move(task)};
+        if (reactor_->schedule_timer(timer, nullptr, internal::to_time_value(delay)) == -1) {
+            delete timer;
+        }
+    });
+}
+
+void event_loop::stop() {
+    if (!thread_.joinable()) {
+        return;
+    }
+    stopping_ = true;
+    post([] {});
+    thread_.join();
+    const std::scoped_lock lock{mutex_};
+    tasks_.clear();
+}
+
+void event_loop::run_tasks() {
+    std::vector<std::function<void()>> tasks;
+    {
+        const std::scoped_lock lock{mutex_};
+        tasks.swap(tasks_);
+    }
+    for (auto &task : tasks) {
+        task();
+    }
+}
+
+} // namespace dotterelstack::transport
--- /dev/null
+++ b/src/transport/event_loop.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "base/clock.hpp"
+
+namespace dotterelstack::transport {
+
+/** @brief One thread that runs an ACE reactor on epoll. Sockets and timers are used on this thread only. */
+class event_loop {
+public:
+    event_loop();
+    event_loop(const event_loop &) = delete;
+    event_loop &operator=(const event_loop &) = delete;
+    event_loop(event_loop &&) = delete;
+    event_loop &operator=(event_loop &&) = delete;
+    ~event_loop();
+
+    /** @brief Runs a task on the loop's thread, in order of posting. Callable from any thread. */
+    void post(std::function<void()> task);
+
+    /** @brief Runs a task on the loop's thread and waits for its end; runs it directly when already there. */
+    void run_and_wait(const std::function<void()> &task);
+
+    /** @brief Runs a task on the loop's thread after a delay. */
+    void after(base::duration delay, std::function<void()> task);
+
+    /** @brief Ends the thread; tasks not yet run are dropped. Objects on the loop must be closed before. */
+    void stop();
+
+    /** @return The reactor, for use on the loop's thread. */
+    [[nodiscard]] ACE_Reactor &reactor() noexcept { return *reactor_; }
+
+    [[nodiscard]] bool on_loop_thread() const noexcept { return std::this_thread::get_id() == thread_.get_id(); }
+
+private:
+    class task_handler;
+    class timer_handler;
+
+    void run_tasks();
+
+    std::unique_ptr<ACE_Reactor> reactor_;
+    std::unique_ptr<task_handler> handler_;
+    std::mutex mutex_;
+    std::vector<std::function<void()>> tasks_;
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+};
+
+} // namespace dotterelstack::transport
