--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,177 +1,11 @@
 #include "http/client.hpp"
 
-#include <algorithm>
-#include <cstring>
-#include <curl/curl.h>
 #include <mutex>
 #include <vector>
 
-namespace dotterelstack::http {
-
-namespace internal {
-
-using easy_ptr = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
-using list_ptr = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
-
-struct transfer {
-    const request &message;
-    const body_sink *sink{nullptr};
-    const final_check *check{nullptr};
-    CURL *handle{nullptr};
-    response answer{};
-    std::size_t sent{0};
-    bool checked{false};
-    bool check_failed{false};
-    bool sink_stopped{false};
-};
-
-std::size_t on_body(char *data, std::size_t size, std::size_t count, void *user) {
-    auto &it = *static_cast<transfer *>(user);
-    const std::string_view part{data, size * count};
-    if (it.sink != nullptr) {
-        long status = 0;
-        curl_easy_getinfo(it.handle, CURLINFO_RESPONSE_CODE, &status);
-        if (status == 200) {
-            if (!(*it.sink)(part)) {
-                it.sink_stopped = true;
-                return 0;
-            }
-            return part.size();
-        }
-    }
-    it.answer.body.append(part);
-    return part.size();
-}
-
-std::size_t on_header(char *data, std::size_t size, std::size_t count, void *user) {
-    auto &it = *static_cast<transfer *>(user);
-    std::string_view line{data, size * count};
-    const auto colon = line.find(':');
-    if (line.starts_with("HTTP/")) {
-        it.answer.fields.clear();
-    } else if (colon != std::string_view::npos) {
-        auto value = line.substr(colon + 1);
-        const auto first = value.find_first_not_of(" \t");
-        const auto last = value.find_last_not_of(" \t\r\n");
-        value = first == std::string_view::npos ? std::string_view{} : value.substr(first, last - first + 1);
-        it.answer.fields.push_back({std::string{line.substr(0, colon)}, std::string{value}});
-    }
-    return line.size();
-}
-
-std::size_t on_read(char *buf, std::size_t size, std::size_t count, void *user) {
-    auto &it = *static_cast<transfer *>(user);
-    const std::string_view rest = std::string_view{it.message.body}.substr(it.sent);
-    std::size_t n = std::min(rest.size(), size * count);
-    if (it.check != nullptr && !rest.empty()) {
-        if (rest.size() > 1) {
-            n = std::min(n, rest.size() - 1);
-        } else if (!it.checked) {
-            it.checked = true;
-            if (!(*it.check)()) {
-                it.check_failed = true;
-                return CURL_READFUNC_ABORT;
-            }
-        }
-    }
-    std::memcpy(buf, rest.data(), n);
-    it.sent += n;
-    return n;
-}
-
-bool never_connected(CURLcode ec) {
-    return ec == CURLE_COULDNT_CONNECT || ec == CURLE_COULDNT_RESOLVE_HOST || ec == CURLE_URL_MALFORMAT;
-}
-
-long to_milliseconds(base::duration value) {
-    return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-}
+#include "http/curl_transfer.hpp"
 
-void set_timeouts(CURL *handle, const call_options &options) {
-    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, to_milliseconds(options.connect_timeout));
-    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, to_milliseconds(options.timeout));
-    if (options.idle_timeout.count() > 0) {
-        const auto seconds = std::max<long>(1, to_milliseconds(options.idle_timeout) / 1000);
-        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
-        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME, seconds);
-    }
-}
-
-list_ptr make_headers(const request &message) {
-    curl_slist *list = nullptr;
-    for (const auto &it : message.fields) {
-        list = curl_slist_append(list, (it.name + ": " + it.value).c_str());
-    }
-    // Without these libcurl waits a second for "100 Continue" before larger bodies.
-    list = curl_slist_append(list, "Expect:");
-    return list_ptr{list, &curl_slist_free_all};
-}
-
-void set_body(CURL *handle, transfer &it) {
-    const auto &message = it.message;
-    if (it.check != nullptr) {
-        curl_easy_setopt(handle, CURLOPT_POST, 1L);
-        curl_easy_setopt(handle, CURLOPT_READFUNCTION, &on_read);
-        curl_easy_setopt(handle, CURLOPT_READDATA, &it);
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(message.body.size()));
-    } else if (!message.body.empty() || message.method == "POST" || message.method == "PUT") {
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(message.body.size()));
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, message.body.data());
-    }
-    if (message.method == "HEAD") {
-        curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
-    }
-    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, message.method.c_str());
-}
-
-base::error describe(CURLcode ec, const transfer &it, std::string_view address) {
-    const std::string where = std::string{address} + ": " + curl_easy_strerror(ec);
-    if (it.check_failed) {
-        return {base::error_kind::refused, "authority_lost", "the order was abandoned before its last byte; " + where};
-    }
-    if (never_connected(ec)) {
-        return {base::error_kind::unavailable, "not_reached", where + "; check that the server is running"};
-    }
-    long connects = 0;
-    curl_easy_getinfo(it.handle, CURLINFO_NUM_CONNECTS, &connects);
-    curl_off_t sent_bytes = 0;
-    curl_easy_getinfo(it.handle, CURLINFO_REQUEST_SIZE, &connects);
-    curl_easy_getinfo(it.handle, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
-    if (ec == CURLE_OPERATION_TIMEDOUT && connects == 0 && sent_bytes == 0) {
-        return {base::error_kind::unavailable, "connect_timeout", where + "; check that the server is reachable"};
-    }
-    return {base::error_kind::unknown_outcome, "no_answer", where + "; read the server's state before repeating"};
-}
-
-base::result<response> perform(CURL *handle, transfer &it, std::string_view address, const call_options &options) {
-    curl_easy_reset(handle);
-    it.handle = handle;
-    const std::string url = "http://" + std::string{address} + it.message.target;
-    const auto headers = make_headers(it.message);
-    curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
-    curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
-    curl_easy_setopt(handle, CURLOPT_PROXY, "");
-    curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
-    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers.get());
-    set_timeouts(handle, options);
-    set_body(handle, it);
-    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &on_body);
-    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &it);
-    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &on_header);
-    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &it);
-    const CURLcode ec = curl_easy_perform(handle);
-    long status = 0;
-    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-    it.answer.status = static_cast<int>(status);
-    if (ec == CURLE_OK || it.sink_stopped) {
-        return std::move(it.answer);
-    }
-    return boost::outcome_v2::failure(describe(ec, it, address));
-}
-
-} // namespace internal
+namespace dotterelstack::http {
 
 struct curl_client::pool {
     std::mutex mutex;
@@ -194,7 +28,8 @@
 
     base::result<response> run(internal::transfer &it, std::string_view address, const call_options &options) {
         auto handle = take();
-        auto answer = internal::perform(handle.get(), it, address, options);
+        internal::prepare(handle.get(), it, address, options);
+        auto answer = internal::conclude(curl_easy_perform(handle.get()), it, address);
         if (answer) {
             give_back(std::move(handle));
         }
@@ -203,8 +38,7 @@
 };
 
 curl_client::curl_client() {
-    static const CURLcode global = curl_global_init(CURL_GLOBAL_DEFAULT);
-    (void)global;
+    internal::ensure_curl();
     pool_ = std::make_unique<pool>();
 }
 
--- /dev/null
+++ b/src/http/curl_transfer.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstddef>
+#include <curl/curl.h>
+#include <memory>
+#include <string_view>
+
+#include "http/client.hpp"
+
+namespace dotterelstack::http::internal {
+
+using easy_ptr = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
+using list_ptr = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
+
+/** @brief State of one libcurl transfer; must stay in place while the transfer runs. */
+struct transfer {
+    const request &message;
+    const body_sink *sink{nullptr};
+    const final_check *check{nullptr};
+    CURL *handle{nullptr};
+    response answer{};
+    std::size_t sent{0};
+    bool checked{false};
+    bool check_failed{false};
+    bool sink_stopped{false};
+    list_ptr headers{nullptr, &curl_slist_free_all};
+};
+
+/** @brief Initialises libcurl once for the process. */
+void ensure_curl();
+
+/** @brief Prepares an easy handle for a transfer. */
+void prepare(CURL *handle, transfer &it, std::string_view address, const call_options &options);
+
+/** @brief Turns the end of a transfer into a response or an error. */
+[[nodiscard]] base::result<response> conclude(CURLcode ec, transfer &it, std::string_view address);
+
+} // namespace dotterelstack::http::internal
