--- /dev/null
+++ b/src/answer/assembly.cpp
@@ -0,0 +1,27 @@
+#include "answer/assembly.hpp"
+
+namespace dotterelstack::answer {
+
+assembly_action assembly::accept(const chunk &it) noexcept {
+    if (complete_ || it.request != request_ || it.attempt != attempt_ || it.offset < next_offset_) {
+        return assembly_action::ignore;
+    }
+    if (it.offset > next_offset_) {
+        return assembly_action::resume;
+    }
+    ++next_offset_;
+    return assembly_action::deliver;
+}
+
+assembly_action assembly::accept(const chunk_end &it) noexcept {
+    if (complete_ || it.request != request_ || it.attempt != attempt_) {
+        return assembly_action::ignore;
+    }
+    if (it.total != next_offset_) {
+        return assembly_action::resume;
+    }
+    complete_ = true;
+    return assembly_action::complete;
+}
+
+} // namespace dotterelstack::answer
--- /dev/null
+++ b/src/answer/assembly.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "answer/chunk.hpp"
+
+namespace dotterelstack::answer {
+
+/** @brief What the entry does with a message of a response stream. */
+enum class assembly_action {
+    deliver, /**< Pass the text on to the caller. */
+    ignore,  /**< It belongs to another request or attempt, or repeats a token. */
+    resume,  /**< Tokens are missing; start a new attempt at `next_offset`. */
+    complete /**< Every token was delivered; end the response. */
+};
+
+/** @brief Puts the response of one request together from the chunks of one or more attempts. */
+class assembly {
+public:
+    explicit assembly(std::string request) : request_{std::move(request)} {}
+
+    /** @brief Makes `attempt` the only one whose chunks count. */
+    void begin_attempt(std::uint32_t attempt) noexcept { attempt_ = attempt; }
+
+    /** @return Action for a chunk; `deliver` moves `next_offset` on. */
+    [[nodiscard]] assembly_action accept(const chunk &it) noexcept;
+
+    /** @return `complete` only when as many tokens were delivered as the total says. */
+    [[nodiscard]] assembly_action accept(const chunk_end &it) noexcept;
+
+    /** @return Offset of the first token not yet delivered. */
+    [[nodiscard]] std::uint64_t next_offset() const noexcept { return next_offset_; }
+
+    [[nodiscard]] std::uint32_t attempt() const noexcept { return attempt_; }
+
+    [[nodiscard]] bool complete() const noexcept { return complete_; }
+
+private:
+    const std::string request_;
+    std::uint32_t attempt_{0};
+    std::uint64_t next_offset_{0};
+    bool complete_{false};
+};
+
+} // namespace dotterelstack::answer
--- /dev/null
+++ b/test/answer/assembly.cpp
@@ -0,0 +1,45 @@
+#include "answer/assembly.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dotterelstack::answer;
+
+// Guards against a line codec that loses a field.
+TEST_CASE("chunk lines survive a round trip") {
+    const chunk it{"r", 2, 7, "a \"quoted\" word\n"};
+    const auto line = encode_line(it);
+    REQUIRE(line.find('\n') == line.size() - 1);
+    const auto back = decode_line(std::string_view{line}.substr(0, line.size() - 1));
+    REQUIRE(back);
+    CHECK(std::get<chunk>(back.value()).text == it.text);
+    CHECK(std::get<chunk>(back.value()).offset == 7);
+    CHECK_FALSE(decode_line("{}"));
+    CHECK_FALSE(decode_line("not json"));
+}
+
+// Guards against tokens of an earlier attempt, repeated tokens and skipped tokens in a response.
+TEST_CASE("only the current attempt's next token is delivered") {
+    assembly it{"r"};
+    it.begin_attempt(1);
+    CHECK(it.accept(chunk{"r", 1, 0, "a"}) == assembly_action::deliver);
+    it.begin_attempt(2);
+    CHECK(it.accept(chunk{"r", 1, 1, "late"}) == assembly_action::ignore);
+    CHECK(it.accept(chunk{"other", 2, 1, "crossed"}) == assembly_action::ignore);
+    CHECK(it.accept(chunk{"r", 2, 0, "repeated"}) == assembly_action::ignore);
+    CHECK(it.accept(chunk{"r", 2, 1, "b"}) == assembly_action::deliver);
+    CHECK(it.accept(chunk{"r", 2, 3, "skips"}) == assembly_action::resume);
+    CHECK(it.next_offset() == 2);
+}
+
+// Guards against a response that is ended as complete although its last chunk is missing.
+TEST_CASE("a total that does not match asks for a resume") {
+    assembly it{"r"};
+    it.begin_attempt(1);
+    CHECK(it.accept(chunk{"r", 1, 0, "a"}) == assembly_action::deliver);
+    CHECK(it.accept(chunk_end{"r", 1, 2, 1, "stop"}) == assembly_action::resume);
+    CHECK_FALSE(it.complete());
+    it.begin_attempt(2);
+    CHECK(it.accept(chunk{"r", 2, 1, "b"}) == assembly_action::deliver);
+    CHECK(it.accept(chunk_end{"r", 1, 2, 1, "stop"}) == assembly_action::ignore);
+    CHECK(it.accept(chunk_end{"r", 2, 2, 1, "stop"}) == assembly_action::complete);
+}
