--- a/src/store/fwd.hpp
+++ b/src/store/fwd.hpp
@@ -5,6 +5,11 @@
 struct object;
 struct watch_event;
 struct watch_batch;
+struct store_faults;
+struct store_counters;
+struct http_store_options;
 class object_store;
+class http_store;
+class memory_store;
 
 } // namespace dotterelstack::store
