--- /dev/null
+++ b/src/agent/load_poller.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "agent/options.hpp"
+#include "http/client.hpp"
+
+namespace dotterelstack::agent {
+
+/** @brief Last known condition of one backend server. */
+struct backend_condition {
+    bool reachable{false};
+    std::uint64_t report_seq{0};
+    std::uint64_t running{0};
+    std::uint64_t queued{0};
+    std::uint64_t free_blocks{0};
+    std::uint64_t total_blocks{0};
+    std::uint64_t age_ms{0};
+    std::string role{"mixed"};
+    bool changing{false}; /**< A role or model change is under way. */
+};
+
+/** @brief Reads the load and state of each engine at intervals, on a thread of its own. */
+class load_poller {
+public:
+    load_poller(const agent_options &options, http::client &client);
+    load_poller(const load_poller &) = delete;
+    load_poller &operator=(const load_poller &) = delete;
+    load_poller(load_poller &&) = delete;
+    load_poller &operator=(load_poller &&) = delete;
+    ~load_poller();
+
+    /** @param on_round Called after each round, for periodic work of the agent. */
+    void start(std::function<void()> on_round);
+    void stop();
+
+    [[nodiscard]] backend_condition condition(const std::string &backend) const;
+
+private:
+    void poll_all();
+    [[nodiscard]] backend_condition poll(const backend_options &backend);
+
+    const agent_options &options_;
+    http::client &client_;
+    mutable std::mutex mutex_;
+    std::map<std::string, backend_condition> conditions_;
+    std::jthread thread_;
+};
+
+} // namespace dotterelstack::agent
--- /dev/null
+++ b/src/agent/options.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/clock.hpp"
+
+namespace dotterelstack::agent {
+
+/** @brief Whether a backend server is a model engine or a plain service. */
+enum class backend_kind {
+    model,
+    plain
+};
+
+/** @brief One backend server on the agent's host. */
+struct backend_options {
+    std::string name;
+    std::string service;
+    backend_kind kind{backend_kind::model};
+    std::string address;             /**< Host and port of its HTTP interface. */
+    std::vector<std::string> models; /**< Empty for plain services. */
+    bool honours_fence{false};       /**< Whether it refuses orders with an old fencing token. */
+};
+
+/** @brief What an agent needs to know at start. */
+struct agent_options {
+    std::string host;
+    std::string failure_domain;
+    std::string listen{"127.0.0.1:0"};
+    std::vector<backend_options> backends;
+    base::duration load_poll{std::chrono::milliseconds{250}};
+    base::duration request_memory{std::chrono::minutes{10}}; /**< Longer than a copy of a request can be under way. */
+    base::duration engine_idle_timeout{std::chrono::seconds{30}}; /**< Longest silence of a backend server. */
+};
+
+} // namespace dotterelstack::agent
