--- /dev/null
+++ b/src/log/event.cpp
@@ -0,0 +1,85 @@
+#include "log/event.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <glog/logging.h>
+
+#include "config/key_text.hpp"
+
+namespace dotterelstack::log {
+
+namespace internal {
+
+bool plain(std::string_view value) {
+    return !value.empty() && std::all_of(value.begin(), value.end(), [](unsigned char it) {
+        return it > ' ' && it < 127 && it != '"' && it != '=' && it != '\\';
+    });
+}
+
+void append_escaped(std::string &out, unsigned char value) {
+    if (value == '"' || value == '\\') {
+        out.push_back('\\');
+        out.push_back(static_cast<char>(value));
+    } else if (value < ' ' || value == 127) {
+        std::array<char, 8> buf{};
+        (void)std::snprintf(buf.data(), buf.size(), "\\x%02x", static_cast<unsigned int>(value));
+        out += buf.data();
+    } else {
+        out.push_back(static_cast<char>(value));
+    }
+}
+
+void append_value(std::string &out, std::string_view value) {
+    if (value.find(config::key_prefix) != std::string_view::npos) {
+        out += "[redacted]";
+        return;
+    }
+    const auto shown = value.substr(0, value_limit);
+    if (plain(shown)) {
+        out += shown;
+    } else {
+        out.push_back('"');
+        std::for_each(shown.begin(), shown.end(),
+                      [&out](char it) { append_escaped(out, static_cast<unsigned char>(it)); });
+        out.push_back('"');
+    }
+}
+
+google::LogSeverity to_glog(severity level) {
+    switch (level) {
+    case severity::info:
+        return google::GLOG_INFO;
+    case severity::warning:
+        return google::GLOG_WARNING;
+    case severity::error:
+        break;
+    }
+    return google::GLOG_ERROR;
+}
+
+} // namespace internal
+
+std::string format(event what, field_values values) {
+    const auto &about = what.description();
+    std::string out = "E" + std::to_string(about.number) + " event=" + std::string{about.name};
+    for (const auto &it : values) {
+        out.push_back(' ');
+        out += it.name();
+        out.push_back('=');
+        internal::append_value(out, it.value());
+    }
+    return out;
+}
+
+void write(event what, field_values values) {
+    const auto level = internal::to_glog(what.description().level);
+    google::LogMessage{__FILE__, __LINE__, level}.stream() << format(what, values);
+}
+
+void start(const char *program) {
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(program);
+}
+
+} // namespace dotterelstack::log
--- /dev/null
+++ b/src/log/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace dotterelstack::log {
+
+struct event_description;
+class event;
+class field;
+
+} // namespace dotterelstack::log
