Keep engine request records in a typed map

The record was a JSON null on first use and reading from it ended the engine. It is a typed map now, and an exception in a handler becomes a 500 answer instead of ending the program. A curl run of streamed, chat, load, order and cache calls passes.

--- a/standin/common/program.cpp
+++ b/standin/common/program.cpp
@@ -28,7 +28,14 @@
 void serve_until_stopped(const program_options &options, http::request_handler handler,
                          const std::function<void()> &stopping) {
     http::server server;
-    const auto bound = server.start(options.listen, std::move(handler), options.limits);
+    const auto guarded = [handler = std::move(handler)](const http::exchange &call) {
+        try {
+            handler(call);
+        } catch (const std::exception &ex) {
+            call.respond(error_response(500, "internal", ex.what()));
+        }
+    };
+    const auto bound = server.start(options.listen, guarded, options.limits);
     if (!bound) {
         std::cerr << bound.error().message << std::endl;
         std::_Exit(EXIT_FAILURE);
--- a/standin/engine/engine.cpp
+++ b/standin/engine/engine.cpp
@@ -66,7 +66,7 @@
     } else if (get && path == "/v1/orders") {
         call.respond(json_response(200, {{"orders", orders_}}));
     } else if (get && path == "/v1/requests") {
-        call.respond(json_response(200, requests_));
+        call.respond(requests());
     } else if (post && path == "/v1/orders") {
         call.respond(order(message));
     } else if (get && path == "/v1/cache_events") {
@@ -123,8 +123,7 @@
         call.respond(error_response(400, "too_long", "prompt and response do not fit into the memory of this engine"));
         return;
     }
-    auto &record = requests_[it.id];
-    record["runs"] = record.value("runs", 0) + 1;
+    ++requests_[it.id].runs;
     if (it.stream) {
         call.start(200, {{"Content-Type", "text/event-stream"}, {"X-Request-Id", it.id}});
     }
@@ -214,6 +213,14 @@
                                {"queued", queued_.size()}});
 }
 
+http::response engine::requests() const {
+    json out = json::object();
+    for (const auto &[id, it] : requests_) {
+        out[id] = {{"runs", it.runs}, {"tokens", it.tokens}, {"finish_reason", it.finish_reason}};
+    }
+    return json_response(200, out);
+}
+
 http::response engine::cache_events(const http::request &message) const {
     const auto since = std::strtoull(message.query_value("since").value_or("0").c_str(), nullptr, 10);
     const auto now = std::chrono::steady_clock::now();
@@ -341,10 +348,11 @@
 void engine::send_token(job &it) {
     const auto text = token_text(it.prompt, it.next++);
     ++generated_;
+    ++requests_[it.id].tokens;
     if (!it.stream) {
         it.text += text;
     } else if (!it.call.write("data: " + event(it, text, nullptr).dump() + "\n\n")) {
-        it.next = it.last;
+        it.next = std::max(it.next, it.last);
     }
 }
 
@@ -353,7 +361,7 @@
     const auto made = it.next - it.first;
     last["usage"] = {
         {"prompt_tokens", it.prompt_tokens}, {"completion_tokens", made}, {"total_tokens", it.prompt_tokens + made}};
-    requests_[it.id]["finish_reason"] = reason;
+    requests_[it.id].finish_reason = reason;
     if (!it.stream) {
         it.call.respond(json_response(200, last));
         return;
--- a/standin/engine/engine.hpp
+++ b/standin/engine/engine.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <list>
+#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -68,6 +69,12 @@
         std::string text{};
     };
 
+    struct request_record {
+        std::uint64_t runs{0};
+        std::uint64_t tokens{0};
+        std::string finish_reason{};
+    };
+
     struct load_report {
         time_point when;
         std::uint64_t seq{0};
@@ -87,6 +94,7 @@
     [[nodiscard]] http::response cancel(std::string_view id);
     [[nodiscard]] http::response load() const;
     [[nodiscard]] http::response state() const;
+    [[nodiscard]] http::response requests() const;
     [[nodiscard]] http::response cache_events(const http::request &message) const;
     [[nodiscard]] http::response export_cache(const std::string &id) const;
     [[nodiscard]] http::response import_cache(const std::string &id, const http::request &message);
@@ -119,7 +127,7 @@
     std::string order_id_;
     std::uint64_t fence_{0};
     json orders_ = json::array();
-    json requests_ = json::object();
+    std::map<std::string, request_record> requests_;
     std::uint64_t arrivals_{0};
     std::uint64_t generated_{0};
     std::uint64_t prefilled_{0};
