--- /dev/null
+++ b/src/lease/lease_keeper.cpp
@@ -0,0 +1,164 @@
+#include "lease/lease_keeper.hpp"
+
+#include <algorithm>
+
+#include "store/settled_write.hpp"
+
+namespace dotterelstack::lease {
+
+lease_keeper::lease_keeper(const base::clock &clock, lease_settings settings)
+    : clock_{clock}, settings_{std::move(settings)}, authority_{std::make_shared<internal::authority_state>()} {}
+
+bool lease_keeper::held() const noexcept {
+    return authority().has_value();
+}
+
+std::optional<authority_check> lease_keeper::authority() const {
+    authority_check check{authority_, clock_, authority_->fence.load()};
+    if (phase_ != phase::holding || !check()) {
+        return std::nullopt;
+    }
+    return check;
+}
+
+void lease_keeper::lose() noexcept {
+    authority_->valid_until = 0;
+    phase_ = phase::candidate;
+    read_needed_ = true;
+}
+
+base::duration lease_keeper::succession_wait() const {
+    // A holder that released has stopped before it wrote the release; only its last send may still be on its way.
+    if (observed_->released) {
+        return settings_.longest_send;
+    }
+    return std::max(settings_.term, observed_->term) + settings_.margin + settings_.longest_send;
+}
+
+lease_action lease_keeper::write_record(lease_record record) {
+    own_ = std::move(record);
+    sent_at_ = clock_.now();
+    auto value = to_json(own_);
+    return {lease_step::write, lease_key(settings_.name), std::move(value), version_, {}};
+}
+
+lease_action lease_keeper::next_as_candidate(base::instant now) {
+    if (read_needed_ || now >= read_due_) {
+        return {lease_step::read, lease_key(settings_.name), {}, 0, {}};
+    }
+    if (!observed_ || now >= first_seen_ + succession_wait()) {
+        return write_record({settings_.holder, 0, 0, settings_.term, false});
+    }
+    return {lease_step::wait, {}, {}, 0, std::min(read_due_, first_seen_ + succession_wait())};
+}
+
+lease_action lease_keeper::next_as_holder(base::instant now) {
+    if (read_needed_) {
+        return {lease_step::read, lease_key(settings_.name), {}, 0, {}};
+    }
+    if (now >= renew_due_) {
+        auto record = own_;
+        ++record.renewal;
+        return write_record(std::move(record));
+    }
+    return {lease_step::wait, {}, {}, 0, renew_due_};
+}
+
+lease_action lease_keeper::next() {
+    const auto now = clock_.now();
+    if (phase_ == phase::holding && !held()) {
+        lose();
+    }
+    if (now < retry_due_) {
+        return {lease_step::wait, {}, {}, 0, retry_due_};
+    }
+    switch (phase_) {
+    case phase::candidate:
+        return next_as_candidate(now);
+    case phase::holding:
+        return next_as_holder(now);
+    case phase::releasing: {
+        phase_ = phase::stopped;
+        auto record = own_;
+        record.released = true;
+        return write_record(std::move(record));
+    }
+    case phase::stopped:
+        break;
+    }
+    return {lease_step::wait, {}, {}, 0, base::instant::max()};
+}
+
+void lease_keeper::on_read(const base::result<std::optional<store::object>> &found) {
+    const auto now = clock_.now();
+    read_due_ = now + settings_.standby_read_every;
+    if (!found) {
+        retry_due_ = now + settings_.retry_after;
+        return;
+    }
+    std::optional<lease_record> record;
+    if (found.value()) {
+        auto parsed = parse_lease(*found.value());
+        if (!parsed) {
+            return;
+        }
+        record = parsed.value();
+    }
+    const auto version = found.value() ? found.value()->version : store::absent;
+    if (version != version_ || !observed_) {
+        first_seen_ = now;
+    }
+    version_ = version;
+    observed_ = record;
+    read_needed_ = false;
+    if (phase_ != phase::holding) {
+        return;
+    }
+    if (record && record->holder == settings_.holder && record->fence == own_.fence && !record->released) {
+        own_ = *record;
+    } else {
+        lose();
+        read_needed_ = false;
+    }
+}
+
+void lease_keeper::on_written(const base::result<std::uint64_t> &written) {
+    if (phase_ == phase::stopped) {
+        return;
+    }
+    if (!written) {
+        read_needed_ = true;
+        if (written.error().kind != base::error_kind::conflict) {
+            retry_due_ = clock_.now() + settings_.retry_after;
+        }
+        return;
+    }
+    version_ = written.value();
+    if (phase_ == phase::candidate) {
+        own_.fence = version_;
+        authority_->fence = version_;
+        phase_ = phase::holding;
+    }
+    observed_ = own_;
+    first_seen_ = clock_.now();
+    authority_->valid_until = (sent_at_ + settings_.term).time_since_epoch().count();
+    renew_due_ = sent_at_ + settings_.renew_every;
+}
+
+void lease_keeper::release() {
+    authority_->valid_until = 0;
+    retry_due_ = base::instant{};
+    phase_ = phase_ == phase::holding && !read_needed_ ? phase::releasing : phase::stopped;
+}
+
+lease_action drive_lease(lease_keeper &keeper, store::object_store &store, base::id_source &ids) {
+    auto action = keeper.next();
+    if (action.step == lease_step::read) {
+        keeper.on_read(store.get(action.key));
+    } else if (action.step == lease_step::write) {
+        keeper.on_written(store::settled_write(store, ids, action.key, action.value, action.expected));
+    }
+    return action;
+}
+
+} // namespace dotterelstack::lease
--- /dev/null
+++ b/src/lease/lease_record.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "base/clock.hpp"
+#include "base/error.hpp"
+#include "store/object_store.hpp"
+
+namespace dotterelstack::lease {
+
+/** @brief Content of the store object `lease/{name}`. */
+struct lease_record {
+    std::string holder;       /**< Incarnation of the holding process. */
+    std::uint64_t fence{0};   /**< Store version at acquisition; the fencing token. */
+    std::uint64_t renewal{0}; /**< Number of renewals; makes each renewal a change. */
+    base::duration term{0};   /**< Term the holder counts with. */
+    bool released{false};     /**< The holder gave the lease up. */
+};
+
+/** @return Store key of a lease. */
+[[nodiscard]] std::string lease_key(std::string_view name);
+
+/** @brief Parses a lease object. The acquiring write cannot know its own version, so fence 0 means that version. */
+[[nodiscard]] base::result<lease_record> parse_lease(const store::object &item);
+
+/** @return The stored form. */
+[[nodiscard]] nlohmann::json to_json(const lease_record &record);
+
+} // namespace dotterelstack::lease
