--- /dev/null
+++ b/src/entry/caller_request.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/terminate.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "entry/refusal_answer.hpp"
+#include "http/message.hpp"
+
+namespace dotterelstack::entry {
+
+/** @brief What a caller asks for. */
+enum class request_kind {
+    completion,
+    chat,
+    call
+};
+
+/** @brief A caller's request, checked for form. */
+struct caller_request {
+    request_kind kind{request_kind::completion};
+    std::string key;             /**< Bearer key; empty when none came. Never logged or forwarded. */
+    std::string idempotency_key; /**< Empty when none came. */
+    std::string method;
+    std::string path;    /**< Towards the backend server: completions path, or the part after the service's name. */
+    std::string model;   /**< Of a completion. */
+    std::string service; /**< Of a call. */
+    std::string prompt;  /**< Text used for routing by prefix. */
+    std::uint64_t prompt_tokens{0}; /**< Estimate until the engine has counted. */
+    std::uint64_t max_tokens{0};
+    std::int64_t priority{0};
+    bool stream{false};
+    std::string content_type;
+    std::string body;
+};
+
+/** @brief Limits that a request must meet. */
+struct request_limits {
+    std::uint64_t max_tokens{32768};
+    std::uint64_t default_max_tokens{16};
+    std::size_t header_bytes{16384};
+    std::size_t idempotency_key_bytes{255};
+};
+
+using parse_result =
+    boost::outcome_v2::basic_result<caller_request, refusal_answer, boost::outcome_v2::policy::terminate>;
+
+/**
+ * @brief Checks the form of a caller's request.
+ * @return The request, or the answer that refuses it: 400, 404, 405, 413, 431.
+ */
+[[nodiscard]] parse_result parse_caller_request(const http::request &message, const request_limits &limits);
+
+/**
+ * @brief Estimated number of tokens of a text.
+ *
+ * Words are counted, and long words by four bytes a token, since tokenizers split them.
+ */
+[[nodiscard]] std::uint64_t estimate_tokens(std::string_view text) noexcept;
+
+/**
+ * @brief Hashes of the prompt's prefixes, one for each full block.
+ * @param model Salt: cached state is not shared between models.
+ * @param block_tokens Tokens of one block.
+ */
+[[nodiscard]] std::vector<std::uint64_t> prefix_hashes(std::string_view model, std::string_view prompt,
+                                                       std::uint32_t block_tokens);
+
+} // namespace dotterelstack::entry
--- /dev/null
+++ b/src/metrics/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace dotterelstack::metrics {
+
+class registry;
+
+} // namespace dotterelstack::metrics
