--- /dev/null
+++ b/test/config/route.cpp
@@ -0,0 +1,24 @@
+#include "config/route.hpp"
+
+#include <doctest/doctest.h>
+
+#include "config/sample.hpp"
+
+using namespace dotterelstack;
+
+// Guards against a pattern that makes more calls public or repeatable than it names.
+TEST_CASE("patterns match whole paths by segment") {
+    CHECK(config::path_matches("/slots/*", "/slots/7"));
+    CHECK_FALSE(config::path_matches("/slots/*", "/slots/"));
+    CHECK_FALSE(config::path_matches("/slots/*", "/slots/7/cancel"));
+    CHECK_FALSE(config::path_matches("/slots/*", "/slots"));
+    CHECK_FALSE(config::path_matches("/slots", "/slotsx"));
+    CHECK(config::path_matches("/a/**", "/a/b/c"));
+    CHECK_FALSE(config::path_matches("/a/**", "/ab/c"));
+    CHECK_FALSE(config::path_matches("/a/**/b", "/a/x/b/c"));
+    const auto values = test::sample_declarations();
+    const auto &booking = values.services.at("booking");
+    REQUIRE(config::find_route(booking, "GET", "/slots/1") != nullptr);
+    CHECK(config::find_route(booking, "GET", "/slots/1")->is_public);
+    CHECK(config::find_route(booking, "POST", "/slots/1") == nullptr);
+}
