--- /dev/null
+++ b/src/claim/claim_book.hpp
@@ -0,0 +1,171 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "base/id.hpp"
+#include "claim/claim_bucket.hpp"
+
+namespace dotterelstack::claim {
+
+/** @brief A request that carries an idempotency key. */
+struct claim_request {
+    std::string request_id; /**< Unique for each received request, also for repeats. */
+    std::string organisation;
+    std::string service;
+    std::string key;
+    std::string body_hash; /**< Covers method, path and body. */
+};
+
+/** @brief What the caller class does with a request. */
+enum class claim_verdict {
+    run,         /**< Hand it over, once, before `run_before`. */
+    replay,      /**< Answer with the kept answer. */
+    in_progress, /**< Another request with this key is running; refuse as not run, retry later. */
+    unknown,     /**< An earlier request with this key may have run; report that, run nothing. */
+    key_reused,  /**< The key belongs to a request with another body; refuse. */
+    refused      /**< Not claimed: store not usable or bucket full; refuse as not run. */
+};
+
+/** @brief Decision on one request. */
+struct claim_decision {
+    std::string request_id;
+    claim_verdict verdict{claim_verdict::refused};
+    kept_answer answer{};       /**< For `replay`. */
+    base::instant run_before{}; /**< For `run`: no hand-over after this instant. */
+    base::error reason{};       /**< For `refused`. */
+};
+
+/** @brief Settings of a `claim_book`. */
+struct claim_settings {
+    std::string owner;       /**< Incarnation of this entry. */
+    std::size_t buckets{64}; /**< The same for all entries. */
+    std::size_t bucket_bytes{std::size_t{256} << 10U};
+    std::size_t answer_bytes{std::size_t{4} << 10U}; /**< Longest body kept for repeats. */
+    std::uint64_t keep_windows{60};                  /**< Sealed usage windows for which a claim is remembered. */
+    std::uint64_t claimed_windows{10}; /**< A claim still without outcome after so many windows is unknown. */
+    base::duration commit_every{std::chrono::milliseconds{100}}; /**< Shortest time between two commits. */
+    base::duration give_up_after{std::chrono::seconds{2}};       /**< Longest wait of a request for its claim. */
+    base::duration hand_over_within{std::chrono::seconds{10}};   /**< Counted from before the claim was written. */
+};
+
+/** @brief Conditional update of one bucket. */
+struct claim_write {
+    std::string key;
+    nlohmann::json value;
+    std::uint64_t expected{0};
+};
+
+/**
+ * @brief Idempotency claims of one entry. Requests and outcomes are collected for each bucket and committed together.
+ *
+ * A request is run only after its claim is known to be in the store, so two entries never run one key, and a killed
+ * entry leaves a claim that is later reported as unknown. Used by one thread.
+ */
+class claim_book {
+public:
+    /** @brief Tells whether an owner is known to be gone, so that its open claims are unknown. */
+    using owner_gone = std::function<bool(std::string_view owner)>;
+
+    claim_book(const base::clock &clock, claim_settings settings, owner_gone gone);
+
+    /** @brief Asks for a decision on a request. */
+    void submit(claim_request request);
+
+    /** @brief The request ran and was answered. */
+    void finish(std::string_view request_id, kept_answer answer);
+
+    /** @brief The request may have run. */
+    void finish_unknown(std::string_view request_id);
+
+    /** @brief There is evidence that the request did not run; the key becomes free again. */
+    void finish_not_run(std::string_view request_id);
+
+    /** @param count Number of sealed usage windows; never goes down. */
+    void on_sealed_windows(std::uint64_t count);
+
+    /** @return Bucket to read and commit next, if one is due. */
+    [[nodiscard]] std::optional<std::size_t> next_bucket();
+
+    /** @return When `next_bucket` can next return something, given what is pending. */
+    [[nodiscard]] base::instant next_due() const;
+
+    /** @brief Outcome of reading a bucket. @return The update to write, or nothing if none is needed. */
+    [[nodiscard]] std::optional<claim_write> on_read(std::size_t bucket,
+                                                     const base::result<std::optional<store::object>> &found);
+
+    /** @brief Outcome of the write returned by `on_read` (`store::settled_write`). */
+    void on_written(std::size_t bucket, const base::result<std::uint64_t> &written);
+
+    /** @return Decisions made since the last call. */
+    [[nodiscard]] std::vector<claim_decision> take_decisions();
+
+private:
+    enum class outcome {
+        answered,
+        unknown,
+        not_run
+    };
+
+    struct pending_claim {
+        claim_request request;
+        std::string key_hash;
+        base::instant since;
+        std::optional<std::uint64_t> attempted; /**< Version expected by the last write that carried the claim. */
+        base::instant sent{};
+        bool committing{false};
+    };
+
+    struct pending_outcome {
+        std::string key_hash;
+        std::string request_id;
+        outcome kind{outcome::unknown};
+        kept_answer answer;
+        std::optional<std::uint64_t> attempted; /**< For a claim whose write has an unknown outcome. */
+    };
+
+    struct bucket_work {
+        std::vector<pending_claim> claims;
+        std::vector<pending_outcome> outcomes;
+        std::size_t outcomes_written{0};
+    };
+
+    struct draft {
+        claim_bucket bucket;
+        std::uint64_t version{0};
+        std::size_t bytes{0};
+        bool changed{false};
+    };
+
+    void add_outcome(std::string_view request_id, outcome kind, kept_answer answer);
+    void prune(draft &it) const;
+    void apply(draft &it, const pending_outcome &update) const;
+    [[nodiscard]] std::optional<claim_decision> evaluate(draft &it, pending_claim &claim);
+    [[nodiscard]] bool is_unknown(const claim_entry &entry, std::uint64_t sealed) const;
+    [[nodiscard]] std::optional<claim_write> prepare(std::size_t bucket, draft it);
+    void run(const pending_claim &claim, std::size_t bucket);
+    void refuse(std::size_t bucket, const base::error &reason, bool only_overdue);
+
+    const base::clock &clock_;
+    claim_settings settings_;
+    owner_gone gone_;
+    std::uint64_t sealed_{0};
+    std::map<std::size_t, bucket_work> work_;
+    std::map<std::size_t, std::uint64_t> versions_; /**< Highest version seen of each bucket. */
+    std::map<std::string, std::pair<std::size_t, std::string>, std::less<>> running_;
+    std::vector<claim_decision> decisions_;
+    std::size_t last_bucket_{0};
+    base::instant commit_due_{};
+};
+
+/**
+ * @brief Reads and commits the next due bucket; blocks for the store calls only.
+ * @return False when nothing was due; wait for a request or until `next_due`.
+ */
+bool drive_claims(claim_book &book, store::object_store &store, base::id_source &ids);
+
+} // namespace dotterelstack::claim
--- /dev/null
+++ b/src/claim/fwd.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace dotterelstack::claim {
+
+struct kept_answer;
+struct claim_entry;
+struct claim_bucket;
+struct claim_request;
+struct claim_decision;
+struct claim_settings;
+struct claim_write;
+class claim_book;
+
+} // namespace dotterelstack::claim
