--- a/src/limits/admission.cpp
+++ b/src/limits/admission.cpp
@@ -172,8 +172,9 @@
                                              turn counted) const {
     const auto &service = services_[row.service];
     const double own_turn = counted == turn::included ? 1 : 0;
-    const double mean_run =
-        service.mean_run > 0 ? service.mean_run : std::chrono::duration<double>(default_retry).count();
+    // Without a sample a request must not be refused for a guess; only retry_after assumes one.
+    const double assumed_run = own_turn * std::chrono::duration<double>(default_retry).count();
+    const double mean_run = service.mean_run > 0 ? service.mean_run : assumed_run;
     estimate worst;
     const auto consider = [&worst](refusal reason, std::optional<base::duration> wait) {
         const auto known = wait.value_or(default_retry);
@@ -274,10 +275,18 @@
     deadlines_.erase({it.deadline, it.sequence});
 }
 
+void admission::end_busy_period(service_state &service) noexcept {
+    if (service.running == 0 && service.waiting == 0) {
+        // Nobody competes, so that no row owes service to another.
+        service.virtual_time = std::max(service.virtual_time, service.last_finish);
+    }
+}
+
 void admission::refuse_waiting(request_state &it, refusal reason, base::duration retry_after) {
     dequeue(it);
     const auto found = requests_.find(*it.id);
     outbox_.push_back({found->first, verdict::refused, reason, std::max(retry_after, shortest_retry)});
+    end_busy_period(services_[rows_[it.row].service]);
     requests_.erase(found);
 }
 
@@ -537,6 +546,7 @@
         const auto id = found->second.row;
         dequeue(found->second);
         requests_.erase(found);
+        end_busy_period(services_[rows_[id].service]);
         reconsider(id);
     }
     return true;
--- a/src/limits/admission.hpp
+++ b/src/limits/admission.hpp
@@ -238,6 +238,7 @@
     void release(request_map::iterator it);
     void enqueue(row_id id, request_state &it);
     void dequeue(request_state &it);
+    static void end_busy_period(service_state &service) noexcept;
     void refuse_waiting(request_state &it, refusal reason, base::duration retry_after);
     void reconsider(row_id id);
     void drop_hopeless(row_id id);
--- a/src/limits/token_bucket.hpp
+++ b/src/limits/token_bucket.hpp
@@ -52,7 +52,7 @@
             return base::duration::zero();
         }
         const double seconds = std::min(missing / rate_, longest_wait_seconds);
-        return base::duration{static_cast<base::duration::rep>(std::ceil(seconds * 1e9)) + 1};
+        return base::duration{static_cast<base::duration::rep>(std::ceil(seconds * 1e9))};
     }
 
     /** @param amount Units taken; negative returns units. */
