Add the entry: dispatcher, feeds and daemon

Cause: the path from caller to agent needs one place that decides. Change: dispatcher takes a request from arrival to its final answer (key, limits, claim, backend server, attempts, assembly, usage) as events in and port calls out; the daemon joins it to its threads by rings. Ruled out: locking decision state between threads; one dispatcher thread owns it.

--- /dev/null
+++ b/src/entry/claim_link.cpp
@@ -0,0 +1,93 @@
+#include "entry/claim_link.hpp"
+
+#include <algorithm>
+
+namespace dotterelstack::entry {
+
+namespace internal {
+
+// Longest sleep of the claim thread; messages wake it earlier.
+constexpr auto claim_wait = std::chrono::milliseconds{50};
+// Longest time that a graceful stop waits for outcomes to be committed.
+constexpr auto claim_stop_limit = std::chrono::seconds{5};
+
+template<typename... Functions>
+struct claim_visitor : Functions... {
+    using Functions::operator()...;
+};
+
+} // namespace internal
+
+claim_link::claim_link(const base::clock &time, store::object_store &store, base::id_source &ids, event_ring &events,
+                       std::string owner, std::size_t requests)
+    : clock_{time}, store_{store}, ids_{ids}, events_{events},
+      book_{time, {.owner = std::move(owner)}, [](std::string_view /*owner*/) { return false; }}, ring_{requests * 2} {}
+
+claim_link::~claim_link() {
+    stop();
+}
+
+void claim_link::start() {
+    thread_ = std::thread{[this] { run(); }};
+}
+
+void claim_link::stop() {
+    ring_.close();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+void claim_link::submit(claim::claim_request request) {
+    put(std::move(request));
+}
+
+void claim_link::finish(std::string_view request, claim::kept_answer answer) {
+    put(finished{std::string{request}, std::move(answer)});
+}
+
+void claim_link::finish_unknown(std::string_view request) {
+    put(unknown{std::string{request}});
+}
+
+void claim_link::finish_not_run(std::string_view request) {
+    put(not_run{std::string{request}});
+}
+
+void claim_link::put(message it) {
+    ring_.push(std::move(it));
+}
+
+void claim_link::take(message it) {
+    std::visit(internal::claim_visitor{[this](claim::claim_request &each) { book_.submit(std::move(each)); },
+                                       [this](finished &each) { book_.finish(each.request, std::move(each.answer)); },
+                                       [this](unknown &each) { book_.finish_unknown(each.request); },
+                                       [this](not_run &each) { book_.finish_not_run(each.request); }},
+               it);
+}
+
+void claim_link::run() {
+    while (true) {
+        if (auto it = ring_.pop_for(internal::claim_wait)) {
+            take(std::move(*it));
+            while (auto more = ring_.pop_for(base::duration{0})) {
+                take(std::move(*more));
+            }
+        } else if (ring_.closed()) {
+            break;
+        }
+        while (claim::drive_claims(book_, store_, ids_)) {
+        }
+        for (auto &decision : book_.take_decisions()) {
+            events_.push(claim_event{std::move(decision)});
+        }
+    }
+    const auto limit = clock_.now() + internal::claim_stop_limit;
+    while (book_.next_due() != base::instant::max() && clock_.now() < limit) {
+        if (!claim::drive_claims(book_, store_, ids_)) {
+            std::this_thread::sleep_for(std::chrono::milliseconds{10});
+        }
+    }
+}
+
+} // namespace dotterelstack::entry
--- /dev/null
+++ b/src/entry/claim_link.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <thread>
+#include <variant>
+
+#include "base/id.hpp"
+#include "base/ring.hpp"
+#include "claim/claim_book.hpp"
+#include "entry/events.hpp"
+#include "entry/ports.hpp"
+#include "store/object_store.hpp"
+
+namespace dotterelstack::entry {
+
+/** @brief `claim_port` that runs a claim book against the store on a thread of its own. */
+class claim_link final : public claim_port {
+public:
+    /**
+     * @param owner Incarnation of this entry.
+     * @param requests Largest number of concurrent requests; the ring holds two messages of each and is never full.
+     */
+    claim_link(const base::clock &time, store::object_store &store, base::id_source &ids, event_ring &events,
+               std::string owner, std::size_t requests);
+    claim_link(const claim_link &) = delete;
+    claim_link &operator=(const claim_link &) = delete;
+    claim_link(claim_link &&) = delete;
+    claim_link &operator=(claim_link &&) = delete;
+    ~claim_link() override;
+
+    void start();
+
+    /** @brief Commits outcomes still pending, waiting at most a few seconds, and ends the thread. */
+    void stop();
+
+    void submit(claim::claim_request request) override;
+    void finish(std::string_view request, claim::kept_answer answer) override;
+    void finish_unknown(std::string_view request) override;
+    void finish_not_run(std::string_view request) override;
+
+private:
+    struct finished {
+        std::string request;
+        claim::kept_answer answer;
+    };
+    struct unknown {
+        std::string request;
+    };
+    struct not_run {
+        std::string request;
+    };
+    using message = std::variant<claim::claim_request, finished, unknown, not_run>;
+
+    void run();
+    void take(message it);
+    void put(message it);
+
+    const base::clock &clock_;
+    store::object_store &store_;
+    base::id_source &ids_;
+    event_ring &events_;
+    claim::claim_book book_;
+    base::bounded_ring<message> ring_;
+    std::thread thread_;
+};
+
+} // namespace dotterelstack::entry
--- /dev/null
+++ b/src/entry/config_feed.cpp
@@ -0,0 +1,187 @@
+#include "entry/config_feed.hpp"
+
+#include <condition_variable>
+#include <nlohmann/json.hpp>
+
+#include "config/config_log.hpp"
+#include "log/event.hpp"
+
+namespace dotterelstack::entry {
+
+namespace internal {
+
+// A quarter of the isolation limit, so that a missed answer is noticed and repeated in time.
+constexpr auto store_watch_wait = std::chrono::seconds{1};
+constexpr auto peer_timeout = std::chrono::seconds{1};
+constexpr auto retry_delay = std::chrono::milliseconds{250};
+
+template<typename... Functions>
+struct overloaded : Functions... {
+    using Functions::operator()...;
+};
+
+} // namespace internal
+
+config_feed::config_feed(const base::clock &time, store::object_store &store, transport::h2_client &client,
+                         event_ring &events, peer_source peers)
+    : clock_{time}, store_{store}, client_{client}, events_{events}, peers_{std::move(peers)}, tracker_{time} {}
+
+config_feed::~config_feed() {
+    stop();
+}
+
+void config_feed::start() {
+    thread_ = std::jthread{[this](const std::stop_token &token) { run(token); }};
+}
+
+void config_feed::stop() {
+    if (thread_.joinable()) {
+        thread_.request_stop();
+        thread_.join();
+    }
+}
+
+std::string config_feed::answer_peer(std::optional<std::uint64_t> since) const {
+    const std::scoped_lock lock{mutex_};
+    return tracker_.answer_peer(since);
+}
+
+std::uint64_t config_feed::version() const {
+    const std::scoped_lock lock{mutex_};
+    return tracker_.current() ? tracker_.current()->version() : 0;
+}
+
+void config_feed::run(const std::stop_token &token) {
+    std::mutex mutex;
+    std::condition_variable_any wake;
+    while (!token.stop_requested()) {
+        const bool ok = follow_store();
+        if (ok != store_reachable_) {
+            store_reachable_ = ok;
+            log::write(ok ? log::event{"store_recovered"} : log::event{"store_unavailable"});
+        }
+        if (!ok) {
+            ask_peers();
+            std::unique_lock lock{mutex};
+            wake.wait_for(lock, token, internal::retry_delay, [] { return false; });
+        }
+        publish_age();
+    }
+}
+
+bool config_feed::follow_store() {
+    const auto started = clock_.now();
+    const auto batch = store_.watch(config::head_key, revision_, internal::store_watch_wait);
+    if (!batch) {
+        return false;
+    }
+    // A revision that steps back comes from a stale read; it must not make the watch repeat itself from there.
+    const bool fresh = batch.value().revision >= revision_;
+    const bool first = revision_ == 0;
+    revision_ = std::max(revision_, batch.value().revision);
+    bool seen = false;
+    for (const auto &it : batch.value().events) {
+        if (it.item.key == config::head_key && !it.deleted) {
+            seen = true;
+            config::tracker_actions actions;
+            {
+                const std::scoped_lock lock{mutex_};
+                actions = tracker_.on_head(it.item.value, started);
+            }
+            handle(actions);
+        }
+    }
+    if (!seen && first) {
+        config::tracker_actions actions;
+        {
+            const std::scoped_lock lock{mutex_};
+            actions = tracker_.on_head(std::nullopt, started);
+        }
+        handle(actions);
+    }
+    if (fresh) {
+        events_.push(confirmed_event{started});
+    }
+    return true;
+}
+
+void config_feed::ask_peers() {
+    for (const auto &address : peers_()) {
+        const auto started = clock_.now();
+        const auto status = client_.call(address, {"GET", "/status", {}, ""}, internal::peer_timeout);
+        if (!status || status.value().status != 200) {
+            continue;
+        }
+        const auto body = nlohmann::json::parse(status.value().body, nullptr, false);
+        if (body.is_object() && !body.value("store_reachable", true)) {
+            events_.push(outage_event{started});
+        }
+        const auto since = version();
+        const std::string target = "/config" + (since == 0 ? "" : "?since=" + std::to_string(since));
+        const auto answer = client_.call(address, {"GET", target, {}, ""}, internal::peer_timeout);
+        if (answer && answer.value().status == 200) {
+            config::tracker_actions actions;
+            {
+                const std::scoped_lock lock{mutex_};
+                actions = tracker_.on_peer(answer.value().body, started);
+            }
+            handle(actions);
+        }
+    }
+}
+
+void config_feed::handle(const config::tracker_actions &actions) {
+    for (const auto &action : actions) {
+        std::visit(
+            internal::overloaded{
+                [this](const config::fetch_snapshot &it) { fetch(it); },
+                [this](const config::adopted &it) {
+                    log::write("config_adopted", {{"version", it.state->version()}, {"from_peer", it.from_peer}});
+                    events_.push(config_event{it.state});
+                },
+                [](const config::offer_ignored &it) {
+                    if (it.problem == config::offer_problem::diverged) {
+                        log::write("config_diverged", {{"version", it.offered}, {"detail", it.detail}});
+                    } else if (it.problem == config::offer_problem::unreadable) {
+                        log::write("config_unreadable", {{"detail", it.detail}});
+                    } else {
+                        log::write("config_stale_ignored", {{"version", it.offered}});
+                    }
+                }},
+            action);
+    }
+}
+
+void config_feed::fetch(const config::fetch_snapshot &wanted) {
+    std::vector<std::string> parts;
+    for (std::uint64_t n = 0; n < wanted.parts; ++n) {
+        const auto part = store_.get(config::snapshot_key(wanted.version, n));
+        if (!part || !part.value()) {
+            const std::scoped_lock lock{mutex_};
+            tracker_.on_snapshot_failed();
+            // The head is read again from the beginning, which asks for the snapshot again.
+            revision_ = 0;
+            return;
+        }
+        parts.push_back(part.value()->value);
+    }
+    config::tracker_actions actions;
+    {
+        const std::scoped_lock lock{mutex_};
+        actions = tracker_.on_snapshot(wanted.version, parts);
+    }
+    handle(actions);
+}
+
+void config_feed::publish_age() {
+    std::optional<base::duration> age;
+    {
+        const std::scoped_lock lock{mutex_};
+        age = tracker_.age();
+    }
+    if (age) {
+        events_.push(confirmed_event{clock_.now() - *age});
+    }
+}
+
+} // namespace dotterelstack::entry
--- /dev/null
+++ b/src/entry/config_feed.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "config/config_tracker.hpp"
+#include "entry/events.hpp"
+#include "store/object_store.hpp"
+#include "transport/h2_client.hpp"
+
+namespace dotterelstack::entry {
+
+/** @brief Follows the configuration in the store, and at peers while the store does not answer. One thread. */
+class config_feed {
+public:
+    /** @brief Addresses of the other entries known now. */
+    using peer_source = std::function<std::vector<std::string>()>;
+
+    config_feed(const base::clock &time, store::object_store &store, transport::h2_client &client, event_ring &events,
+                peer_source peers);
+    config_feed(const config_feed &) = delete;
+    config_feed &operator=(const config_feed &) = delete;
+    config_feed(config_feed &&) = delete;
+    config_feed &operator=(config_feed &&) = delete;
+    ~config_feed();
+
+    void start();
+    void stop();
+
+    /** @return Body for a peer's `GET /config?since=N`. */
+    [[nodiscard]] std::string answer_peer(std::optional<std::uint64_t> since) const;
+
+    /** @return True while the last call to the store succeeded. */
+    [[nodiscard]] bool store_reachable() const noexcept { return store_reachable_; }
+
+    /** @return Version in force, 0 before the first. */
+    [[nodiscard]] std::uint64_t version() const;
+
+private:
+    void run(const std::stop_token &token);
+    [[nodiscard]] bool follow_store();
+    void ask_peers();
+    void handle(const config::tracker_actions &actions);
+    void fetch(const config::fetch_snapshot &wanted);
+    void publish_age();
+
+    const base::clock &clock_;
+    store::object_store &store_;
+    transport::h2_client &client_;
+    event_ring &events_;
+    const peer_source peers_;
+    mutable std::mutex mutex_;
+    config::config_tracker tracker_;
+    std::uint64_t revision_{0};
+    std::atomic<bool> store_reachable_{false};
+    std::jthread thread_;
+};
+
+} // namespace dotterelstack::entry
--- /dev/null
+++ b/src/entry/dispatcher.cpp
@@ -0,0 +1,327 @@
+#include "entry/dispatcher.hpp"
+
+#include <chrono>
+
+#include "config/route.hpp"
+#include "entry/key_scrubber.hpp"
+#include "log/event.hpp"
+
+namespace dotterelstack::entry {
+
+namespace internal {
+
+// Concurrent requests of one service through this entry, for each backend server known.
+constexpr std::uint32_t slots_per_backend = 32;
+// Wait suggested when there is no better estimate: the time in which membership changes are seen.
+constexpr auto membership_delay = std::chrono::seconds{2};
+
+std::int64_t wall_clock_seconds() {
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(since).count();
+}
+
+refusal_answer limit_refusal(const limits::decision &it) {
+    using enum limits::refusal;
+    const auto wait = it.retry_after;
+    switch (it.reason) {
+    case concurrency:
+        return {429, "concurrency_limit", "the organisation's concurrency limit is reached; retry later", {}, wait};
+    case rate:
+        return {429, "request_rate_limit", "the organisation's request rate is reached; retry later", {}, wait};
+    case prompt_tokens:
+        return {429, "prompt_token_limit", "the organisation's prompt token rate is reached; retry later", {}, wait};
+    case generated_tokens:
+        return {429, "generated_token_limit", "the organisation's token rate is reached; retry later", {}, wait};
+    case queue_full:
+        return {429, "queue_full", "too many requests of the organisation wait; retry later", {}, wait};
+    case deadline:
+        return {504, "deadline", "the request could not start in time; retry later", {}, wait};
+    case unknown_row:
+        return {403, "service_not_allowed", "ask the operator for a row for this organisation and service"};
+    case capacity:
+    case duplicate:
+    case none:
+        break;
+    }
+    return {503, "capacity", "the backend servers of the service are busy; retry later", {}, wait};
+}
+
+} // namespace internal
+
+dispatcher::dispatcher(dispatcher_settings settings, dependencies with)
+    : settings_{std::move(settings)}, with_{std::move(with)}, admission_{with_.time}, router_{with_.time, with_.random},
+      freshness_{with_.time, settings_.isolation_limit} {}
+
+const config::service *dispatcher::find_service(const caller_request &request) const {
+    return request.kind == request_kind::call ? config_->find_service(request.service)
+                                              : config_->find_service_of_model(request.model);
+}
+
+bool dispatcher::is_public(const config::service &service, const caller_request &request) const {
+    if (service.is_public) {
+        return true;
+    }
+    const auto *route = config::find_route(service, request.method, request.path.substr(0, request.path.find('?')));
+    return request.kind == request_kind::call && route != nullptr && route->is_public;
+}
+
+bool dispatcher::key_valid(std::string_view hash) const {
+    return !withdrawn_.contains(hash) && config_->find_active_key(hash) != nullptr;
+}
+
+void dispatcher::refuse(caller_port &caller, const refusal_answer &answer, std::string_view service) {
+    with_.metrics.count("refusals_total", "reason=\"" + answer.code + "\",service=\"" + std::string{service} + "\"");
+    caller.respond(to_response(answer));
+}
+
+void dispatcher::on_arrival(std::shared_ptr<caller_port> caller, caller_request request) {
+    const auto wait = internal::membership_delay;
+    if (stopping_) {
+        return refuse(*caller, {503, "stopping", "this entry is stopping; send to another one", {}, wait}, "");
+    }
+    if (!config_ || !freshness_.serves()) {
+        return refuse(*caller,
+                      {503, "isolated", "this entry cannot confirm its key table; send to another one", {}, wait}, "");
+    }
+    const auto *service = find_service(request);
+    const bool open = service != nullptr && is_public(*service, request);
+    const std::string hash = request.key.empty() ? "" : base::sha256_hex(request.key);
+    if (!open && (hash.empty() || !key_valid(hash))) {
+        log::write("request_unauthorised", {{"present", !hash.empty()}});
+        return refuse(
+            *caller,
+            {401, hash.empty() ? "missing_key" : "invalid_key", "send a valid key as \"Authorization: Bearer KEY\""},
+            "");
+    }
+    if (service == nullptr) {
+        const bool call = request.kind == request_kind::call;
+        return refuse(*caller,
+                      {404, call ? "unknown_service" : "unknown_model", "no service offers this; check its name"}, "");
+    }
+    const auto *key = hash.empty() || !key_valid(hash) ? nullptr : config_->find_active_key(hash);
+    const std::string organisation = key == nullptr ? std::string{public_organisation} : key->organisation;
+    if (config_->find_row(organisation, service->name) == nullptr) {
+        return refuse(*caller,
+                      {403, "service_not_allowed", "ask the operator for a row for this organisation and service"},
+                      service->name);
+    }
+    if (scrub_keys(request) == scrub_outcome::refused) {
+        log::write("key_in_body_refused", {{"service", service->name}, {"organisation", organisation}});
+        return refuse(*caller, {400, "key_in_request", "send the key in the Authorization header only"}, service->name);
+    }
+    auto id = with_.ids.next();
+    response_format format{id, request, internal::wall_clock_seconds()};
+    auto it = std::make_shared<flow>(flow{.id = id,
+                                          .caller = std::move(caller),
+                                          .request = std::move(request),
+                                          .organisation = organisation,
+                                          .service = service->name,
+                                          .key_hash = key == nullptr ? "" : hash,
+                                          .received = with_.time.now(),
+                                          .assembly = answer::assembly{id},
+                                          .format = format});
+    it->deadline = it->received + settings_.request_deadline;
+    it->prompt_tokens = it->request.prompt_tokens;
+    if (it->request.kind == request_kind::call) {
+        const auto path = it->request.path.substr(0, it->request.path.find('?'));
+        const auto *route = config::find_route(*service, it->request.method, path);
+        it->repeatable = route != nullptr && route->repeatable;
+    } else {
+        it->prefix_blocks = prefix_hashes(it->request.model, it->request.prompt, settings_.block_tokens);
+    }
+    submit(it);
+}
+
+void dispatcher::submit(const std::shared_ptr<flow> &it) {
+    flows_.emplace(it->id, it);
+    const auto answer = admission_.submit({.request = it->id,
+                                           .row = {it->organisation, it->service},
+                                           .prompt_tokens = it->request.prompt_tokens,
+                                           .max_generated_tokens = it->request.max_tokens,
+                                           .priority = static_cast<int>(it->request.priority),
+                                           .deadline = it->deadline});
+    if (answer.outcome == limits::verdict::refused) {
+        refuse(*it->caller, internal::limit_refusal(answer), it->service);
+        flows_.erase(it->id);
+    } else if (answer.outcome == limits::verdict::admitted) {
+        admitted(*it);
+    }
+}
+
+void dispatcher::admitted(flow &it) {
+    with_.metrics.observe(metrics::timing::queue_wait, it.organisation, it.service, with_.time.now() - it.received);
+    if (it.repeatable || it.request.idempotency_key.empty()) {
+        start_attempt(it);
+        return;
+    }
+    it.stage = flow_stage::claiming;
+    with_.claims.submit(
+        {.request_id = it.id,
+         .organisation = it.organisation,
+         .service = it.service,
+         .key = it.request.idempotency_key,
+         .body_hash = base::sha256_hex(it.request.method + " " + it.request.path + "\n" + it.request.body)});
+}
+
+void dispatcher::on_claim(const claim::claim_decision &decision) {
+    auto *it = find_flow(decision.request_id);
+    if (it == nullptr || it->stage != flow_stage::claiming) {
+        // The caller's request was given up before the claim was decided; the claim must not stay open.
+        if (decision.verdict == claim::claim_verdict::run) {
+            with_.claims.finish_not_run(decision.request_id);
+        }
+        return;
+    }
+    using enum claim::claim_verdict;
+    switch (decision.verdict) {
+    case run:
+        it->claimed = true;
+        it->run_before = decision.run_before;
+        return start_attempt(*it);
+    case replay:
+        if (!decision.answer.complete) {
+            return give_up(*it, {409, "answer_not_kept", "the request ran; its answer was too large to keep", {}});
+        }
+        it->caller->respond({decision.answer.status,
+                             {{"Content-Type", decision.answer.content_type}, {"Idempotent-Replayed", "true"}},
+                             decision.answer.body});
+        return erase(it->id);
+    case in_progress:
+        return give_up(*it, {409, "in_progress", "a request with this Idempotency-Key is running; repeat it later",
+                             ran_claim::no, internal::membership_delay});
+    case unknown:
+        log::write("claim_unknown", {{"request", it->id}, {"service", it->service}});
+        return give_up(*it, {409, "outcome_unknown",
+                             "a request with this Idempotency-Key may have run; check the service before a new one",
+                             ran_claim::unknown});
+    case key_reused:
+        return give_up(*it, {422, "idempotency_key_reused", "use a new Idempotency-Key for a different request"});
+    case refused:
+        break;
+    }
+    give_up(*it, {503, "claim_unavailable", decision.reason.message, ran_claim::no, internal::membership_delay});
+}
+
+void dispatcher::on_config(config::state_ptr state) {
+    if (config_ && state->version() <= config_->version()) {
+        return;
+    }
+    const auto old = std::move(config_);
+    config_ = std::move(state);
+    for (const auto &[name, row] : config_->values().rows) {
+        admission_.set_row({row.organisation, row.service},
+                           {.weight = row.weight,
+                            .max_concurrency = static_cast<std::uint32_t>(row.concurrency),
+                            .requests_per_second = row.requests_per_second,
+                            .prompt_tokens_per_second = row.prompt_tokens_per_second,
+                            .generated_tokens_per_second = row.generated_tokens_per_second,
+                            .max_queue = static_cast<std::uint32_t>(row.max_queue)});
+    }
+    if (old) {
+        for (const auto &[name, row] : old->values().rows) {
+            if (!config_->values().rows.contains(name)) {
+                admission_.remove_row({row.organisation, row.service});
+            }
+        }
+    }
+    next_key_check_ = {};
+    tick();
+}
+
+void dispatcher::on_keys_withdrawn(const std::vector<std::string> &hashes) {
+    for (const auto &it : hashes) {
+        if (withdrawn_.insert(it).second) {
+            log::write("key_withdrawn", {{"hash_prefix", it.substr(0, 8)}});
+            next_key_check_ = {};
+        }
+    }
+    tick();
+}
+
+void dispatcher::on_backends(const std::vector<backend_status> &all) {
+    std::set<std::string, std::less<>> seen;
+    std::map<std::string, std::uint32_t> slots;
+    for (const auto &it : all) {
+        seen.insert(it.facts.name);
+        router_.update_backend(it.facts);
+        if (it.has_report) {
+            (void)router_.apply_report(it.facts.name, it.report);
+        }
+        if (it.facts.healthy && !it.facts.leaving) {
+            slots[it.facts.service] += internal::slots_per_backend;
+        }
+    }
+    for (const auto &name : known_backends_) {
+        if (!seen.contains(name)) {
+            router_.remove_backend(name);
+        }
+    }
+    known_backends_ = std::move(seen);
+    for (const auto &[service, n] : slots) {
+        admission_.set_capacity(service, n);
+    }
+}
+
+void dispatcher::on_share(std::string_view organisation, std::string_view service, const limits::row_share &share) {
+    admission_.set_share({organisation, service}, share);
+}
+
+void dispatcher::tick() {
+    for (const auto &answer : admission_.poll()) {
+        if (auto *it = find_flow(answer.request); it != nullptr && it->stage == flow_stage::queued) {
+            if (answer.outcome == limits::verdict::admitted) {
+                admitted(*it);
+            } else {
+                refuse(*it->caller, internal::limit_refusal(answer), it->service);
+                flows_.erase(answer.request);
+            }
+        }
+    }
+    const auto now = with_.time.now();
+    const bool check_keys = now >= next_key_check_;
+    if (check_keys) {
+        next_key_check_ = now + settings_.key_check_interval;
+    }
+    std::vector<std::string> ids;
+    for (const auto &[id, it] : flows_) {
+        ids.push_back(id);
+    }
+    for (const auto &id : ids) {
+        auto *it = find_flow(id);
+        if (it == nullptr || it->stage == flow_stage::holding) {
+            continue;
+        }
+        if (check_keys && !it->key_hash.empty() && config_ && !key_valid(it->key_hash)) {
+            log::write("stream_ended_key_withdrawn", {{"request", it->id}, {"organisation", it->organisation}});
+            give_up(*it, {401, "key_withdrawn", "the key was withdrawn; use a valid one",
+                          it->may_have_run ? ran_claim::unknown : ran_claim::no});
+        } else if (now >= it->deadline && it->stage != flow_stage::probing) {
+            give_up(*it, {504, "deadline", "the request took too long; ask for less or retry later",
+                          it->may_have_run ? ran_claim::unknown : ran_claim::no, internal::membership_delay});
+        } else if (it->request.kind != request_kind::call && it->caller->gone()) {
+            give_up(*it, {499, "caller_gone", "the caller closed the connection", ran_claim::unknown});
+        }
+    }
+    for (auto it = probes_.begin(); it != probes_.end();) {
+        if (now >= it->second) {
+            const auto id = it->first;
+            it = probes_.erase(it);
+            on_cancel_outcome(id, "");
+            it = probes_.begin();
+        } else {
+            ++it;
+        }
+    }
+}
+
+flow *dispatcher::find_call(call_id call) {
+    const auto it = calls_.find(call);
+    return it == calls_.end() ? nullptr : find_flow(it->second);
+}
+
+flow *dispatcher::find_flow(std::string_view id) {
+    const auto it = flows_.find(id);
+    return it == flows_.end() ? nullptr : it->second.get();
+}
+
+} // namespace dotterelstack::entry
--- /dev/null
+++ b/src/entry/entry_daemon.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "base/clock.hpp"
+#include "base/id.hpp"
+#include "entry/agent_link.hpp"
+#include "entry/claim_link.hpp"
+#include "entry/config_feed.hpp"
+#include "entry/dispatcher.hpp"
+#include "entry/events.hpp"
+#include "entry/fleet_feed.hpp"
+#include "entry/usage_link.hpp"
+#include "http/client.hpp"
+#include "http/server.hpp"
+#include "metrics/registry.hpp"
+#include "settings/entry_settings.hpp"
+#include "store/object_store.hpp"
+#include "transport/event_loop.hpp"
+#include "transport/h2_client.hpp"
+#include "transport/h2_server.hpp"
+
+namespace dotterelstack::entry {
+
+/** @brief Addresses on which an entry listens. */
+struct entry_addresses {
+    std::string callers;
+    std::string peers;
+};
+
+/**
+ * @brief An entry host's process: listeners, the dispatcher's thread and its feeds.
+ *
+ * Threads: callers (libmicrohttpd), event loop (agents and peers), dispatcher, configuration, fleet, claims, usage.
+ */
+class entry_daemon {
+public:
+    entry_daemon(settings::entry_settings values, const base::clock &time, base::id_source &ids, http::client &client,
+                 store::object_store &store);
+    entry_daemon(const entry_daemon &) = delete;
+    entry_daemon &operator=(const entry_daemon &) = delete;
+    entry_daemon(entry_daemon &&) = delete;
+    entry_daemon &operator=(entry_daemon &&) = delete;
+    ~entry_daemon();
+
+    [[nodiscard]] base::result<entry_addresses> start();
+
+    /** @brief Stops accepting, finishes what runs, and returns. */
+    void drain_and_stop();
+
+private:
+    void on_call(const http::exchange &call);
+    void on_peer(const transport::h2_stream &stream);
+    void dispatch();
+    void handle(entry_event &event);
+    [[nodiscard]] http::response peer_status();
+    void stop_threads();
+
+    const settings::entry_settings settings_;
+    const base::clock &clock_;
+    base::id_source &ids_;
+    http::client &client_;
+    store::object_store &store_;
+    const std::string incarnation_;
+    metrics::registry metrics_;
+    event_ring events_;
+    transport::event_loop loop_;
+    transport::h2_client h2_client_;
+    transport::h2_server peer_server_;
+    agent_link agents_;
+    claim_link claims_;
+    usage_link usage_;
+    std::unique_ptr<fleet_feed> fleet_;
+    std::unique_ptr<config_feed> config_;
+    std::unique_ptr<dispatcher> dispatcher_;
+    http::server caller_server_;
+    std::thread dispatch_thread_;
+    std::atomic<std::size_t> active_{0};
+    std::atomic<std::uint64_t> version_{0};
+    std::atomic<std::uint64_t> withdrawn_{0};
+    bool stopped_{false};
+};
+
+} // namespace dotterelstack::entry
--- /dev/null
+++ b/src/entry/events.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "base/ring.hpp"
+#include "claim/claim_book.hpp"
+#include "config/config_state.hpp"
+#include "entry/caller_request.hpp"
+#include "entry/dispatcher.hpp"
+#include "entry/ports.hpp"
+#include "http/message.hpp"
+
+namespace dotterelstack::entry {
+
+struct arrival_event {
+    std::shared_ptr<caller_port> caller;
+    caller_request request;
+};
+struct head_event {
+    call_id call{0};
+    int status{0};
+    http::field_list fields;
+};
+struct data_event {
+    call_id call{0};
+    std::string part;
+};
+struct end_event {
+    call_id call{0};
+    call_end how{call_end::broken};
+};
+struct cancel_event {
+    std::string request;
+    std::string outcome;
+};
+struct claim_event {
+    claim::claim_decision decision;
+};
+struct usage_held_event {
+    std::string request;
+};
+struct config_event {
+    config::state_ptr state;
+};
+struct confirmed_event {
+    base::instant when{};
+};
+struct outage_event {
+    base::instant when{};
+};
+struct withdrawn_event {
+    std::vector<std::string> hashes;
+};
+struct backends_event {
+    std::vector<backend_status> all;
+};
+struct stop_event {};
+
+using entry_event =
+    std::variant<arrival_event, head_event, data_event, end_event, cancel_event, claim_event, usage_held_event,
+                 config_event, confirmed_event, outage_event, withdrawn_event, backends_event, stop_event>;
+
+/**
+ * @brief Ring in front of the dispatcher's thread. When it is full, an arrival is refused with 503 `overloaded`;
+ * all other producers wait, which slows the agents' streams down by flow control.
+ */
+using event_ring = base::bounded_ring<entry_event>;
+
+} // namespace dotterelstack::entry
--- /dev/null
+++ b/src/entry/fleet_feed.cpp
@@ -0,0 +1,233 @@
+#include "entry/fleet_feed.hpp"
+
+#include <algorithm>
+#include <condition_variable>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "log/event.hpp"
+
+namespace dotterelstack::entry {
+
+using nlohmann::json;
+
+namespace internal {
+
+// An agent that has not answered for so long is taken as failed; two missed rounds and a ping deadline.
+constexpr auto agent_silence_limit = std::chrono::milliseconds{2500};
+constexpr auto status_timeout = std::chrono::milliseconds{800};
+// Block size of the engines, see section 1.2 of the design.
+constexpr std::uint32_t block_tokens = 1024;
+
+/** Collects the answers of one round of status calls. */
+struct status_round {
+    std::mutex mutex;
+    std::condition_variable done;
+    std::size_t waiting{0};
+    std::map<std::string, std::string> bodies;
+};
+
+routing::backend_role to_role(std::string_view text) {
+    if (text == "prefill") {
+        return routing::backend_role::prefill;
+    }
+    return text == "decode" ? routing::backend_role::decode : routing::backend_role::mixed;
+}
+
+backend_status to_status(const json &it, const listed_host &host, const std::string &incarnation) {
+    backend_status out;
+    auto &facts = out.facts;
+    facts.name = it.value("name", "");
+    facts.agent_address = host.address;
+    facts.incarnation = incarnation;
+    facts.failure_domain = host.failure_domain;
+    facts.service = it.value("service", "");
+    facts.models = it.value("models", std::vector<std::string>{});
+    facts.healthy = it.value("healthy", false);
+    facts.block_tokens = block_tokens;
+    if (it.value("kind", "model") == "plain") {
+        facts.role = routing::backend_role::plain;
+        return out;
+    }
+    facts.role = to_role(it.value("role", "mixed"));
+    facts.total_blocks = it.value("total_blocks", 0U);
+    out.has_report = true;
+    out.report = {.seq = it.value("report_seq", std::uint64_t{0}),
+                  .running = it.value("running", 0U),
+                  .queued = it.value("queued", 0U),
+                  .free_blocks = it.value("free_blocks", 0U),
+                  .age = std::chrono::milliseconds{it.value("age_ms", 0)}};
+    return out;
+}
+
+} // namespace internal
+
+fleet_feed::fleet_feed(options values, const base::clock &time, http::client &client, transport::h2_client &agents,
+                       event_ring &events)
+    : options_{std::move(values)}, clock_{time}, client_{client}, agents_{agents}, events_{events} {}
+
+fleet_feed::~fleet_feed() {
+    stop();
+}
+
+void fleet_feed::start() {
+    thread_ = std::jthread{[this](const std::stop_token &token) { run(token); }};
+}
+
+void fleet_feed::stop() {
+    if (thread_.joinable()) {
+        thread_.request_stop();
+        thread_.join();
+    }
+}
+
+std::vector<std::string> fleet_feed::peers() const {
+    const std::scoped_lock lock{mutex_};
+    std::vector<std::string> out = options_.static_peers;
+    for (const auto &it : hosts_) {
+        if (it.role == "entry" && it.address != options_.self && std::ranges::find(out, it.address) == out.end()) {
+            out.push_back(it.address);
+        }
+    }
+    return out;
+}
+
+std::vector<listed_host> fleet_feed::hosts() const {
+    const std::scoped_lock lock{mutex_};
+    return hosts_;
+}
+
+void fleet_feed::set_config(config::state_ptr state) {
+    {
+        const std::scoped_lock lock{mutex_};
+        config_ = std::move(state);
+    }
+}
+
+void fleet_feed::run(const std::stop_token &token) {
+    std::mutex mutex;
+    std::condition_variable_any wake;
+    while (!token.stop_requested()) {
+        read_hosts();
+        read_agents();
+        publish();
+        std::unique_lock lock{mutex};
+        wake.wait_for(lock, token, options_.interval, [] { return false; });
+    }
+}
+
+void fleet_feed::read_hosts() {
+    http::call_options limits;
+    limits.timeout = std::chrono::seconds{1};
+    const auto answer = client_.call(options_.platform, {"GET", "/v1/hosts", {}, ""}, limits);
+    const auto body =
+        answer && answer.value().status == 200 ? json::parse(answer.value().body, nullptr, false) : json{};
+    if (!body.is_object() || !body.contains("hosts")) {
+        // The last list stays in force: agents that still answer are still there.
+        log::write("host_list_unavailable");
+        return;
+    }
+    std::vector<listed_host> fresh;
+    for (const auto &it : body["hosts"]) {
+        fresh.push_back({it.value("host", ""), it.value("role", ""), it.value("address", ""),
+                         it.value("failure_domain", ""), it.value("state", "live") == "leaving"});
+    }
+    const std::scoped_lock lock{mutex_};
+    hosts_ = std::move(fresh);
+}
+
+void fleet_feed::read_agents() {
+    const auto round = std::make_shared<internal::status_round>();
+    const auto asked = clock_.now();
+    const auto all = hosts();
+    for (const auto &host : all) {
+        if (host.role != "agent") {
+            continue;
+        }
+        {
+            const std::scoped_lock lock{round->mutex};
+            ++round->waiting;
+        }
+        const auto body = std::make_shared<std::string>();
+        transport::h2_handlers handlers;
+        handlers.on_head = [](int /*status*/, const http::field_list & /*fields*/) {};
+        handlers.on_data = [body](std::string_view part) { body->append(part); };
+        handlers.on_end = [round, body, name = host.host](transport::h2_outcome outcome) {
+            const std::scoped_lock lock{round->mutex};
+            if (outcome == transport::h2_outcome::complete) {
+                round->bodies[name] = std::move(*body);
+            }
+            --round->waiting;
+            round->done.notify_one();
+        };
+        agents_.send(host.address, {"GET", "/status", {}, ""}, std::move(handlers));
+    }
+    std::map<std::string, std::string> bodies;
+    {
+        std::unique_lock lock{round->mutex};
+        round->done.wait_for(lock, internal::status_timeout, [&round] { return round->waiting == 0; });
+        bodies = round->bodies;
+    }
+    for (const auto &host : all) {
+        if (const auto it = bodies.find(host.host); it != bodies.end()) {
+            take_status(host, it->second, asked);
+        }
+    }
+}
+
+void fleet_feed::take_status(const listed_host &host, std::string_view body, base::instant asked) {
+    const auto it = json::parse(body, nullptr, false);
+    if (!it.is_object() || !it.contains("backends")) {
+        return;
+    }
+    const bool draining = it.value("draining", false);
+    const auto incarnation = it.value("incarnation", std::string{});
+    agent_view view;
+    view.answered = asked;
+    for (const auto &each : it["backends"]) {
+        view.backends.push_back(internal::to_status(each, host, incarnation));
+        view.backends.back().facts.leaving = draining;
+    }
+    const std::scoped_lock lock{mutex_};
+    views_[host.host] = std::move(view);
+}
+
+bool fleet_feed::planned_to_leave(const listed_host &host, const std::string &backend) const {
+    if (!config_) {
+        return false;
+    }
+    return std::ranges::any_of(config_->values().planned, [&](const auto &each) {
+        const config::planned_change &it = each.second;
+        const bool open = it.state == config::planned_state::requested || it.state == config::planned_state::running;
+        // A drained backend server stays out of service until an operator plans something else for it.
+        const bool drained = it.kind == config::planned_kind::drain && it.state == config::planned_state::done;
+        const bool named = (!it.backend.empty() && it.backend == backend) || (!it.host.empty() && it.host == host.host);
+        return named && (open || drained);
+    });
+}
+
+void fleet_feed::publish() {
+    backends_event out;
+    const auto now = clock_.now();
+    {
+        const std::scoped_lock lock{mutex_};
+        std::set<std::string> listed;
+        for (const auto &host : hosts_) {
+            listed.insert(host.host);
+            const auto view = views_.find(host.host);
+            if (host.role != "agent" || view == views_.end()) {
+                continue;
+            }
+            const bool silent = now - view->second.answered > internal::agent_silence_limit;
+            for (auto it : view->second.backends) {
+                it.facts.leaving = it.facts.leaving || host.leaving || planned_to_leave(host, it.facts.name);
+                it.facts.healthy = it.facts.healthy && !silent;
+                out.all.push_back(std::move(it));
+            }
+        }
+        std::erase_if(views_, [&listed](const auto &each) { return !listed.contains(each.first); });
+    }
+    events_.push(std::move(out));
+}
+
+} // namespace dotterelstack::entry
--- /dev/null
+++ b/src/entry/ports.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "claim/claim_book.hpp"
+#include "http/message.hpp"
+
+namespace dotterelstack::entry {
+
+/** @brief Number of one call to an agent, unique in this process. */
+using call_id = std::uint64_t;
+
+/** @brief The connection to one caller. Calls return at once. */
+class caller_port {
+public:
+    caller_port() = default;
+    caller_port(const caller_port &) = delete;
+    caller_port &operator=(const caller_port &) = delete;
+    virtual ~caller_port() = default;
+
+    virtual void respond(const http::response &answer) = 0;
+    virtual void start(int status, const http::field_list &fields) = 0;
+
+    /** @return False when the caller has gone or reads too slowly. */
+    [[nodiscard]] virtual bool write(std::string_view part) = 0;
+    virtual void finish() = 0;
+
+    /** @brief Breaks the connection, so that the response is seen to be incomplete. */
+    virtual void abort() = 0;
+    [[nodiscard]] virtual bool gone() const = 0;
+};
+
+/** @brief How a call to an agent ended. */
+enum class call_end {
+    complete,
+    not_sent,
+    not_started,
+    broken,
+    cancelled
+};
+
+/** @brief The way to agents. Outcomes come back as events of the dispatcher. */
+class agent_port {
+public:
+    agent_port() = default;
+    agent_port(const agent_port &) = delete;
+    agent_port &operator=(const agent_port &) = delete;
+    virtual ~agent_port() = default;
+
+    /** @brief Sends `POST /run`; `on_head`, `on_data` and `on_end` of the dispatcher follow. */
+    virtual void run(call_id call, std::string_view address, http::request message) = 0;
+
+    /** @brief Resets a call. */
+    virtual void reset(call_id call) = 0;
+
+    /** @brief Sends `POST /cancel`; `on_cancel_outcome` of the dispatcher follows. */
+    virtual void cancel(std::string_view address, std::string_view request, std::string_view incarnation) = 0;
+};
+
+/** @brief Idempotency claims. Decisions come back as `on_claim`. */
+class claim_port {
+public:
+    claim_port() = default;
+    claim_port(const claim_port &) = delete;
+    claim_port &operator=(const claim_port &) = delete;
+    virtual ~claim_port() = default;
+
+    virtual void submit(claim::claim_request request) = 0;
+    virtual void finish(std::string_view request, claim::kept_answer answer) = 0;
+    virtual void finish_unknown(std::string_view request) = 0;
+    virtual void finish_not_run(std::string_view request) = 0;
+};
+
+/** @brief What one response cost. */
+struct served_usage {
+    std::string request;
+    std::string organisation;
+    std::string service;
+    std::uint64_t prompt_tokens{0};
+    std::uint64_t generated_tokens{0};
+    std::uint64_t calls{1};
+};
+
+/** @brief Usage records. `on_usage_held` follows when the end of the response may be released. */
+class usage_port {
+public:
+    usage_port() = default;
+    usage_port(const usage_port &) = delete;
+    usage_port &operator=(const usage_port &) = delete;
+    virtual ~usage_port() = default;
+
+    virtual void record(served_usage used) = 0;
+};
+
+} // namespace dotterelstack::entry
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,3 +1,177 @@
-int main() {
-    return 0;
+#include <csignal>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "agent/agent_daemon.hpp"
+#include "base/clock.hpp"
+#include "base/id.hpp"
+#include "entry/entry_daemon.hpp"
+#include "http/client.hpp"
+#include "log/event.hpp"
+#include "settings/agent_settings.hpp"
+#include "settings/entry_settings.hpp"
+#include "store/http_store.hpp"
+
+using namespace dotterelstack;
+
+namespace {
+
+constexpr int exit_success = 0;
+constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+
+/** Blocks the stop signals in all threads, so that `wait_for_stop` receives them. */
+void block_stop_signals() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void wait_for_stop() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+int report(const base::error &ec) {
+    std::cerr << ec.code << ": " << ec.message << std::endl;
+    return ec.kind == base::error_kind::invalid_argument ? exit_usage : exit_failure;
+}
+
+int run_entry(const std::string &file, const std::vector<std::string> &overrides) {
+    const auto values = settings::load_entry_settings(file, overrides);
+    if (!values) {
+        return report(values.error());
+    }
+    const base::boottime_clock clock;
+    base::id_source ids;
+    http::curl_client client;
+    store::http_store_options options;
+    options.timeout = values.value().timings.store_timeout;
+    store::http_store store{client, values.value().store, options};
+    entry::entry_daemon daemon{values.value(), clock, ids, client, store};
+    const auto addresses = daemon.start();
+    if (!addresses) {
+        return report(addresses.error());
+    }
+    std::cout << "listening callers " << addresses.value().callers << "\nlistening peers " << addresses.value().peers
+              << std::endl;
+    log::write("process_started", {{"role", "entry"}, {"name", values.value().name}});
+    wait_for_stop();
+    log::write("process_stopping", {{"role", "entry"}});
+    daemon.drain_and_stop();
+    log::write("process_stopped", {{"role", "entry"}});
+    return exit_success;
+}
+
+/** Refuses orders until an executor is connected. */
+class no_orders final : public agent::order_handler {
+public:
+    [[nodiscard]] http::response handle(const http::request & /*order*/) override {
+        return {503, {{"ds-ran", "no"}}, R"({"error":{"code":"no_orders","message":"orders are off","ran":"no"}})"};
+    }
+};
+
+agent::agent_options to_options(const settings::agent_settings &values) {
+    agent::agent_options out;
+    out.host = values.host;
+    out.failure_domain = values.failure_domain;
+    out.listen = values.listen;
+    out.load_poll = values.timings.load_interval;
+    out.request_memory = values.timings.cancel_memory;
+    out.engine_idle_timeout = values.timings.backend_idle;
+    for (const auto &it : values.backends) {
+        const auto kind =
+            it.kind == settings::backend_kind::model ? agent::backend_kind::model : agent::backend_kind::plain;
+        out.backends.push_back({it.name, it.service, kind, it.address, it.models, it.honours_fence});
+    }
+    return out;
+}
+
+int run_agent(const std::string &file, const std::vector<std::string> &overrides) {
+    const auto values = settings::load_agent_settings(file, overrides);
+    if (!values) {
+        return report(values.error());
+    }
+    const base::boottime_clock clock;
+    base::id_source ids;
+    http::curl_client client;
+    no_orders orders;
+    agent::agent_daemon daemon{to_options(values.value()), clock, ids.next(), client, orders};
+    const auto address = daemon.start();
+    if (!address) {
+        return report(address.error());
+    }
+    std::cout << "listening agent " << address.value() << std::endl;
+    log::write("process_started", {{"role", "agent"}, {"host", values.value().host}});
+    wait_for_stop();
+    log::write("process_stopping", {{"role", "agent"}});
+    daemon.drain_and_stop();
+    log::write("process_stopped", {{"role", "agent"}});
+    return exit_success;
+}
+
+int run_role(const std::string &role, int argc, char **argv) {
+    cxxopts::Options options{"dotterelstack " + role, "Runs one " + role + " process"};
+    auto add = options.add_options();
+    add("settings", "settings file, JSON with comments", cxxopts::value<std::string>());
+    add("set", "overrides one field, name=value; repeatable",
+        cxxopts::value<std::vector<std::string>>()->default_value({}));
+    add("help", "shows this text");
+    const auto args = options.parse(argc, argv);
+    if (args.count("help") != 0) {
+        std::cout << options.help() << std::endl;
+        return exit_success;
+    }
+    if (args.count("settings") == 0) {
+        std::cerr << "name the settings file with --settings FILE\n" << options.help() << std::endl;
+        return exit_usage;
+    }
+    const auto overrides =
+        args.count("set") == 0 ? std::vector<std::string>{} : args["set"].as<std::vector<std::string>>();
+    const auto file = args["settings"].as<std::string>();
+    return role == "entry" ? run_entry(file, overrides) : run_agent(file, overrides);
+}
+
+constexpr std::string_view usage_text = "usage: dotterelstack COMMAND [OPTIONS]\n"
+                                        "  entry --settings FILE    runs an entry\n"
+                                        "  agent --settings FILE    runs the agent of a backend server host\n"
+                                        "  --help, --version\n";
+
+} // namespace
+
+int main(int argc, char **argv) {
+    const std::string_view command = argc > 1 ? argv[1] : "";
+    if (command == "--version") {
+        std::cout << "dotterelstack " << DOTTERELSTACK_VERSION << std::endl;
+        return exit_success;
+    }
+    if (command == "--help") {
+        std::cout << usage_text;
+        return exit_success;
+    }
+    try {
+        if (command == "entry" || command == "agent") {
+            log::start(argv[0]);
+            block_stop_signals();
+            return run_role(std::string{command}, argc - 1, argv + 1);
+        }
+    } catch (const cxxopts::exceptions::exception &ex) {
+        std::cerr << ex.what() << std::endl;
+        return exit_usage;
+    } catch (const std::exception &ex) {
+        std::cerr << "internal: " << ex.what() << std::endl;
+        return exit_failure;
+    }
+    std::cerr << usage_text;
+    return exit_usage;
 }
