Add the router and the prefix index

Cause: entries need to place requests on backend servers from lagging load reports. Change: routing/router.hpp keeps the work sent from this entry on top of the last report and takes the cheapest of a few randomly drawn backend servers and the probable holders of the prompt's prefix; routing/prefix_index.hpp is a set-associative table of block hashes with constant-time invalidation of one backend server. Ruled out: a scan over the whole pool for each choice (540 runners per model at design scale); it remains only as the check before a refusal. Dropping single prefix entries after a gap in the cache events: any earlier block may have been evicted in the gap, so that all of that backend server's entries are dropped.

--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,460 @@
+#include "routing/router.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace dotterelstack::routing {
+
+namespace internal {
+
+constexpr std::uint32_t unknown_domain = std::numeric_limits<std::uint32_t>::max();
+
+// Weight of one request in the running mean of prompt lengths; about the last fifty requests count.
+constexpr double prompt_mean_weight = 0.02;
+
+// A rejection before hand-over usually means stale facts (a drain not yet known here), which is milder than a failure.
+constexpr double rejection_weight = 0.25;
+
+// Bounds the memory for a backend server that stops reporting; forgetting an ended request overstates its load.
+constexpr std::size_t max_ended = 256;
+
+std::uint32_t minus(std::uint32_t from, std::uint32_t n) noexcept {
+    return from > n ? from - n : 0;
+}
+
+double seconds(base::duration it) noexcept {
+    return std::chrono::duration<double>(it).count();
+}
+
+base::duration to_duration(double seconds) noexcept {
+    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
+}
+
+bool role_fits(backend_role role, request_phase phase) noexcept {
+    switch (role) {
+    case backend_role::prefill:
+        return phase == request_phase::prefill;
+    case backend_role::decode:
+        return phase == request_phase::decode;
+    default:
+        return true;
+    }
+}
+
+bool contains(std::span<const std::string> names, std::string_view name) noexcept {
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace internal
+
+base::error to_error(refusal it) {
+    using base::error_kind;
+    switch (it.kind) {
+    case refusal_kind::all_leaving:
+        return {error_kind::unavailable, "all_leaving",
+                "every backend server for this service is being drained; retry when a replacement has started"};
+    case refusal_kind::no_memory:
+        if (it.permanent) {
+            return {error_kind::invalid_argument, "too_large",
+                    "the prompt and max_tokens exceed the memory of every backend server; shorten one of them"};
+        }
+        return {error_kind::exhausted, "no_memory",
+                "no backend server has enough free memory for this prompt; retry after running requests end"};
+    default:
+        return {error_kind::unavailable, "no_backend",
+                "no healthy backend server serves this service and model; check `dotterelstack status`"};
+    }
+}
+
+/** State of one choice. */
+struct router::search {
+    const route_request &request;
+    std::uint32_t domain{0};
+    base::instant now;
+    candidate best{.cost = std::numeric_limits<double>::infinity()};
+    bool any{false};       /**< At least one was not excluded. */
+    bool any_large{false}; /**< At least one is large enough when empty. */
+    bool found{false};
+};
+
+router::router(const base::clock &time, random_source random, router_settings settings)
+    : time_{time}, random_{std::move(random)}, settings_{settings}, prefixes_{settings.prefix_capacity} {}
+
+router::slot *router::find_slot(std::string_view name) noexcept {
+    const auto it = names_.find(name);
+    return it == names_.end() ? nullptr : &slots_[it->second];
+}
+
+const router::slot *router::find_slot(std::string_view name) const noexcept {
+    const auto it = names_.find(name);
+    return it == names_.end() ? nullptr : &slots_[it->second];
+}
+
+router::pool *router::find_pool(std::string_view service, std::string_view model) noexcept {
+    const auto by_model = pools_.find(service);
+    if (by_model == pools_.end()) {
+        return nullptr;
+    }
+    const auto it = by_model->second.find(model);
+    return it == by_model->second.end() ? nullptr : &it->second;
+}
+
+std::uint32_t router::domain_id(std::string_view name) {
+    if (const auto it = domains_.find(name); it != domains_.end()) {
+        return it->second;
+    }
+    const auto id = static_cast<std::uint32_t>(domains_.size());
+    domains_.emplace(name, id);
+    return id;
+}
+
+std::uint32_t router::find_domain(std::string_view name) const noexcept {
+    const auto it = domains_.find(name);
+    return it == domains_.end() ? internal::unknown_domain : it->second;
+}
+
+router::slot_id router::take_slot() {
+    if (!unused_slots_.empty()) {
+        const auto id = unused_slots_.back();
+        unused_slots_.pop_back();
+        return id;
+    }
+    slots_.emplace_back();
+    return static_cast<slot_id>(slots_.size() - 1);
+}
+
+template<typename Function>
+void router::for_each_pool(const backend_facts &facts, Function function) {
+    auto &by_model = pools_[facts.service];
+    if (facts.models.empty()) {
+        function(by_model[std::string{}]);
+    }
+    for (const auto &model : facts.models) {
+        function(by_model[model]);
+    }
+}
+
+void router::join_pools(slot_id id) {
+    const auto &it = slots_[id];
+    for_each_pool(it.facts, [&](pool &target) {
+        ++target.members;
+        target.leaving += it.facts.leaving ? 1 : 0;
+        if (it.facts.healthy && !it.facts.leaving) {
+            target.open.push_back(id);
+            target.by_domain.resize(std::max<std::size_t>(target.by_domain.size(), it.domain + 1));
+            target.by_domain[it.domain].push_back(id);
+        }
+    });
+}
+
+void router::leave_pools(slot_id id) {
+    const auto &it = slots_[id];
+    for_each_pool(it.facts, [&](pool &target) {
+        --target.members;
+        target.leaving -= it.facts.leaving ? 1 : 0;
+        if (it.facts.healthy && !it.facts.leaving) {
+            std::erase(target.open, id);
+            std::erase(target.by_domain[it.domain], id);
+        }
+    });
+}
+
+void router::reset_load(slot &it) {
+    for (auto *one : it.flights) {
+        one->generation = 0;
+    }
+    it.flights.clear();
+    it.ended_since.clear();
+    it.has_report = false;
+    it.report = {};
+    it.failures = 0;
+    ++it.generation;
+    recount(it);
+}
+
+void router::update_backend(backend_facts facts) {
+    auto known = names_.find(facts.name);
+    if (known == names_.end()) {
+        known = names_.emplace(facts.name, take_slot()).first;
+        reset_load(slots_[known->second]);
+        prefixes_.forget(known->second);
+    } else {
+        leave_pools(known->second);
+        if (slots_[known->second].facts.incarnation != facts.incarnation) {
+            reset_load(slots_[known->second]);
+            prefixes_.forget(known->second);
+        }
+    }
+    auto &it = slots_[known->second];
+    it.total_blocks = facts.total_blocks;
+    it.block_tokens = std::max(facts.block_tokens, 1U);
+    it.role = facts.role;
+    it.domain = domain_id(facts.failure_domain);
+    it.facts = std::move(facts);
+    recount(it);
+    join_pools(known->second);
+}
+
+void router::remove_backend(std::string_view name) {
+    const auto known = names_.find(name);
+    if (known == names_.end()) {
+        return;
+    }
+    const auto id = known->second;
+    leave_pools(id);
+    reset_load(slots_[id]);
+    prefixes_.forget(id);
+    slots_[id].facts = {};
+    names_.erase(known);
+    unused_slots_.push_back(id);
+}
+
+bool router::apply_report(std::string_view name, const load_report &report) {
+    auto *it = find_slot(name);
+    if (it == nullptr || (it->has_report && report.seq <= it->report.seq)) {
+        return false;
+    }
+    const auto made_at = time_.now() - report.age;
+    it->has_report = true;
+    it->report = report;
+    it->made_at = made_at;
+    for (auto *one : it->flights) {
+        one->in_report = one->started_at + settings_.report_margin <= made_at;
+    }
+    // An ended request still counts in the report when it had started before and ended after the report was made.
+    std::erase_if(it->ended_since,
+                  [&](const ended &one) { return one.finished_at <= made_at + settings_.report_margin; });
+    recount(*it);
+    return true;
+}
+
+void router::recount(slot &it) {
+    load sum;
+    for (const auto *one : it.flights) {
+        (one->in_report ? sum.known : sum.unreported) += 1;
+        (one->in_report ? sum.known_prefill : sum.unreported_prefill) += one->prefill_tokens;
+        sum.unreported_blocks += one->in_report ? 0 : one->blocks;
+    }
+    sum.free = it.has_report ? it.report.free_blocks : it.total_blocks;
+    sum.queued = it.report.queued;
+    sum.reported = it.report.running + it.report.queued;
+    for (const auto &one : it.ended_since) {
+        if (one.started_at + settings_.report_margin <= it.made_at) {
+            sum.reported = internal::minus(sum.reported, 1);
+            sum.free += one.blocks;
+        }
+    }
+    sum.free = std::min(sum.free, it.total_blocks);
+    it.now = sum;
+}
+
+bool router::apply_cache_event(std::string_view name, const cache_event &event) {
+    const auto it = names_.find(name);
+    return it != names_.end() && prefixes_.apply(it->second, event);
+}
+
+std::uint32_t router::outstanding_of(const slot &it) noexcept {
+    return std::max(it.now.reported, it.now.known) + it.now.unreported;
+}
+
+std::uint32_t router::free_of(const slot &it) noexcept {
+    return internal::minus(it.now.free, it.now.unreported_blocks);
+}
+
+std::uint32_t router::blocks_needed(const slot &it, const route_request &request) const noexcept {
+    const auto output = std::min(request.max_tokens, settings_.reserved_output_tokens);
+    const auto tokens = std::uint64_t{request.prompt_tokens} + output;
+    return static_cast<std::uint32_t>((tokens + it.block_tokens - 1) / it.block_tokens);
+}
+
+double router::failures_now(const slot &it, base::instant now) const noexcept {
+    if (it.failures == 0) {
+        return 0;
+    }
+    return it.failures *
+           std::exp2(-internal::seconds(now - it.failures_at) / internal::seconds(settings_.failure_half_life));
+}
+
+double router::cost_of(const slot &it, const route_request &request, std::uint32_t hit_tokens, std::uint32_t domain,
+                       base::instant now) const noexcept {
+    // Of the queue of other entries only the length is known; their prompts are taken as average.
+    const auto queued = std::max(it.now.queued * mean_prompt_tokens_, static_cast<double>(it.now.known_prefill));
+    const auto own = request.phase == request_phase::decode ? 0 : internal::minus(request.prompt_tokens, hit_tokens);
+    double cost = (queued + it.now.unreported_prefill + own) / settings_.prefill_tokens_per_second;
+    cost += settings_.outstanding_cost * outstanding_of(it);
+    cost += settings_.failure_cost * failures_now(it, now);
+    cost += it.domain == domain ? 0 : settings_.remote_cost;
+    cost += internal::role_fits(it.role, request.phase) ? 0 : settings_.role_cost;
+    if (it.total_blocks != 0) {
+        cost += settings_.memory_cost * (1 - static_cast<double>(free_of(it)) / it.total_blocks);
+    }
+    return cost;
+}
+
+void router::consider(search &state, slot_id id, std::uint32_t hit_blocks) {
+    const auto &it = slots_[id];
+    if (!state.request.excluded.empty() && internal::contains(state.request.excluded, it.facts.name)) {
+        return;
+    }
+    if (state.request.only_failure_domain && it.domain != state.domain) {
+        return;
+    }
+    state.any = true;
+    const auto need = blocks_needed(it, state.request);
+    if (it.total_blocks != 0 && need > it.total_blocks) {
+        return;
+    }
+    state.any_large = true;
+    const auto hit_tokens = std::min(hit_blocks * it.block_tokens, state.request.prompt_tokens);
+    if (it.total_blocks != 0 && need > free_of(it) + hit_blocks) {
+        return;
+    }
+    const auto cost = cost_of(it, state.request, hit_tokens, state.domain, state.now);
+    if (cost < state.best.cost) {
+        state.best = {id, hit_tokens, cost};
+        state.found = true;
+    }
+}
+
+void router::consider_samples(search &state, const std::vector<slot_id> &from, std::size_t n) {
+    if (from.empty()) {
+        return;
+    }
+    if (from.size() <= n) {
+        // A random start, so that equal costs do not always end at the first one.
+        const auto start = static_cast<std::size_t>(random_() % from.size());
+        for (std::size_t it = 0; it < from.size(); ++it) {
+            consider(state, from[(start + it) % from.size()], 0);
+        }
+        return;
+    }
+    for (std::size_t it = 0; it < n; ++it) {
+        consider(state, from[static_cast<std::size_t>(random_() % from.size())], 0);
+    }
+}
+
+choice router::choose(const route_request &request) {
+    const auto *from = find_pool(request.service, request.model);
+    if (from == nullptr || from->members == 0) {
+        return refusal{refusal_kind::no_backend};
+    }
+    if (from->leaving == from->members) {
+        return refusal{refusal_kind::all_leaving};
+    }
+    search state{.request = request, .domain = find_domain(request.failure_domain), .now = time_.now()};
+    prefix_index::matches held{};
+    const auto n = request.prefix_blocks.empty() ? 0 : prefixes_.find(request.prefix_blocks, held);
+    for (std::size_t it = 0; it < n; ++it) {
+        const auto &facts = slots_[held[it].backend].facts;
+        const bool serves = facts.service == request.service &&
+                            std::find(facts.models.begin(), facts.models.end(), request.model) != facts.models.end();
+        if (serves && facts.healthy && !facts.leaving) {
+            consider(state, held[it].backend, held[it].blocks);
+        }
+    }
+    const bool local = from->open.size() > settings_.samples && state.domain < from->by_domain.size() &&
+                       !from->by_domain[state.domain].empty();
+    if (local) {
+        consider_samples(state, from->by_domain[state.domain], (settings_.samples + 1) / 2);
+    }
+    consider_samples(state, from->open, local ? settings_.samples / 2 : settings_.samples);
+    if (!state.found) {
+        // The samples may have been unlucky; a refusal must be true of the whole pool.
+        consider_samples(state, from->open, from->open.size());
+    }
+    if (!state.found) {
+        return state.any ? refusal{refusal_kind::no_memory, !state.any_large} : refusal{refusal_kind::no_backend};
+    }
+    return selection{&slots_[state.best.slot].facts, state.best.hit_tokens, internal::to_duration(state.best.cost)};
+}
+
+void router::started(std::string_view id, std::string_view backend, const route_request &request) {
+    const auto known = names_.find(backend);
+    if (known == names_.end()) {
+        return;
+    }
+    const auto [place, inserted] = flights_.try_emplace(std::string{id});
+    if (!inserted) {
+        return;
+    }
+    auto &it = slots_[known->second];
+    prefix_index::matches held{};
+    const auto n = request.prefix_blocks.empty() ? 0 : prefixes_.find(request.prefix_blocks, held);
+    std::uint32_t hit = 0;
+    for (std::size_t at = 0; at < n; ++at) {
+        hit = held[at].backend == known->second ? held[at].blocks * it.block_tokens : hit;
+    }
+    const auto prefill = request.phase == request_phase::decode ? 0 : internal::minus(request.prompt_tokens, hit);
+    place->second = {.started_at = time_.now(),
+                     .prefill_tokens = prefill,
+                     .blocks = it.total_blocks == 0 ? 0 : blocks_needed(it, request),
+                     .generation = it.generation,
+                     .slot = known->second};
+    it.flights.push_back(&place->second);
+    ++it.now.unreported;
+    it.now.unreported_prefill += prefill;
+    it.now.unreported_blocks += place->second.blocks;
+    mean_prompt_tokens_ += internal::prompt_mean_weight * (prefill - mean_prompt_tokens_);
+    prefixes_.add(known->second, request.prefix_blocks);
+}
+
+void router::progress(std::string_view id) {
+    const auto place = flights_.find(id);
+    if (place == flights_.end() || place->second.generation == 0 || place->second.prefill_tokens == 0) {
+        return;
+    }
+    auto &one = place->second;
+    auto &sum = slots_[one.slot].now;
+    (one.in_report ? sum.known_prefill : sum.unreported_prefill) -= one.prefill_tokens;
+    one.prefill_tokens = 0;
+}
+
+void router::note_failure(slot &it, double weight) {
+    const auto now = time_.now();
+    it.failures = failures_now(it, now) + weight;
+    it.failures_at = now;
+}
+
+void router::finished(std::string_view id, std::string_view backend, outcome how) {
+    const auto place = flights_.find(id);
+    if (place == flights_.end()) {
+        return;
+    }
+    const auto one = place->second;
+    // A flight of an earlier incarnation says nothing about the present one.
+    if (one.generation != 0 && slots_[one.slot].facts.name == backend) {
+        auto &it = slots_[one.slot];
+        std::erase(it.flights, &place->second);
+        // Also when the last report does not include it: a later one may have been made while it was running.
+        it.ended_since.push_back({one.started_at, time_.now(), one.blocks});
+        if (it.ended_since.size() > internal::max_ended) {
+            it.ended_since.pop_front();
+        }
+        recount(it);
+        if (how == outcome::failed) {
+            note_failure(it, 1);
+        } else if (how == outcome::rejected) {
+            note_failure(it, internal::rejection_weight);
+        }
+    }
+    flights_.erase(place);
+}
+
+std::uint32_t router::outstanding(std::string_view name) const {
+    const auto *it = find_slot(name);
+    return it == nullptr ? 0 : outstanding_of(*it);
+}
+
+std::uint32_t router::free_blocks(std::string_view name) const {
+    const auto *it = find_slot(name);
+    return it == nullptr ? 0 : free_of(*it);
+}
+
+double router::recent_failures(std::string_view name) const {
+    const auto *it = find_slot(name);
+    return it == nullptr ? 0 : failures_now(*it, time_.now());
+}
+
+} // namespace dotterelstack::routing
