Test the stand-ins and share cached blocks between requests

A negative max_tokens wrapped around and a prompt in the prefix cache was counted twice against the memory, so that an engine with little memory evicted what it had just computed. Running requests pin the cached blocks of their prompt now and own only the rest; negative and huge lengths get 400.

--- a/standin/engine/engine.cpp
+++ b/standin/engine/engine.cpp
@@ -24,6 +24,7 @@
 // A mixed engine runs both kinds of work, each at this speed while both are present.
 constexpr double shared_speed = 0.5;
 constexpr std::size_t kept_events = 10000;
+constexpr std::size_t longest_response = 1000000;
 
 struct speeds {
     double prefill;
@@ -90,8 +91,14 @@
     try {
         it.model = body.value("model", options_.models.front());
         it.prompt = prompt_of(body);
-        it.first = body.value("resume_from", std::size_t{0});
-        it.last = body.value("max_tokens", std::size_t{16});
+        const auto first = body.value("resume_from", std::int64_t{0});
+        const auto last = body.value("max_tokens", std::int64_t{16});
+        if (first < 0 || last < 0) {
+            call.respond(error_response(400, "bad_body", "resume_from and max_tokens are at least 0"));
+            return;
+        }
+        it.first = static_cast<std::size_t>(first);
+        it.last = static_cast<std::size_t>(last);
         it.priority = body.value("priority", 0.0);
         it.stream = body.value("stream", false);
     } catch (const json::exception &ex) {
@@ -119,7 +126,7 @@
     if (it.id.empty()) {
         it.id = "request-" + std::to_string(it.arrival);
     }
-    if (it.blocks > options_.blocks) {
+    if (it.blocks > options_.blocks || std::max(it.first, it.last) > internal::longest_response) {
         call.respond(error_response(400, "too_long", "prompt and response do not fit into the memory of this engine"));
         return;
     }
@@ -173,6 +180,7 @@
         const auto it = std::ranges::find_if(*jobs, [id](const job &other) { return other.id == id; });
         if (it != jobs->end()) {
             finish(*it, "cancelled");
+            release(*it);
             jobs->erase(it);
             return json_response(200, {{"outcome", "cancelled"}});
         }
@@ -251,7 +259,7 @@
     const auto body = json::parse(message.body, nullptr, false);
     try {
         cache_.import_block(id, body.at("model").get<std::string>(), body.at("tokens").get<std::size_t>(),
-                            options_.blocks - used_blocks());
+                            options_.blocks - own_blocks());
         return json_response(200, {{"prefix", id}});
     } catch (const json::exception &ex) {
         return error_response(400, "bad_cache", ex.what());
@@ -292,23 +300,51 @@
             break_all();
             break;
         }
-        it = done ? running_.erase(it) : std::next(it);
+        if (done) {
+            release(*it);
+            it = running_.erase(it);
+        } else {
+            ++it;
+        }
     }
     prefill(seconds * speed.prefill * options_.prefill_tokens_per_second);
     publish(now);
 }
 
 void engine::admit() {
-    while (!queued_.empty() && running_.size() < options_.batch &&
-           used_blocks() + queued_.front().blocks <= options_.blocks) {
+    while (!queued_.empty() && running_.size() < options_.batch && reserve(queued_.front())) {
         auto &it = queued_.front();
         // A resumed request has to compute the state of the tokens that it skips, too.
         const auto needed = it.prompt_tokens + it.first;
-        const auto cached = cache_.match(it.prefixes) * options_.block_tokens;
+        const auto cached = it.pinned * options_.block_tokens;
         it.prefill_left = static_cast<double>(std::max<std::size_t>(needed - std::min(cached, needed), 1));
         running_.splice(running_.end(), queued_, queued_.begin());
-        cache_.shrink(options_.blocks - used_blocks());
+        cache_.shrink(options_.blocks - own_blocks());
+    }
+}
+
+bool engine::reserve(job &it) {
+    const auto cached = cache_.match(it.prefixes);
+    cache_.pin(it.prefixes, cached);
+    if (own_blocks() + cache_.pinned() + it.blocks - cached > options_.blocks) {
+        cache_.unpin(it.prefixes, cached);
+        return false;
     }
+    it.pinned = cached;
+    it.blocks -= cached;
+    return true;
+}
+
+void engine::release(const job &it) {
+    cache_.unpin(it.prefixes, it.pinned);
+}
+
+void engine::keep_prefix(job &it) {
+    it.blocks -= it.prefixes.size() - it.pinned;
+    cache_.unpin(it.prefixes, it.pinned);
+    cache_.store(it.model, it.prefixes);
+    it.pinned = it.prefixes.size();
+    cache_.pin(it.prefixes, it.pinned);
 }
 
 void engine::prefill(double tokens) {
@@ -320,7 +356,7 @@
             tokens -= done;
             prefilled_ += static_cast<std::uint64_t>(std::ceil(before) - std::ceil(it.prefill_left));
             if (it.prefill_left <= 0) {
-                cache_.store(it.model, it.prefixes, options_.blocks - used_blocks());
+                keep_prefix(it);
             }
         }
     }
@@ -375,6 +411,7 @@
     for (auto *jobs : {&queued_, &running_}) {
         for (auto &it : *jobs) {
             it.call.abort();
+            release(it);
             ++interrupted_;
         }
         jobs->clear();
@@ -401,12 +438,11 @@
 }
 
 void engine::publish(time_point now) {
-    const auto free = options_.blocks - std::min(options_.blocks, used_blocks());
     const bool fresh = reports_.empty() || now - reports_.back().when >= internal::idle_step ||
                        reports_.back().running != running_.size() || reports_.back().queued != queued_.size();
     if (fresh) {
         const auto seq = reports_.empty() ? 1 : reports_.back().seq + 1;
-        reports_.push_back({now, seq, running_.size(), queued_.size(), free});
+        reports_.push_back({now, seq, running_.size(), queued_.size(), free_blocks()});
     }
     while (reports_.size() > 1 && now - reports_[1].when >= options_.load_lag) {
         reports_.pop_front();
@@ -440,7 +476,7 @@
             {"choices", json::array({std::move(choice)})}};
 }
 
-std::size_t engine::used_blocks() const {
+std::size_t engine::own_blocks() const {
     std::size_t out = 0;
     for (const auto &it : running_) {
         out += it.blocks;
@@ -448,4 +484,8 @@
     return out;
 }
 
+std::size_t engine::free_blocks() const {
+    return options_.blocks - own_blocks() - cache_.pinned();
+}
+
 } // namespace dotterelstack::standin
--- a/standin/engine/engine.hpp
+++ b/standin/engine/engine.hpp
@@ -59,7 +59,8 @@
         std::size_t next{0}; /**< Next token to generate. */
         std::size_t first{0};
         std::size_t last{16};
-        std::size_t blocks{1};
+        std::size_t blocks{1}; /**< Blocks of its own, beside the pinned ones of the cache. */
+        std::size_t pinned{0}; /**< Leading blocks of its prompt that it uses in the cache. */
         double prefill_left{0};
         double credit{0};
         double priority{0};
@@ -102,6 +103,9 @@
     void run(const std::stop_token &stop);
     void step(time_point now, double seconds);
     void admit();
+    [[nodiscard]] bool reserve(job &it);
+    void release(const job &it);
+    void keep_prefix(job &it);
     void prefill(double tokens);
     bool generate(job &it, double tokens);
     void send_token(job &it);
@@ -110,7 +114,8 @@
     void apply_change(time_point now);
     void publish(time_point now);
     [[nodiscard]] json event(const job &it, std::string_view text, const json &reason) const;
-    [[nodiscard]] std::size_t used_blocks() const;
+    [[nodiscard]] std::size_t own_blocks() const;
+    [[nodiscard]] std::size_t free_blocks() const;
 
     engine_options options_;
     mutable std::mutex mutex_;
--- a/standin/engine/prefix_cache.cpp
+++ b/standin/engine/prefix_cache.cpp
@@ -1,6 +1,8 @@
 #include "standin/engine/prefix_cache.hpp"
 
 #include <algorithm>
+#include <limits>
+#include <tuple>
 #include <utility>
 
 #include "base/id.hpp"
@@ -38,17 +40,27 @@
     return out;
 }
 
-void prefix_cache::store(std::string_view model, const std::vector<std::string> &ids, std::size_t limit) {
+void prefix_cache::store(std::string_view model, const std::vector<std::string> &ids) {
     ++uses_;
-    const auto kept = std::min(ids.size(), limit);
-    for (std::size_t it = 0; it < kept; ++it) {
+    for (std::size_t it = 0; it < ids.size(); ++it) {
         auto [place, added] = blocks_.try_emplace(ids[it], cache_block{std::string{model}, (it + 1) * block_tokens_});
         place->second.last_use = uses_;
         if (added) {
             events_.push_back({++seq_, true, ids[it], place->second.model, place->second.tokens});
         }
     }
-    shrink(limit);
+}
+
+void prefix_cache::pin(const std::vector<std::string> &ids, std::size_t count) {
+    for (std::size_t it = 0; it < count; ++it) {
+        pinned_ += ++blocks_.at(ids[it]).pins == 1 ? 1U : 0U;
+    }
+}
+
+void prefix_cache::unpin(const std::vector<std::string> &ids, std::size_t count) {
+    for (std::size_t it = 0; it < count; ++it) {
+        pinned_ -= --blocks_.at(ids[it]).pins == 0 ? 1U : 0U;
+    }
 }
 
 void prefix_cache::import_block(const std::string &id, std::string_view model, std::size_t tokens, std::size_t limit) {
@@ -61,10 +73,13 @@
 }
 
 void prefix_cache::shrink(std::size_t limit) {
-    while (blocks_.size() > limit) {
-        const auto oldest = std::ranges::min_element(blocks_, [](const auto &a, const auto &b) {
-            return std::pair{a.second.last_use, b.second.tokens} < std::pair{b.second.last_use, a.second.tokens};
-        });
+    // Among blocks of the same use the longest prefix goes first.
+    const auto rank = [](const auto &it) {
+        return std::tuple{it.second.pins > 0, it.second.last_use,
+                          std::numeric_limits<std::size_t>::max() - it.second.tokens};
+    };
+    while (blocks_.size() > std::max(limit, pinned_)) {
+        const auto oldest = std::ranges::min_element(blocks_, {}, rank);
         events_.push_back({++seq_, false, oldest->first, oldest->second.model, oldest->second.tokens});
         blocks_.erase(oldest);
     }
--- a/standin/engine/prefix_cache.hpp
+++ b/standin/engine/prefix_cache.hpp
@@ -24,6 +24,7 @@
     std::string model;
     std::size_t tokens{0};
     std::uint64_t last_use{0};
+    std::size_t pins{0}; /**< Running requests that use it; a pinned block is not evicted. */
 };
 
 /**
@@ -43,18 +44,27 @@
     /** @return Number of leading blocks that are cached; marks them as used. */
     [[nodiscard]] std::size_t match(const std::vector<std::string> &ids);
 
-    /** @brief Adds the blocks of a prefix; evicts others to stay within `limit` blocks. */
-    void store(std::string_view model, const std::vector<std::string> &ids, std::size_t limit);
+    /** @brief Adds the blocks of a prefix. */
+    void store(std::string_view model, const std::vector<std::string> &ids);
+
+    /** @brief Protects the first `count` blocks of a prefix, all of them cached, from eviction. */
+    void pin(const std::vector<std::string> &ids, std::size_t count);
+
+    /** @brief Ends one `pin`. */
+    void unpin(const std::vector<std::string> &ids, std::size_t count);
 
     /** @brief Adds one imported block. */
     void import_block(const std::string &id, std::string_view model, std::size_t tokens, std::size_t limit);
 
-    /** @brief Evicts until at most `limit` blocks are left. */
+    /** @brief Evicts blocks that are not pinned until at most `limit` blocks are left. */
     void shrink(std::size_t limit);
 
     [[nodiscard]] const cache_block *find(const std::string &id) const;
     [[nodiscard]] std::size_t size() const noexcept { return blocks_.size(); }
 
+    /** @return Number of pinned blocks. */
+    [[nodiscard]] std::size_t pinned() const noexcept { return pinned_; }
+
     /** @return Events since the last call. */
     [[nodiscard]] std::vector<cache_event> take_events();
 
@@ -62,6 +72,7 @@
     std::size_t block_tokens_;
     std::map<std::string, cache_block> blocks_;
     std::vector<cache_event> events_;
+    std::size_t pinned_{0};
     std::uint64_t uses_{0};
     std::uint64_t seq_{0};
 };
--- a/test/standin/processes.cpp
+++ b/test/standin/processes.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <thread>
 
 #include "standin/support.hpp"
 
@@ -39,7 +40,8 @@
         return true;
     };
     const std::string body = R"({"prompt":"a","max_tokens":10,"stream":true})";
-    CHECK(engine.client.stream(engine.address, {"POST", "/v1/completions", {}, body}, {}, sink));
+    http::curl_client client;
+    CHECK(client.stream(engine.address, {"POST", "/v1/completions", {}, body}, {}, sink));
     CHECK(got.ends_with("data: [DONE]\n\n"));
     CHECK(engine.process.wait() == 0);
 
--- a/test/standin/support.hpp
+++ b/test/standin/support.hpp
@@ -17,10 +17,15 @@
     explicit standin_program(const std::string &name, std::vector<std::string> arguments = {})
         : process{"standin_" + name, std::move(arguments)}, address{process.address(name)} {}
 
+    /**
+     * Makes a new connection for each call: libcurl repeats a request by itself when a reused connection ends without
+     * a response, which would hide lost answers from the tests.
+     */
     [[nodiscard]] base::result<http::response> call(const std::string &method, const std::string &target,
                                                     const std::string &body = {}, const http::field_list &fields = {},
                                                     const http::call_options &options = {}) {
-        return client.call(address, {method, target, fields, body}, options);
+        http::curl_client fresh;
+        return fresh.call(address, {method, target, fields, body}, options);
     }
 
     /** @return Parsed body of a response that has to be 200. */
@@ -37,7 +42,6 @@
         return answer ? answer.value().status : 0;
     }
 
-    http::curl_client client;
     child_process process;
     std::string address;
 };
--- a/test/standin/tcp_relay.cpp
+++ b/test/standin/tcp_relay.cpp
@@ -89,12 +89,20 @@
 // Guards against connections that survive a cut, and against refused ones that look accepted.
 TEST_CASE("cut connections are reset, refused ones too") {
     fixture it;
-    REQUIRE(it.call());
-    it.relay.cut();
+    it.relay.silence_all();
+    std::thread cutter{[&it] {
+        std::this_thread::sleep_for(50ms);
+        it.relay.cut();
+    }};
+    auto begin = std::chrono::steady_clock::now();
+    CHECK_FALSE(it.call());
+    CHECK(std::chrono::steady_clock::now() - begin < 250ms);
+    cutter.join();
     CHECK(it.relay.open() == 0);
+    it.relay.pass_new();
     CHECK(it.call());
     it.relay.refuse_all();
-    const auto begin = std::chrono::steady_clock::now();
+    begin = std::chrono::steady_clock::now();
     CHECK_FALSE(it.call());
     CHECK(std::chrono::steady_clock::now() - begin < 250ms);
     it.relay.pass_new();
