--- a/standin/common/key_watch.hpp
+++ b/standin/common/key_watch.hpp
@@ -25,7 +25,8 @@
         count(message.target);
         if (sightings_ == before) {
             for (const auto &[name, value] : message.query()) {
-                count(name + "=" + value);
+                count(name);
+                count(value);
             }
         }
         count(message.body);
--- a/standin/store/object_table.cpp
+++ b/standin/store/object_table.cpp
@@ -21,7 +21,7 @@
 }
 
 std::optional<std::uint64_t> object_table::write(const std::string &key, expected_version expected,
-                                                 std::optional<std::string> value) {
+                                                 const std::optional<std::string> &value) {
     const auto &now = get(key);
     const std::uint64_t live_version = now.deleted ? 0 : now.version;
     if (live_version != expected || (expected == 0 && !value)) {
--- a/standin/store/object_table.hpp
+++ b/standin/store/object_table.hpp
@@ -40,7 +40,7 @@
      * @return The new version, or nothing when the condition does not hold.
      */
     [[nodiscard]] std::optional<std::uint64_t> write(const std::string &key, expected_version expected,
-                                                     std::optional<std::string> value);
+                                                     const std::optional<std::string> &value);
 
     /** @return Live objects whose keys begin with `prefix`, by key. */
     [[nodiscard]] std::vector<keyed_object> list(std::string_view prefix) const;
