--- a/standin/engine/engine.cpp
+++ b/standin/engine/engine.cpp
@@ -43,6 +43,10 @@
 
 } // namespace internal
 
+bool is_role(std::string_view text) noexcept {
+    return text == "prefill" || text == "decode" || text == "mixed";
+}
+
 engine::engine(engine_options options)
     : options_{std::move(options)}, keys_{options_.refuse_key_text}, cache_{options_.block_tokens},
       scheduler_{[this](const std::stop_token &stop) { run(stop); }} {}
@@ -150,6 +154,9 @@
         if (std::ranges::find(kinds, kind) == kinds.end()) {
             return error_response(400, "bad_order", "unknown kind " + kind);
         }
+        if (kind == "set_role" && !is_role(argument)) {
+            return error_response(400, "bad_order", "a role is prefill, decode or mixed, not " + argument);
+        }
         const bool stale = options_.honour_fence && fence < fence_;
         const bool repeated = id == order_id_;
         const bool busy = changing_.has_value() && !repeated;
--- a/standin/engine/engine.hpp
+++ b/standin/engine/engine.hpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -37,6 +38,9 @@
     std::string refuse_key_text;
 };
 
+/** @return True for `prefill`, `decode` and `mixed`. */
+[[nodiscard]] bool is_role(std::string_view text) noexcept;
+
 /** @brief A stand-in inference engine with continuous batching, driven by one scheduler thread. */
 class engine {
 public:
--- a/standin/engine/main.cpp
+++ b/standin/engine/main.cpp
@@ -1,5 +1,6 @@
 #include <cxxopts.hpp>
 #include <iostream>
+#include <stdexcept>
 
 #include "standin/common/program.hpp"
 #include "standin/engine/engine.hpp"
@@ -38,20 +39,32 @@
 }
 
 standin::engine_options read(const cxxopts::ParseResult &args) {
-    return {.models = args["model"].as<std::vector<std::string>>(),
-            .role = args["role"].as<std::string>(),
-            .tokens_per_second = args["tokens-per-second"].as<double>(),
-            .prefill_tokens_per_second = args["prefill-tokens-per-second"].as<double>(),
-            .blocks = args["blocks"].as<std::uint64_t>(),
-            .block_tokens = std::max<std::uint64_t>(args["block-tokens"].as<std::uint64_t>(), 1),
-            .batch = args["batch"].as<std::uint64_t>(),
-            .load_lag = milliseconds(args, "load-lag-ms"),
-            .honour_fence = args["honour-fence"].as<std::string>() != "false",
-            .role_change = milliseconds(args, "role-change-ms"),
-            .fail_after_tokens = args["fail-after-tokens"].as<std::uint64_t>(),
-            .cache_event_lag = milliseconds(args, "cache-event-lag-ms"),
-            .cache_event_gap = args["cache-event-gap"].as<std::uint64_t>(),
-            .refuse_key_text = args["refuse-key-text"].as<std::string>()};
+    const auto fence = args["honour-fence"].as<std::string>();
+    if (fence != "true" && fence != "false") {
+        throw std::invalid_argument{"--honour-fence is true or false"};
+    }
+    standin::engine_options out{.models = args["model"].as<std::vector<std::string>>(),
+                                .role = args["role"].as<std::string>(),
+                                .tokens_per_second = args["tokens-per-second"].as<double>(),
+                                .prefill_tokens_per_second = args["prefill-tokens-per-second"].as<double>(),
+                                .blocks = args["blocks"].as<std::uint64_t>(),
+                                .block_tokens = args["block-tokens"].as<std::uint64_t>(),
+                                .batch = args["batch"].as<std::uint64_t>(),
+                                .load_lag = milliseconds(args, "load-lag-ms"),
+                                .honour_fence = fence == "true",
+                                .role_change = milliseconds(args, "role-change-ms"),
+                                .fail_after_tokens = args["fail-after-tokens"].as<std::uint64_t>(),
+                                .cache_event_lag = milliseconds(args, "cache-event-lag-ms"),
+                                .cache_event_gap = args["cache-event-gap"].as<std::uint64_t>(),
+                                .refuse_key_text = args["refuse-key-text"].as<std::string>()};
+    if (!standin::is_role(out.role)) {
+        throw std::invalid_argument{"--role is prefill, decode or mixed"};
+    }
+    if (out.tokens_per_second <= 0 || out.prefill_tokens_per_second <= 0 || out.blocks == 0 || out.block_tokens == 0 ||
+        out.batch == 0) {
+        throw std::invalid_argument{"speeds, blocks and batch are greater than zero"};
+    }
+    return out;
 }
 
 } // namespace
--- a/test/standin/engine.cpp
+++ b/test/standin/engine.cpp
@@ -324,6 +324,7 @@
     CHECK(it.post("/v1/orders", order("o3", 4, "set_role", "mixed")) == 409);
     CHECK(it.post("/v1/orders", order("o4", 6, "paint", "red")) == 400);
     CHECK(it.post("/v1/orders", {{"order_id", "o5"}}) == 400);
+    CHECK(it.post("/v1/orders", order("o6", 6, "set_role", "fast")) == 400);
     std::vector<std::string> outcomes;
     const auto list = it.get("/v1/orders");
     for (const auto &entry : list.at("orders")) {
--- a/test/standin/processes.cpp
+++ b/test/standin/processes.cpp
@@ -27,6 +27,18 @@
     }
 }
 
+// Guards against an engine that never generates because of a wrong value.
+TEST_CASE("a wrong value of an option ends the engine with 2") {
+    const std::vector<std::vector<std::string>> wrong{{"--role", "fast"},      {"--honour-fence", "maybe"},
+                                                      {"--batch", "0"},        {"--tokens-per-second", "0"},
+                                                      {"--block-tokens", "0"}, {"--blocks", "many"}};
+    for (const auto &arguments : wrong) {
+        CAPTURE(arguments.front());
+        test::child_process it{"standin_engine", arguments};
+        CHECK(it.wait() == 2);
+    }
+}
+
 // Guards against a stop that breaks an open stream, and against one that waits for held watches.
 TEST_CASE("SIGTERM lets an engine finish its stream and releases a store's watches") {
     test::standin_program engine{"engine", {"--tokens-per-second", "50"}};
