--- /dev/null
+++ b/src/roles/role_planner.cpp
@@ -0,0 +1,271 @@
+#include "roles/role_planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace dotterelstack::roles {
+
+namespace internal {
+
+constexpr std::array engine_roles{backend_role::mixed, backend_role::prefill, backend_role::decode};
+
+constexpr std::array demand_fields{&role_demand::long_requests, &role_demand::long_prefill,
+                                   &role_demand::long_decode,   &role_demand::short_requests,
+                                   &role_demand::short_prefill, &role_demand::short_decode};
+
+constexpr std::size_t index(backend_role role) noexcept {
+    return static_cast<std::size_t>(role);
+}
+
+// Mixed-prefill, mixed-decode and prefill-decode, in either direction.
+constexpr std::size_t passage_index(backend_role a, backend_role b) noexcept {
+    return index(a) + index(b) - 1;
+}
+
+double seconds(base::duration it) noexcept {
+    return std::chrono::duration<double>(it).count();
+}
+
+double share(double part, double whole) noexcept {
+    return whole > 0 ? part / whole : (part > 0 ? 2.0 : 0.0);
+}
+
+// The demand itself and its shifts between long and short prompts and between prefill and decode.
+std::array<role_demand, 5> shifted_demands(const role_demand &demand, double margin) noexcept {
+    std::array<role_demand, 5> out{};
+    out.fill(demand);
+    const auto more = 1 + margin;
+    const auto less = 1 - margin;
+    const auto scale = [](role_demand &it, double long_factor, double short_factor) {
+        for (std::size_t field = 0; field < demand_fields.size(); ++field) {
+            it.*demand_fields[field] *= field < 3 ? long_factor : short_factor;
+        }
+    };
+    const auto skew = [](role_demand &it, double prefill, double decode) {
+        it.long_prefill *= prefill;
+        it.short_prefill *= prefill;
+        it.long_decode *= decode;
+        it.short_decode *= decode;
+    };
+    scale(out[1], more, less);
+    scale(out[2], less, more);
+    skew(out[3], more, less);
+    skew(out[4], less, more);
+    return out;
+}
+
+// Between the target and full utilisation the share of requests beyond the targets grows from none to all. Beyond that
+// a small slope remains, so that the first of several changes that are needed together shows a gain.
+double missed_share(double load, double target) noexcept {
+    constexpr double overload_slope = 0.1;
+    const auto share = std::max(0.0, (load - target) / (1 - target));
+    return share <= 1 ? share : 1 + overload_slope * (share - 1);
+}
+
+} // namespace internal
+
+role_planner::role_planner(const base::clock &time, role_settings settings) : time_{time}, settings_{settings} {}
+
+void role_planner::update_engine(const role_engine &facts) {
+    auto &it = engines_[facts.name];
+    const auto role = it.state == change_state::none ? facts.role : it.facts.role;
+    it.facts = facts;
+    it.facts.role = role;
+}
+
+void role_planner::set_demand(const role_demand &demand) noexcept {
+    const auto now = time_.now();
+    const auto constant = internal::seconds(settings_.smoothing);
+    const auto weight =
+        has_demand_ && constant > 0 ? 1 - std::exp(-internal::seconds(now - demand_at_) / constant) : 1.0;
+    for (const auto field : internal::demand_fields) {
+        demand_.*field += weight * (demand.*field - demand_.*field);
+    }
+    demand_at_ = now;
+    has_demand_ = true;
+}
+
+void role_planner::remove_engine(std::string_view name) {
+    if (const auto it = engines_.find(name); it != engines_.end()) {
+        engines_.erase(it);
+    }
+}
+
+bool role_planner::busy(std::string_view backend) const {
+    const auto it = engines_.find(backend);
+    return it != engines_.end() && it->second.state != change_state::none;
+}
+
+double role_planner::expected_misses(const role_counts &engines) const noexcept {
+    return expected_misses(engines, demand_);
+}
+
+double role_planner::expected_misses(const role_counts &engines, const role_demand &demand) const noexcept {
+    using internal::index;
+    const double prefill = engines[index(backend_role::prefill)];
+    const double mixed = engines[index(backend_role::mixed)];
+    const double decode = engines[index(backend_role::decode)];
+    // Long prompts beyond the prefill engines' capacity go to mixed ones, which are too slow for them.
+    const auto capacity = prefill * settings_.prefill_engine_rate * settings_.target_utilisation;
+    const auto overflow = std::max(0.0, demand.long_prefill - capacity);
+    const auto long_missed = internal::share(overflow, demand.long_prefill);
+    // Their responses are produced by decode engines as far as these suffice.
+    const auto handed_over = demand.long_decode * (1 - long_missed);
+    const auto decoded = std::min(handed_over, decode * settings_.decode_engine_rate * settings_.target_utilisation);
+    const auto mixed_prefill = internal::share(demand.short_prefill + overflow, mixed * settings_.mixed_prefill_rate);
+    const auto mixed_decode =
+        internal::share(demand.short_decode + demand.long_decode - decoded, mixed * settings_.mixed_decode_rate);
+    const auto load = std::max(mixed_prefill, mixed_decode);
+    const auto missed = internal::missed_share(load, settings_.target_utilisation);
+    return demand.long_requests * (long_missed + missed) + demand.short_requests * missed;
+}
+
+role_planner::role_counts role_planner::serving_now() const noexcept {
+    role_counts n{};
+    for (const auto &[name, it] : engines_) {
+        if (it.state == change_state::none && it.facts.available && it.facts.role != backend_role::plain) {
+            ++n[internal::index(it.facts.role)];
+        }
+    }
+    return n;
+}
+
+role_planner::role_counts role_planner::serving_after() const noexcept {
+    auto n = serving_now();
+    for (const auto &[name, it] : engines_) {
+        // An engine with an unknown outcome counts for nothing until its state is read.
+        if (it.state == change_state::pending) {
+            ++n[internal::index(it.target)];
+        }
+    }
+    return n;
+}
+
+role_planner::step role_planner::weigh(backend_role from, backend_role to, const role_demand &demand) const noexcept {
+    const auto now = serving_now();
+    const auto after = serving_after();
+    auto absent = now;
+    --absent[internal::index(from)];
+    auto changed = after;
+    --changed[internal::index(from)];
+    ++changed[internal::index(to)];
+    const auto away = internal::seconds(settings_.change_time);
+    const auto saved = expected_misses(after, demand) - expected_misses(changed, demand);
+    const auto lost = expected_misses(absent, demand) - expected_misses(now, demand);
+    const auto gain = saved * (internal::seconds(settings_.horizon) - away);
+    const auto cost = std::max(0.0, lost) * away + settings_.fixed_cost;
+    return {from, to, gain > settings_.gain_factor * cost ? gain - cost : 0.0};
+}
+
+std::vector<role_planner::step> role_planner::worthwhile_steps() const {
+    const auto now = serving_now();
+    const auto after = serving_after();
+    const auto scenarios = internal::shifted_demands(demand_, settings_.demand_margin);
+    std::vector<step> found;
+    for (const auto from : internal::engine_roles) {
+        for (const auto to : internal::engine_roles) {
+            if (from == to || now[internal::index(from)] == 0 || after[internal::index(from)] == 0) {
+                continue;
+            }
+            const bool robust = std::all_of(scenarios.begin(), scenarios.end(),
+                                            [&](const auto &it) { return weigh(from, to, it).gain > 0; });
+            if (robust) {
+                found.push_back(weigh(from, to, demand_));
+            }
+        }
+    }
+    std::sort(found.begin(), found.end(), [](const auto &a, const auto &b) { return a.gain > b.gain; });
+    return found;
+}
+
+std::uint32_t role_planner::changing_in(std::string_view domain) const noexcept {
+    return static_cast<std::uint32_t>(std::count_if(engines_.begin(), engines_.end(), [&](const auto &it) {
+        return it.second.state != change_state::none && it.second.facts.failure_domain == domain;
+    }));
+}
+
+bool role_planner::reversed_recently(const step &change) const {
+    const auto &last = passages_[internal::passage_index(change.from, change.to)];
+    return last.used && last.to == change.from && time_.now() - last.at < settings_.reverse_hold;
+}
+
+bool role_planner::may_change(const engine &it, const step &change) const {
+    return it.state == change_state::none && it.facts.available && it.facts.role == change.from &&
+           (!it.ever_changed || time_.now() - it.changed_at >= settings_.dwell) &&
+           changing_in(it.facts.failure_domain) < settings_.changes_per_domain;
+}
+
+role_planner::engine *role_planner::pick(const step &change) {
+    engine *best = nullptr;
+    std::tuple<std::uint32_t, std::uint32_t> best_rank{};
+    for (auto &[name, it] : engines_) {
+        if (!may_change(it, change)) {
+            continue;
+        }
+        // State moves only within a failure domain, so the roles are spread evenly over the domains; then the engine
+        // that drains soonest.
+        std::uint32_t same_role = 0;
+        for (const auto &[other, peer] : engines_) {
+            const auto role = peer.state == change_state::pending ? peer.target : peer.facts.role;
+            same_role += peer.facts.failure_domain == it.facts.failure_domain && role == change.to ? 1 : 0;
+        }
+        const std::tuple rank{same_role, it.facts.outstanding};
+        if (best == nullptr || rank < best_rank) {
+            best = &it;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+std::vector<role_change> role_planner::decide() {
+    const auto now = time_.now();
+    std::vector<role_change> out;
+    while (out.size() < engines_.size()) {
+        engine *chosen = nullptr;
+        step change;
+        for (const auto &it : worthwhile_steps()) {
+            chosen = reversed_recently(it) ? nullptr : pick(it);
+            if (chosen != nullptr) {
+                change = it;
+                break;
+            }
+        }
+        if (chosen == nullptr) {
+            break;
+        }
+        chosen->state = change_state::pending;
+        chosen->target = change.to;
+        chosen->changed_at = now;
+        chosen->ever_changed = true;
+        passages_[internal::passage_index(change.from, change.to)] = {.used = true, .to = change.to, .at = now};
+        out.push_back({chosen->facts.name, change.from, change.to, change.gain});
+    }
+    return out;
+}
+
+void role_planner::settled(std::string_view backend, change_outcome outcome) {
+    const auto found = engines_.find(backend);
+    if (found == engines_.end() || found->second.state != change_state::pending) {
+        return;
+    }
+    auto &it = found->second;
+    it.state = outcome == change_outcome::unknown ? change_state::unknown : change_state::none;
+    if (outcome == change_outcome::done) {
+        it.facts.role = it.target;
+    }
+    it.changed_at = time_.now();
+}
+
+void role_planner::resolved(std::string_view backend, backend_role role) {
+    const auto found = engines_.find(backend);
+    if (found == engines_.end() || found->second.state != change_state::unknown) {
+        return;
+    }
+    found->second.state = change_state::none;
+    found->second.facts.role = role;
+    found->second.changed_at = time_.now();
+}
+
+} // namespace dotterelstack::roles
--- /dev/null
+++ b/test/roles/transfer_cost.cpp
@@ -0,0 +1,41 @@
+#include "roles/transfer_cost.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace dotterelstack::roles;
+using namespace std::chrono_literals;
+
+// Guards against state that leaves its failure domain, and against the slower of the two ways.
+TEST_CASE("the decision agrees with the two times worked out by hand") {
+    CHECK(rc::check("transfer differential", [] {
+        const transfer_offer offer{.held_tokens = *rc::gen::inRange(0U, 20'000U),
+                                   .hit_tokens = *rc::gen::inRange(0U, 20'000U),
+                                   .active_transfers = *rc::gen::inRange(0U, 5U),
+                                   .overlap = std::chrono::milliseconds{*rc::gen::inRange(0, 900)},
+                                   .prefill_backlog = std::chrono::milliseconds{*rc::gen::inRange(0, 900)},
+                                   .same_failure_domain = *rc::gen::arbitrary<bool>()};
+        const auto missing = std::max(0.0, double(offer.held_tokens) - double(offer.hit_tokens));
+        const auto overlap = std::chrono::duration<double>(offer.overlap).count();
+        const auto backlog = std::chrono::duration<double>(offer.prefill_backlog).count();
+        const auto move = 0.005 + std::max(0.0, missing * 74e3 * (offer.active_transfers + 1) / 316e6 - overlap);
+        const auto compute = backlog + missing / 6400;
+        const auto plan = plan_transfer({}, offer);
+        const bool moved = plan.choice == transfer_choice::move;
+        RC_ASSERT(!moved || offer.same_failure_domain);
+        const auto expected = std::chrono::duration<double>(plan.expected).count();
+        RC_ASSERT(std::abs(expected - (moved ? move : compute)) < 1e-6);
+        const bool should = offer.same_failure_domain && missing > 0 && move < compute;
+        RC_ASSERT(moved == should || std::abs(move - compute) < 1e-6);
+    }));
+}
+
+// Guards against a default that moves long prompts without overlap: at 316 MB/s moving a token takes longer than
+// computing it.
+TEST_CASE("at the design bandwidth only overlapped transfers pay on an idle engine") {
+    transfer_offer offer{.held_tokens = 5000, .same_failure_domain = true};
+    CHECK(plan_transfer({}, offer).choice == transfer_choice::recompute);
+    offer.overlap = 450ms;
+    CHECK(plan_transfer({}, offer).choice == transfer_choice::move);
+}
