--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -282,7 +282,8 @@
     // Of the queue of other entries only the length is known; their prompts are taken as average.
     const auto queued = std::max(it.now.queued * mean_prompt_tokens_, static_cast<double>(it.now.known_prefill));
     const auto own = request.phase == request_phase::decode ? 0 : internal::minus(request.prompt_tokens, hit_tokens);
-    double cost = (queued + it.now.unreported_prefill + own) / settings_.prefill_tokens_per_second;
+    double cost = (queued + it.now.unreported_prefill + own) /
+                  settings_.prefill_tokens_per_second[static_cast<std::size_t>(it.role)];
     cost += settings_.outstanding_cost * outstanding_of(it);
     cost += settings_.failure_cost * failures_now(it, now);
     cost += it.domain == domain ? 0 : settings_.remote_cost;
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <boost/outcome/basic_result.hpp>
 #include <boost/outcome/policy/terminate.hpp>
 #include <cstddef>
@@ -65,13 +66,14 @@
 
 /** @brief Tuning of the router. All costs are seconds of expected wait. */
 struct router_settings {
-    std::size_t samples{4};                 /**< Backend servers drawn at random per choice. */
-    double prefill_tokens_per_second{8000}; /**< Of one engine, before anything is known. */
-    double outstanding_cost{0.004};         /**< Per request in the runner. */
-    double memory_cost{0.1};                /**< For a full memory, in proportion below. */
-    double remote_cost{0.002};              /**< For another failure domain. */
-    double failure_cost{0.5};               /**< Per recent failure. */
-    double role_cost{0.5};                  /**< For a backend server set up for the other phase. */
+    std::size_t samples{4}; /**< Backend servers drawn at random per choice. */
+    /** Of one engine, by `backend_role`. */
+    std::array<double, 4> prefill_tokens_per_second{6400, 11000, 2000, 6400};
+    double outstanding_cost{0.004}; /**< Per request in the runner. */
+    double memory_cost{0.1};        /**< For a full memory, in proportion below. */
+    double remote_cost{0.002};      /**< For another failure domain. */
+    double failure_cost{0.5};       /**< Per recent failure. */
+    double role_cost{0.5};          /**< For a backend server set up for the other phase. */
     base::duration failure_half_life{std::chrono::seconds{10}};
     /** Work sent this long before a report was made is still counted on top of it: it may have been on its way. */
     base::duration report_margin{std::chrono::milliseconds{20}};
