Add retry policy and retry budgets

Which failed attempt may be repeated, and what a caller may be told, must follow from typed evidence in one place.

retry_policy maps the kind of work and the evidence on an attempt to deliver, retry, resume or give up. 'May have run' is kept over all attempts of a request, so that a later attempt that was never sent does not turn an unknown outcome into 'not run'. A retry takes from the budgets of the organisation and of the service; an attempt that was never sent takes nothing, as it loaded nobody. A request that carries an attempt number is not retried, so that layers do not multiply.

Ruled out: rerunning keyed work after an unknown outcome, which the rule on claims forbids; a budget per backend server, which a retry elsewhere evades.

--- /dev/null
+++ b/src/retry/retry_budget.cpp
@@ -0,0 +1,70 @@
+#include "retry/retry_budget.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dotterelstack::retry {
+
+namespace {
+
+/** @brief Rounding that a balance of one whole retry may have lost. */
+constexpr double tolerance = 1e-9;
+
+double seconds(base::duration span) noexcept {
+    return std::chrono::duration<double>(span).count();
+}
+
+} // namespace
+
+retry_budget::retry_budget(const base::clock &clock, budget_options options) : clock_{clock}, options_{options} {}
+
+retry_budget::account &retry_budget::refreshed(accounts &from, std::string_view name) {
+    const auto now = clock_.now();
+    const double stock = options_.minimum_per_second > 0 ? std::max(1.0, options_.minimum_per_second) : 0.0;
+    auto it = from.find(name);
+    if (it == from.end()) {
+        it = from.emplace(name, account{0, stock, now}).first;
+    }
+    auto &out = it->second;
+    const double elapsed = seconds(now - out.updated);
+    out.earned *= std::exp(-elapsed / seconds(options_.window));
+    out.minimum = std::min(stock, out.minimum + elapsed * options_.minimum_per_second);
+    out.updated = now;
+    return out;
+}
+
+bool retry_budget::covers(const account &it) noexcept {
+    return it.earned >= 1.0 - tolerance || it.minimum >= 1.0 - tolerance;
+}
+
+void retry_budget::withdraw(account &it) noexcept {
+    (it.earned >= 1.0 - tolerance ? it.earned : it.minimum) -= 1.0;
+}
+
+void retry_budget::earn(std::string_view organisation, std::string_view service) {
+    refreshed(organisations_, organisation).earned += options_.ratio;
+    refreshed(services_, service).earned += options_.ratio;
+}
+
+budget_verdict retry_budget::take(std::string_view organisation, std::string_view service) {
+    auto &by_organisation = refreshed(organisations_, organisation);
+    auto &by_service = refreshed(services_, service);
+    if (!covers(by_organisation)) {
+        return budget_verdict::organisation_exhausted;
+    }
+    if (!covers(by_service)) {
+        return budget_verdict::service_exhausted;
+    }
+    withdraw(by_organisation);
+    withdraw(by_service);
+    return budget_verdict::taken;
+}
+
+void retry_budget::prune() {
+    const auto now = clock_.now();
+    const auto stale = [&](const auto &it) { return now - it.second.updated > 10 * options_.window; };
+    std::erase_if(organisations_, stale);
+    std::erase_if(services_, stale);
+}
+
+} // namespace dotterelstack::retry
--- /dev/null
+++ b/src/retry/retry_budget.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "base/clock.hpp"
+
+namespace dotterelstack::retry {
+
+/** @brief Size of the retry budgets. */
+struct budget_options {
+    double ratio{0.1};                               /**< Retries earned by each first attempt. */
+    double minimum_per_second{1.0};                  /**< Retries allowed regardless of traffic; 0 = none. */
+    base::duration window{std::chrono::seconds{10}}; /**< Time constant with which earned retries decay. */
+};
+
+enum class budget_verdict : std::uint8_t {
+    taken,
+    organisation_exhausted,
+    service_exhausted
+};
+
+/**
+ * @brief Retry budgets of one entry, one per organisation and one per service. A retry takes from both, so
+ * that neither one organisation nor one failing service multiplies the load. Not thread-safe.
+ */
+class retry_budget {
+public:
+    /** @param clock Must outlive this object. */
+    explicit retry_budget(const base::clock &clock, budget_options options = {});
+
+    /** @brief Counts the first attempt of a request. */
+    void earn(std::string_view organisation, std::string_view service);
+
+    /** @return Whether a retry was taken from both budgets; otherwise nothing was taken. */
+    [[nodiscard]] budget_verdict take(std::string_view organisation, std::string_view service);
+
+    /** @brief Forgets budgets that have not been used for ten windows. Call it about once a minute. */
+    void prune();
+
+private:
+    struct string_hash {
+        using is_transparent = void;
+        [[nodiscard]] std::size_t operator()(std::string_view text) const noexcept {
+            return std::hash<std::string_view>{}(text);
+        }
+    };
+
+    struct account {
+        double earned{0};
+        double minimum{0};
+        base::instant updated{};
+    };
+
+    using accounts = std::unordered_map<std::string, account, string_hash, std::equal_to<>>;
+
+    [[nodiscard]] account &refreshed(accounts &from, std::string_view name);
+    [[nodiscard]] static bool covers(const account &it) noexcept;
+    static void withdraw(account &it) noexcept;
+
+    const base::clock &clock_;
+    budget_options options_;
+    accounts organisations_;
+    accounts services_;
+};
+
+} // namespace dotterelstack::retry
--- /dev/null
+++ b/src/retry/retry_policy.cpp
@@ -0,0 +1,99 @@
+#include "retry/retry_policy.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace dotterelstack::retry {
+
+namespace {
+
+constexpr bool proves_not_run(evidence_kind kind) noexcept {
+    return kind == evidence_kind::never_sent || kind == evidence_kind::refused_before_handover ||
+           kind == evidence_kind::never_starts;
+}
+
+} // namespace
+
+retry_policy::retry_policy(const base::clock &clock, retry_budget &budget, random_source random, policy_options options)
+    : clock_{clock}, budget_{budget}, random_{std::move(random)}, options_{options} {}
+
+request_history retry_policy::begin(work_facts work, std::string_view organisation, std::string_view service,
+                                    base::instant deadline, unsigned received_attempt) {
+    request_history out;
+    out.work_ = work;
+    out.organisation_ = organisation;
+    out.service_ = service;
+    out.deadline_ = deadline;
+    out.outer_retries_ = received_attempt > 0;
+    budget_.earn(organisation, service);
+    return out;
+}
+
+retry_decision retry_policy::give_up(request_history &request, give_up_reason reason) noexcept {
+    request.closed_ = true;
+    retry_decision out;
+    out.reason = reason;
+    out.ran = request.may_have_run_ ? ran_state::unknown : ran_state::no;
+    if (request.work_.idempotency_key) {
+        out.claim = request.may_have_run_ ? claim_action::store_unknown : claim_action::release;
+    }
+    return out;
+}
+
+give_up_reason retry_policy::obstacle(const request_history &request, base::duration delay, bool sent) {
+    const bool repeatable = request.work_.repeatable || request.work_.resumable;
+    if (request.may_have_run_ && !repeatable) {
+        return give_up_reason::not_repeatable;
+    }
+    if (request.offset_ > 0 && !request.work_.resumable) {
+        return give_up_reason::not_resumable;
+    }
+    if (request.outer_retries_) {
+        return give_up_reason::outer_layer;
+    }
+    if (request.attempt_ >= options_.most_attempts) {
+        return give_up_reason::attempts;
+    }
+    if (clock_.now() + delay >= request.deadline_) {
+        return give_up_reason::deadline;
+    }
+    // An attempt that was never sent has loaded nobody; only the number of attempts bounds it.
+    const auto verdict = sent ? budget_.take(request.organisation_, request.service_) : budget_verdict::taken;
+    if (verdict == budget_verdict::organisation_exhausted) {
+        return give_up_reason::organisation_budget;
+    }
+    return verdict == budget_verdict::service_exhausted ? give_up_reason::service_budget : give_up_reason::none;
+}
+
+retry_decision retry_policy::decide(request_history &request, const evidence &seen) {
+    if (request.closed_) {
+        return give_up(request, give_up_reason::none);
+    }
+    request.may_have_run_ = request.may_have_run_ || !proves_not_run(seen.kind);
+    if (seen.kind == evidence_kind::answered) {
+        request.closed_ = true;
+        retry_decision out;
+        out.action = retry_action::deliver;
+        out.claim = request.work_.idempotency_key ? claim_action::store_answer : claim_action::none;
+        return out;
+    }
+    if (seen.kind == evidence_kind::broken_stream) {
+        request.offset_ = std::max(request.offset_, seen.offset);
+    }
+    const auto doublings = std::min(request.attempt_ - 1, 16U);
+    const auto ceiling = std::min(options_.longest_delay, options_.first_delay * (1U << doublings));
+    const auto delay =
+        base::duration{static_cast<base::duration::rep>(static_cast<double>(ceiling.count()) * random_())};
+    const auto reason = obstacle(request, delay, seen.kind != evidence_kind::never_sent);
+    if (reason != give_up_reason::none) {
+        return give_up(request, reason);
+    }
+    retry_decision out;
+    out.action = request.offset_ > 0 ? retry_action::resume_elsewhere : retry_action::retry_elsewhere;
+    out.offset = request.offset_;
+    out.delay = delay;
+    out.attempt = ++request.attempt_;
+    return out;
+}
+
+} // namespace dotterelstack::retry
--- /dev/null
+++ b/test/retry/retry_budget.cpp
@@ -0,0 +1,84 @@
+#include "retry/retry_budget.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+#include <string>
+#include <vector>
+
+using namespace std::chrono_literals;
+using dotterelstack::base::manual_clock;
+using namespace dotterelstack::retry;
+
+namespace {
+
+int take_all(retry_budget &budget, std::string_view organisation, std::string_view service) {
+    int n = 0;
+    while (budget.take(organisation, service) == budget_verdict::taken) {
+        ++n;
+    }
+    return n;
+}
+
+} // namespace
+
+// Guards against a retry storm: retries stay a fraction of the traffic plus a small minimum.
+TEST_CASE("a budget holds a ratio of recent requests and a minimum") {
+    manual_clock clock;
+    retry_budget budget{clock, {.ratio = 0.1, .minimum_per_second = 2}};
+    for (int n = 0; n < 1000; ++n) {
+        budget.earn("large", "drafting");
+    }
+    CHECK(take_all(budget, "large", "drafting") == 102);
+    clock.advance(500ms);
+    CHECK(take_all(budget, "large", "drafting") == 1);
+    // Earned retries are not hoarded: after five windows less than 1% is left.
+    for (int n = 0; n < 1000; ++n) {
+        budget.earn("large", "drafting");
+    }
+    clock.advance(50s);
+    CHECK(take_all(budget, "large", "drafting") == 2);
+}
+
+// Guards against one organisation that uses up another's retries, and against a half-taken retry.
+TEST_CASE("organisation and service have separate budgets and a refusal takes from neither") {
+    manual_clock clock;
+    retry_budget budget{clock, {.ratio = 0.5, .minimum_per_second = 0}};
+    for (int n = 0; n < 4; ++n) {
+        budget.earn("large", "drafting");
+        budget.earn("small", "drafting");
+        budget.earn("small", "booking");
+    }
+    CHECK(take_all(budget, "large", "drafting") == 2);
+    CHECK(budget.take("large", "drafting") == budget_verdict::organisation_exhausted);
+    CHECK(take_all(budget, "small", "drafting") == 2);
+    CHECK(budget.take("small", "drafting") == budget_verdict::service_exhausted);
+    CHECK(take_all(budget, "small", "booking") == 2);
+}
+
+// Guards against a budget that gives more than its formula over any history.
+TEST_CASE("retries never exceed the ratio of all requests plus the minimum over time") {
+    const bool holds = rc::check("bound", [] {
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3000));
+        manual_clock clock;
+        retry_budget budget{clock, {.ratio = 0.2, .minimum_per_second = 0.5}};
+        double requests = 0;
+        double retries = 0;
+        double seconds = 0;
+        for (const int step : steps) {
+            if (step % 3 == 0) {
+                budget.earn("a", "s");
+                ++requests;
+            } else if (step % 3 == 1) {
+                retries += budget.take("a", "s") == budget_verdict::taken ? 1 : 0;
+            } else {
+                clock.advance(step * 1ms);
+                seconds += step * 1e-3;
+                budget.prune();
+            }
+            RC_ASSERT(retries <= 0.2 * requests + 0.5 * seconds + 1 + 1e-6);
+        }
+    });
+    CHECK(holds);
+}
