--- /dev/null
+++ b/src/order/backend_ordering.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <string>
+
+#include "order/order_gate.hpp"
+
+namespace dotterelstack::order {
+
+/** @brief Direction of an order for backend servers. */
+enum class backend_action {
+    start,
+    stop
+};
+
+/**
+ * @brief Builds an order for the platform. It goes through an `order_journal` with `platform_journal_key`, so that
+ * intent, takeover and stable id are the same as for engines.
+ * @param id Stable id.
+ * @param host Host; empty when the platform chooses one.
+ * @param origin `planned` or `automatic`.
+ */
+[[nodiscard]] order make_backend_order(std::string id, backend_action action, std::string failure_domain,
+                                       std::string host, std::string origin);
+
+/** @return Key of the journal of one host, or of one failure domain when the platform chooses the host. */
+[[nodiscard]] std::string platform_journal_key(std::string_view failure_domain, std::string_view host);
+
+/** @brief Gate to the platform's ordering interface (`POST /v1/backend_orders`). Acceptance counts as done. */
+class platform_gate final : public order_gate {
+public:
+    /**
+     * @param client Transport; outlives the gate.
+     * @param address Address of the platform.
+     * @param longest_send Deadline of the call; at most the lease's setting of that name.
+     */
+    platform_gate(http::client &client, std::string address, base::duration longest_send);
+
+    [[nodiscard]] base::result<order_progress> send(const order &item, std::uint64_t fence,
+                                                    const http::final_check &check) override;
+
+private:
+    http::client &client_;
+    std::string address_;
+    base::duration longest_send_;
+};
+
+} // namespace dotterelstack::order
--- /dev/null
+++ b/src/order/fwd.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace dotterelstack::order {
+
+struct order;
+struct journal_entry;
+struct journal_action;
+struct journal_settings;
+struct order_result;
+struct executor_settings;
+struct executor_action;
+struct engine_state;
+class order_gate;
+class agent_gate;
+class platform_gate;
+class order_journal;
+class order_executor;
+
+} // namespace dotterelstack::order
--- /dev/null
+++ b/test/order/order_journal.cpp
@@ -0,0 +1,81 @@
+#include "order/order_journal.hpp"
+
+#include <doctest/doctest.h>
+
+#include "support/order_fixture.hpp"
+
+using namespace dotterelstack;
+using testing::order_fixture;
+
+// Guards against an order that is sent before its intent is stored, or settled before the engine has finished.
+TEST_CASE("an order is stored, sent, awaited and settled") {
+    order_fixture it;
+    auto a = it.start("a");
+    it.acquire(*a);
+    REQUIRE(a->journal.begin(order_fixture::make("o1", "decode")));
+    bool stored_first = false;
+    it.wire.before_check = [&] {
+        const auto found = it.store.get("order/e").value();
+        stored_first = found && order::parse_entry(*found).value().item.id == "o1";
+    };
+    it.drive(*a, 30);
+    CHECK(stored_first);
+    CHECK(a->journal.entry()->state == order::entry_state::sent);
+    CHECK(a->journal.begin(order_fixture::make("o2", "prefill")).error().code == "order_open");
+    CHECK(a->journal.take_results().empty());
+    it.engine.finish();
+    it.drive(*a, 30);
+    const auto results = a->journal.take_results();
+    REQUIRE(results.size() == 1);
+    CHECK(results[0].how == order::order_result::ending::done);
+    CHECK(it.engine.received.size() == 1);
+    CHECK(order::parse_entry(*it.store.get("order/e").value()).value().state == order::entry_state::settled);
+}
+
+// Guards against a rejected order that stays open for ever.
+TEST_CASE("an order that the engine rejects for good is settled as failed") {
+    order_fixture it;
+    it.wire.handlers["engine"] = [&it](const http::request &message) {
+        return message.method == "GET" ? it.engine(message) : http::response{400, {}, "{}"};
+    };
+    auto a = it.start("a");
+    it.acquire(*a);
+    REQUIRE(a->journal.begin(order_fixture::make("o1", "nonsense")));
+    it.drive(*a, 30);
+    const auto results = a->journal.take_results();
+    REQUIRE(results.size() == 1);
+    CHECK(results[0].how == order::order_result::ending::failed);
+    CHECK(a->journal.begin(order_fixture::make("o2", "decode")));
+}
+
+// Guards against writes or orders without authority and against a busy loop while the store is down.
+TEST_CASE("nothing is written or sent without authority or store") {
+    order_fixture it;
+    auto a = it.start("a");
+    REQUIRE(a->journal.begin(order_fixture::make("o1", "decode")));
+    CHECK(order::drive_journal(a->journal, it.store, it.ids, it.gate, std::nullopt).step == order::journal_step::idle);
+    it.acquire(*a);
+    it.store.set_faults({.outage = true});
+    const auto step = [&] {
+        return order::drive_journal(a->journal, it.store, it.ids, it.gate, a->keeper.authority()).step;
+    };
+    CHECK(step() == order::journal_step::read);
+    CHECK(step() == order::journal_step::wait);
+    CHECK(it.engine.received.empty());
+}
+
+// Guards against an order of a lost authority that is begun under the next one.
+TEST_CASE("an order that waits when the authority ends is dropped") {
+    order_fixture it;
+    auto a = it.start("a");
+    it.acquire(*a);
+    it.store.set_faults({.outage = true});
+    REQUIRE(a->journal.begin(order_fixture::make("o1", "decode")));
+    it.drive(*a, 60);
+    it.store.set_faults({});
+    it.drive(*a, 200);
+    const auto results = a->journal.take_results();
+    REQUIRE(results.size() == 1);
+    CHECK(results[0].how == order::order_result::ending::dropped);
+    CHECK(it.engine.received.empty());
+}
