--- /dev/null
+++ b/src/usage/usage_holder.cpp
@@ -0,0 +1,67 @@
+#include "usage/usage_holder.hpp"
+
+namespace dotterelstack::usage {
+
+usage_holder::usage_holder(std::size_t batch_records) : batch_records_{batch_records} {}
+
+void usage_holder::hold(const std::vector<usage_record> &records) {
+    for (const auto &it : records) {
+        records_[it.owner].emplace(it.sequence, it);
+    }
+}
+
+void usage_holder::release(std::string_view owner, const std::vector<std::uint64_t> &sequences) {
+    const auto it = records_.find(owner);
+    if (it == records_.end()) {
+        return;
+    }
+    for (const auto sequence : sequences) {
+        it->second.erase(sequence);
+    }
+    if (it->second.empty()) {
+        records_.erase(it);
+    }
+}
+
+void usage_holder::on_owner_gone(const std::string &owner) {
+    gone_.insert(owner);
+}
+
+std::optional<usage_batch> usage_holder::next_batch() {
+    for (auto it = gone_.begin(); it != gone_.end();) {
+        const auto found = records_.find(*it);
+        if (found == records_.end()) {
+            it = gone_.erase(it);
+            continue;
+        }
+        usage_batch out{*it, found->second.begin()->second.window, {}};
+        for (const auto &[sequence, record] : found->second) {
+            if (record.window == out.window && out.records.size() < batch_records_) {
+                out.records.push_back(record);
+            }
+        }
+        return out;
+    }
+    return std::nullopt;
+}
+
+void usage_holder::on_flushed(const usage_batch &batch, const base::result<void> &stored) {
+    if (!stored) {
+        return;
+    }
+    std::vector<std::uint64_t> sequences;
+    for (const auto &it : batch.records) {
+        sequences.push_back(it.sequence);
+    }
+    release(batch.owner, sequences);
+}
+
+std::size_t usage_holder::held() const noexcept {
+    std::size_t out = 0;
+    for (const auto &[owner, records] : records_) {
+        out += records.size();
+    }
+    return out;
+}
+
+} // namespace dotterelstack::usage
