Add operator commands

Cause: operators need to apply, compare and export declarations, to create and withdraw keys, and to plan drains, with exit codes that scripts can rely on. Change: cli/ with apply, plan, export, get, key, drain, status, usage and check-settings on cxxopts; config/files for the directory of declarations; entry_status_source as the interface to the status of entries. Ruled out: vector options of cxxopts, which split JSON values at commas; the texts are taken as given. Also ruled out: asking only the host list, which lags; entries name their peers. Conclusion: src/main.cpp can call cli::run for the names in command_names().

--- /dev/null
+++ b/src/cli/drain.cpp
@@ -0,0 +1,125 @@
+#include <algorithm>
+#include <ostream>
+
+#include "cli/command.hpp"
+#include "cli/fleet.hpp"
+#include "cli/print.hpp"
+#include "config/item.hpp"
+#include "config/risk.hpp"
+
+namespace dotterelstack::cli::internal {
+
+namespace {
+
+void declare_drain(cxxopts::Options &options) {
+    declare_author(options);
+    declare_risks(options);
+    declare_entries(options);
+    options.add_options()("backend", "backend server to drain", cxxopts::value<std::string>())(
+        "host", "host whose backend servers to drain",
+        cxxopts::value<std::string>())("replace", "have the backend server replaced after the drain")(
+        "set-role", "have the engine take this role after the drain",
+        cxxopts::value<std::string>())("cancel", "cancel a requested change by its id", cxxopts::value<std::string>());
+}
+
+base::result<std::vector<config::item_change>> cancel_item(const config::config_state &current, const std::string &id) {
+    const auto it = current.values().planned.find(id);
+    if (it == current.values().planned.end()) {
+        return base::fail(base::error_kind::invalid_argument, "no_planned_change",
+                          "planned change " + id + " does not exist; `status` lists them");
+    }
+    auto value = it->second;
+    value.state = config::planned_state::cancelled;
+    return std::vector<config::item_change>{
+        {config::item_name(value), nlohmann::json(it->second), nlohmann::json(value)}};
+}
+
+base::result<exit_code> cancel(call &with, const std::string &author, const std::string &id) {
+    const auto build = [&id](const config::config_state &current) { return cancel_item(current, id); };
+    BOOST_OUTCOME_TRY(done, with.declarations.commit(author, build));
+    with.with.out << "cancelled with configuration version " << done.state->version() << '\n';
+    return exit_code::success;
+}
+
+base::result<config::planned_change> make_plan(const call &with, const std::string &author) {
+    base::id_source ids;
+    config::planned_change out;
+    out.id = ids.next().substr(0, 12);
+    out.backend = value_of(with, "backend");
+    out.host = value_of(with, "host");
+    out.argument = value_of(with, "set-role");
+    out.requested_by = author;
+    const bool replace = with.options.count("replace") > 0;
+    if (out.backend.empty() == out.host.empty() || (replace && !out.argument.empty())) {
+        return boost::outcome_v2::failure(
+            usage_error("name either --backend or --host, and at most one of --replace and --set-role"));
+    }
+    if (!out.argument.empty()) {
+        out.kind = config::planned_kind::set_role;
+    } else if (replace) {
+        out.kind = config::planned_kind::replace;
+    }
+    return out;
+}
+
+/** Takes the failure domain from the fleet; a name that no entry knows is most likely a typing error. */
+base::result<void> locate(config::planned_change &plan, const config::fleet_facts &facts) {
+    const auto it = std::find_if(facts.backends.begin(), facts.backends.end(), [&plan](const auto &fact) {
+        return plan.host.empty() ? fact.name == plan.backend : fact.host == plan.host;
+    });
+    if (it == facts.backends.end()) {
+        std::string known;
+        for (const auto &fact : facts.backends) {
+            known.append(" ").append(plan.host.empty() ? fact.name : fact.host);
+        }
+        return base::fail(base::error_kind::invalid_argument, "no_backend",
+                          "no entry knows " + plan.backend + plan.host + "; nothing was changed; known:" + known);
+    }
+    plan.failure_domain = it->failure_domain;
+    return base::success();
+}
+
+bool same_target(const config::planned_change &a, const config::planned_change &b) {
+    const bool open = b.state == config::planned_state::requested || b.state == config::planned_state::running;
+    return open && a.backend == b.backend && a.host == b.host;
+}
+
+base::result<exit_code> run_drain(call &with) {
+    BOOST_OUTCOME_TRY(author, author_of(with));
+    if (const auto id = value_of(with, "cancel"); !id.empty()) {
+        return cancel(with, author, id);
+    }
+    BOOST_OUTCOME_TRY(plan, make_plan(with, author));
+    const auto facts = read_fleet(with).facts();
+    if (facts) {
+        BOOST_OUTCOME_TRYV(locate(plan, *facts));
+    }
+    const auto build = [&](const config::config_state &current) -> base::result<std::vector<config::item_change>> {
+        for (const auto &[id, it] : current.values().planned) {
+            if (same_target(plan, it)) {
+                return base::fail(base::error_kind::conflict, "already_planned",
+                                  it.requested_by + " has already asked for change " + id +
+                                      " of the same target; see `status`, or cancel it with `drain --cancel " + id +
+                                      "`");
+            }
+        }
+        auto after = current.values();
+        after.planned[plan.id] = plan;
+        const auto risks = config::find_risks(current.values(), after, facts ? &*facts : nullptr);
+        if (auto open = config::not_accepted(risks, values_of(with, "accept-risk")); !open.empty()) {
+            return boost::outcome_v2::failure(config::describe(open));
+        }
+        return std::vector<config::item_change>{{config::item_name(plan), nullptr, nlohmann::json(plan)}};
+    };
+    BOOST_OUTCOME_TRY(done, with.declarations.commit(author, build));
+    with.with.out << "planned change " << plan.id << " is requested with configuration version "
+                  << done.state->version() << "; `status` shows its progress\n";
+    return exit_code::success;
+}
+
+} // namespace
+
+const command drain_command{"drain",   "plan the drain of a backend server or host", "", true, &declare_drain,
+                            &run_drain};
+
+} // namespace dotterelstack::cli::internal
--- /dev/null
+++ b/src/cli/print.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <iosfwd>
+#include <vector>
+
+#include "config/merge.hpp"
+#include "config/risk.hpp"
+
+namespace dotterelstack::cli::internal {
+
+/** @brief Prints one line per change: `+` new, `-` removed, `~` with the fields that change. */
+void print_changes(std::ostream &out, const std::vector<config::item_change> &changes);
+
+/** @brief Prints one line per risk. */
+void print_risks(std::ostream &out, const std::vector<config::risk> &risks);
+
+} // namespace dotterelstack::cli::internal
--- /dev/null
+++ b/src/cli/run.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <functional>
+#include <iosfwd>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "cli/entry_status.hpp"
+#include "http/client.hpp"
+#include "store/object_store.hpp"
+
+namespace dotterelstack::cli {
+
+/** @brief Exit codes of section 5 of the design. */
+enum class exit_code {
+    success = 0,
+    failure = 1,
+    usage = 2,
+    refused = 3
+};
+
+/** @brief What commands use of the outside. */
+struct environment {
+    store::object_store &objects;
+    http::client &client;
+    entry_status_source &statuses;
+    std::ostream &out;
+    std::ostream &err;
+    const base::clock &clock;
+    std::function<void(base::duration)> sleep;
+};
+
+/** @brief Addresses that a command line or the environment gives. */
+struct addresses {
+    std::optional<std::string> store;    /**< `--store`, else `DOTTERELSTACK_STORE`. */
+    std::optional<std::string> platform; /**< `--platform`, else `DOTTERELSTACK_PLATFORM`. */
+};
+
+/** @return Names of the operator commands, the first argument of `run`. */
+[[nodiscard]] std::span<const std::string_view> command_names() noexcept;
+
+/** @return Addresses, which the caller needs to make the store client before `run`. */
+[[nodiscard]] addresses find_addresses(std::span<const std::string_view> arguments);
+
+/**
+ * @brief Runs one operator command.
+ * @param arguments Command name and its arguments, without the name of the program.
+ * @return Exit code: 0 success, 1 failure, 2 usage or settings error, 3 conflict or refused risk.
+ */
+[[nodiscard]] int run(std::span<const std::string_view> arguments, const environment &with);
+
+/** @brief As above with the boot-time clock, sleeping on this thread. */
+[[nodiscard]] int run(std::span<const std::string_view> arguments, store::object_store &objects, http::client &client,
+                      entry_status_source &statuses, std::ostream &out, std::ostream &err);
+
+} // namespace dotterelstack::cli
--- /dev/null
+++ b/src/config/files.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "base/error.hpp"
+#include "config/declarations.hpp"
+#include "config/merge.hpp"
+
+namespace dotterelstack::config {
+
+/** @brief Names of the files in a directory of declarations. */
+namespace file_names {
+
+inline constexpr std::string_view organisations = "organisations.json";
+inline constexpr std::string_view services = "services.json";
+inline constexpr std::string_view keys = "keys.json";
+inline constexpr std::string_view planned = "changes.json";
+inline constexpr std::string_view table = "table.csv";
+inline constexpr std::string_view base = "base.json"; /**< Written by `export` and `apply`; not edited by hand. */
+
+} // namespace file_names
+
+/** @brief Content of a directory of declarations. */
+struct declaration_files {
+    declarations values;
+    base_record base; /**< Empty if the directory has never been exported or applied. */
+};
+
+/**
+ * @brief Reads and validates a directory of declarations.
+ * @param directory Path of the directory.
+ * @return The content, or one `invalid_argument` error that lists the problems of all files.
+ */
+[[nodiscard]] base::result<declaration_files> load_files(const std::string &directory);
+
+/**
+ * @brief Writes a directory of declarations; each file is replaced as a whole, `base.json` last.
+ * @return `internal` error with the path that could not be written.
+ */
+[[nodiscard]] base::result<void> save_files(const std::string &directory, const declarations &values,
+                                            const base_record &base);
+
+/** @brief Replaces `base.json` only. */
+[[nodiscard]] base::result<void> save_base(const std::string &directory, const base_record &base);
+
+/** @return True if the directory has none of the files yet. */
+[[nodiscard]] bool has_no_files(const std::string &directory);
+
+} // namespace dotterelstack::config
--- a/src/config/risk.cpp
+++ b/src/config/risk.cpp
@@ -157,8 +157,8 @@
                 return std::find(fact.models.begin(), fact.models.end(), model) != fact.models.end();
             });
             if (is_new && !served) {
-                out.push_back({"model_without_engine", "service/" + name + " " + model,
-                               "no engine serves the new model", "start an engine with the model first"});
+                out.push_back({"model_without_engine", model + " of " + item_name(it), "no engine serves the new model",
+                               "start an engine with the model first"});
             }
         }
     }
