--- a/src/cli/drain.cpp
+++ b/src/cli/drain.cpp
@@ -84,6 +84,13 @@
     return open && a.backend == b.backend && a.host == b.host;
 }
 
+base::error already_planned(const config::planned_change &it) {
+    std::string out = it.requested_by;
+    out.append(" has already asked for change ").append(it.id);
+    out.append(" of the same target; see `status`, or cancel it with `drain --cancel ").append(it.id).append("`");
+    return {base::error_kind::conflict, "already_planned", std::move(out)};
+}
+
 base::result<exit_code> run_drain(call &with) {
     BOOST_OUTCOME_TRY(author, author_of(with));
     if (const auto id = value_of(with, "cancel"); !id.empty()) {
@@ -97,10 +104,7 @@
     const auto build = [&](const config::config_state &current) -> base::result<std::vector<config::item_change>> {
         for (const auto &[id, it] : current.values().planned) {
             if (same_target(plan, it)) {
-                return base::fail(base::error_kind::conflict, "already_planned",
-                                  it.requested_by + " has already asked for change " + id +
-                                      " of the same target; see `status`, or cancel it with `drain --cancel " + id +
-                                      "`");
+                return boost::outcome_v2::failure(already_planned(it));
             }
         }
         auto after = current.values();
--- a/src/settings/file.cpp
+++ b/src/settings/file.cpp
@@ -1,10 +1,26 @@
 #include "settings/file.hpp"
 
+#include <charconv>
 #include <fstream>
 #include <sstream>
 
 namespace dotterelstack::settings {
 
+namespace internal {
+
+/** Field of an object, or element of an array by its number; null if there is none. */
+nlohmann::json *step_into(nlohmann::json &value, const std::string &name) {
+    if (value.is_object() || value.is_null()) {
+        return &value[name];
+    }
+    std::size_t n = 0;
+    const auto got = std::from_chars(name.data(), name.data() + name.size(), n);
+    const bool number = got.ec == std::errc{} && got.ptr == name.data() + name.size();
+    return value.is_array() && number && n < value.size() ? &value[n] : nullptr;
+}
+
+} // namespace internal
+
 base::result<std::string> read_file(const std::string &path) {
     std::ifstream file{path, std::ios::binary};
     std::ostringstream buf;
@@ -25,7 +41,7 @@
         auto *at = &value;
         std::istringstream path{it.substr(0, equals)};
         for (std::string name; at != nullptr && std::getline(path, name, '.');) {
-            at = at->is_object() || at->is_null() ? &(*at)[name] : nullptr;
+            at = internal::step_into(*at, name);
         }
         if (at == nullptr) {
             problems.add({"override", it, "a path of fields", "name a field that the file may contain"});
--- a/test/settings/agent_settings.cpp
+++ b/test/settings/agent_settings.cpp
@@ -15,6 +15,11 @@
     REQUIRE(got.value().backends.size() == 1);
     CHECK(got.value().backends[0].failure_domain == "rajkot");
     CHECK(got.value().backends[0].honours_fence);
+    const auto moved =
+        settings::parse_agent_settings("a.json", head + engine + "]}", {"backends.0.address=127.0.0.1:9"});
+    REQUIRE(moved);
+    CHECK(moved.value().backends[0].address == "127.0.0.1:9");
+    CHECK_FALSE(settings::parse_agent_settings("a.json", head + engine + "]}", {"backends.1.address=127.0.0.1:9"}));
     const auto wrong = settings::parse_agent_settings(
         "a.json", head + engine + "," + engine + R"(,{"name":"b2","service":"s","kind":"modal","address":"1"}]})");
     REQUIRE_FALSE(wrong);
