--- a/src/entry/flow.hpp
+++ b/src/entry/flow.hpp
@@ -61,7 +61,7 @@
 
     answer::assembly assembly;
     response_format format;
-    std::string text{};    /**< Of a response that is not streamed. */
+    std::string text{};  /**< Of a response that is not streamed. */
     bool started{false}; /**< The caller has received the head of the response. */
     std::string finish_reason{};
     std::uint64_t prompt_tokens{0};
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -51,8 +51,8 @@
 };
 
 event_loop::event_loop()
-    : reactor_{std::make_unique<ACE_Reactor>(new ACE_Dev_Poll_Reactor{internal::reactor_handles}, true)},
-      handler_{std::make_unique<task_handler>(*this)} {
+    : handler_{std::make_unique<task_handler>(*this)}, reactor_{std::make_unique<ACE_Reactor>(
+                                                           new ACE_Dev_Poll_Reactor{internal::reactor_handles}, true)} {
     thread_ = std::thread{[this] {
         reactor_->owner(ACE_Thread::self());
         while (!stopping_) {
@@ -63,6 +63,7 @@
 
 event_loop::~event_loop() {
     stop();
+    run_tasks();
 }
 
 void event_loop::post(std::function<void()> task) {
@@ -78,7 +79,7 @@
 }
 
 void event_loop::run_and_wait(const std::function<void()> &task) {
-    if (on_loop_thread()) {
+    if (on_loop_thread() || !thread_.joinable()) {
         task();
         return;
     }
@@ -111,8 +112,8 @@
     stopping_ = true;
     post([] {});
     thread_.join();
-    const std::scoped_lock lock{mutex_};
-    tasks_.clear();
+    // Tasks left over release connections; they run here, where nothing else uses the reactor any more.
+    run_tasks();
 }
 
 void event_loop::run_tasks() {
--- a/src/transport/event_loop.hpp
+++ b/src/transport/event_loop.hpp
@@ -26,13 +26,13 @@
     /** @brief Runs a task on the loop's thread, in order of posting. Callable from any thread. */
     void post(std::function<void()> task);
 
-    /** @brief Runs a task on the loop's thread and waits for its end; runs it directly when already there. */
+    /** @brief Runs a task on the loop's thread and waits for its end; directly when already there or after `stop`. */
     void run_and_wait(const std::function<void()> &task);
 
     /** @brief Runs a task on the loop's thread after a delay. */
     void after(base::duration delay, std::function<void()> task);
 
-    /** @brief Ends the thread; tasks not yet run are dropped. Objects on the loop must be closed before. */
+    /** @brief Ends the thread and runs the tasks that are left. Objects on the loop should be closed before. */
     void stop();
 
     /** @return The reactor, for use on the loop's thread. */
@@ -46,8 +46,9 @@
 
     void run_tasks();
 
-    std::unique_ptr<ACE_Reactor> reactor_;
+    // Destroyed after the reactor, which still looks at the handlers of undelivered notifications when it closes.
     std::unique_ptr<task_handler> handler_;
+    std::unique_ptr<ACE_Reactor> reactor_;
     std::mutex mutex_;
     std::vector<std::function<void()>> tasks_;
     std::atomic<bool> stopping_{false};
