--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -92,7 +92,8 @@
 void lease_keeper::on_read(const base::result<std::optional<store::object>> &found) {
     const auto now = clock_.now();
     read_due_ = now + settings_.standby_read_every;
-    if (!found) {
+    // Versions only grow, so a present object with a lower one is a stale read and decides nothing.
+    if (!found || (found.value() && found.value()->version < version_)) {
         retry_due_ = now + settings_.retry_after;
         return;
     }
@@ -128,9 +129,7 @@
     }
     if (!written) {
         read_needed_ = true;
-        if (written.error().kind != base::error_kind::conflict) {
-            retry_due_ = clock_.now() + settings_.retry_after;
-        }
+        retry_due_ = clock_.now() + settings_.retry_after;
         return;
     }
     version_ = written.value();
--- a/src/order/order_journal.cpp
+++ b/src/order/order_journal.cpp
@@ -38,10 +38,6 @@
 }
 
 journal_action order_journal::next_for_open(base::instant now) {
-    if (entry_->fence > *fence_) {
-        // A planner with a higher fence has taken the order over; this one waits for its own lease to end.
-        return {};
-    }
     if (entry_->fence < *fence_) {
         auto taken = *entry_;
         taken.fence = *fence_;
@@ -65,6 +61,10 @@
         return now < due_ ? journal_action{journal_step::wait, {}, 0, {}, 0, due_}
                           : journal_action{journal_step::read, {}, 0, {}, 0, {}};
     }
+    if (entry_ && entry_->fence > *fence_) {
+        // A planner with a higher fence uses the journal; this one waits for its own lease to end.
+        return {};
+    }
     if (open()) {
         return next_for_open(now);
     }
--- a/test/lease/lease_keeper.cpp
+++ b/test/lease/lease_keeper.cpp
@@ -125,6 +125,26 @@
     }
 }
 
+// Guards against a holder that repeats renewals without pause while the store returns old versions.
+TEST_CASE("stale reads do not cause a busy loop") {
+    fixture it;
+    it.drive(it.a);
+    it.run(it.a, 2s);
+    it.store.set_faults({.lose_answers = true, .stale_reads = true});
+    const auto before = it.store.counters();
+    for (int n = 0; n < 100; ++n) {
+        lease::drive_lease(it.a, it.store, it.ids);
+        it.clock.advance(1ms);
+    }
+    it.store.set_faults({.stale_reads = true});
+    for (int n = 0; n < 2000; ++n) {
+        lease::drive_lease(it.a, it.store, it.ids);
+        it.clock.advance(1ms);
+    }
+    CHECK(it.store.counters().writes - before.writes < 60);
+    CHECK(it.store.counters().reads - before.reads < 60);
+}
+
 // Guards against a released lease that blocks its successor for a whole term, or a release that keeps authority.
 TEST_CASE("a release hands over after the longest send") {
     fixture it;
--- a/test/order/order_journal.cpp
+++ b/test/order/order_journal.cpp
@@ -79,3 +79,18 @@
     CHECK(results[0].how == order::order_result::ending::dropped);
     CHECK(it.engine.received.empty());
 }
+
+// Guards against a former holder that writes a new intent over the settled order of its successor.
+TEST_CASE("a planner does nothing in a journal with a higher fence") {
+    order_fixture it;
+    auto a = it.start("a");
+    it.acquire(*a);
+    const auto fence = a->keeper.authority()->fence();
+    const order::journal_entry newer{order_fixture::make("o9", "decode"), fence + 1, order::entry_state::settled,
+                                     false};
+    REQUIRE(it.store.put("order/e", order::to_json(newer).dump(), store::absent));
+    REQUIRE(a->journal.begin(order_fixture::make("o1", "prefill")));
+    it.drive(*a, 20);
+    CHECK(order::parse_entry(*it.store.get("order/e").value()).value().item.id == "o9");
+    CHECK(it.engine.received.empty());
+}
