Let the engine of promise 3 finish before the former holder's order arrives

Cause: with every check of the agent removed the test still passed, since the engine was changing and refused for that reason alone. Change: the newer order is completed before the paused order arrives. Measured: with the agent's checks removed the test now fails in both runs; with them it passes; ctest passes.

--- a/test/promise/promise_03_former_holder.cpp
+++ b/test/promise/promise_03_former_holder.cpp
@@ -90,6 +90,9 @@
             with.drive(*b, 20);
             REQUIRE(b->journal.begin(order_fixture::make("newer", "prefill")));
             with.drive(*b, 20);
+            // An engine that is still changing would be left alone for that reason only.
+            with.engine.finish();
+            with.drive(*b, 20);
             if (restarted) {
                 with.restart_agent();
                 with.clock.advance(std::chrono::seconds{5});
