--- a/src/limits/admission.cpp
+++ b/src/limits/admission.cpp
@@ -223,7 +223,6 @@
         service.ready.emplace(virtual_time, id);
     }
     row.virtual_time = virtual_time;
-    service.last_finish = std::max(service.last_finish, virtual_time);
 }
 
 void admission::start(row_id id, request_state &it) {
@@ -275,18 +274,10 @@
     deadlines_.erase({it.deadline, it.sequence});
 }
 
-void admission::end_busy_period(service_state &service) noexcept {
-    if (service.running == 0 && service.waiting == 0) {
-        // Nobody competes, so that no row owes service to another.
-        service.virtual_time = std::max(service.virtual_time, service.last_finish);
-    }
-}
-
 void admission::refuse_waiting(request_state &it, refusal reason, base::duration retry_after) {
     dequeue(it);
     const auto found = requests_.find(*it.id);
     outbox_.push_back({found->first, verdict::refused, reason, std::max(retry_after, shortest_retry)});
-    end_busy_period(services_[rows_[it.row].service]);
     requests_.erase(found);
 }
 
@@ -512,10 +503,6 @@
     } else {
         reconsider(id);
     }
-    if (service.running == 0 && service.waiting == 0) {
-        // End of a busy period: nobody competes, so that no row owes service to another.
-        service.virtual_time = std::max(service.virtual_time, service.last_finish);
-    }
 }
 
 bool admission::finish(std::string_view request) {
@@ -546,7 +533,6 @@
         const auto id = found->second.row;
         dequeue(found->second);
         requests_.erase(found);
-        end_busy_period(services_[rows_[id].service]);
         reconsider(id);
     }
     return true;
--- a/src/limits/admission.hpp
+++ b/src/limits/admission.hpp
@@ -199,7 +199,6 @@
         std::uint32_t waiting{0};
         double waiting_weight{0}; /**< Sum of the weights of rows with waiting requests. */
         double virtual_time{0};   /**< Start tag of the last dispatched request. */
-        double last_finish{0};    /**< Largest virtual time of any row. */
         double mean_run{0};       /**< Seconds; 0 until a request has finished. */
         double mean_cost{0};      /**< Tokens of a request. */
         std::set<std::pair<double, row_id>> ready;
@@ -233,7 +232,6 @@
     void release(request_map::iterator it);
     void enqueue(row_id id, request_state &it);
     void dequeue(request_state &it);
-    static void end_busy_period(service_state &service) noexcept;
     void refuse_waiting(request_state &it, refusal reason, base::duration retry_after);
     void reconsider(row_id id);
     void drop_hopeless(row_id id);
--- a/test/limits/admission_model.cpp
+++ b/test/limits/admission_model.cpp
@@ -105,7 +105,6 @@
         row.requests_level -= 1;
         row.prompt_level -= it.prompt;
         row.virtual_time += it.prompt / row.limits.weight;
-        last_finish[keys[it.row].service == "t"] = std::max(last_finish[keys[it.row].service == "t"], row.virtual_time);
         const auto at = it.row;
         refresh(at);
     }
@@ -157,17 +156,12 @@
         const auto row = it->row;
         items.erase(it);
         refresh(row);
-        const auto service = keys[row].service;
-        if (std::none_of(items.begin(), items.end(), [&](auto &one) { return keys[one.row].service == service; })) {
-            virtual_time[service == "t"] = std::max(virtual_time[service == "t"], last_finish[service == "t"]);
-        }
     }
 
     std::vector<item> items;
     std::array<row_model, row_count> rows;
     std::array<int, 2> slots{2, 1};
     std::array<double, 2> virtual_time{0, 0};
-    std::array<double, 2> last_finish{0, 0};
 };
 
 rc::Gen<operation> any_operation() {
