--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -4,8 +4,11 @@
 #include <array>
 #include <cstdio>
 #include <glog/logging.h>
+#include <utility>
 
 #include "config/key_text.hpp"
+#include "log/background_writer.hpp"
+#include "log/internal.hpp"
 
 namespace dotterelstack::log {
 
@@ -58,6 +61,20 @@
     return google::GLOG_ERROR;
 }
 
+std::shared_mutex &writer_mutex() noexcept {
+    static std::shared_mutex out;
+    return out;
+}
+
+background_writer *&installed_writer() noexcept {
+    static background_writer *out = nullptr;
+    return out;
+}
+
+void write_line(severity level, const std::string &text) {
+    google::LogMessage{__FILE__, __LINE__, to_glog(level)}.stream() << text;
+}
+
 } // namespace internal
 
 std::string format(event what, field_values values) {
@@ -73,8 +90,14 @@
 }
 
 void write(event what, field_values values) {
-    const auto level = internal::to_glog(what.description().level);
-    google::LogMessage{__FILE__, __LINE__, level}.stream() << format(what, values);
+    const auto level = what.description().level;
+    auto text = format(what, values);
+    const std::shared_lock lock{internal::writer_mutex()};
+    if (auto *writer = internal::installed_writer(); writer != nullptr) {
+        writer->offer(level, std::move(text));
+    } else {
+        internal::write_line(level, text);
+    }
 }
 
 void start(const char *program) {
--- /dev/null
+++ b/src/log/internal.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <mutex>
+#include <shared_mutex>
+#include <string>
+
+#include "log/catalogue.hpp"
+
+namespace dotterelstack::log {
+
+class background_writer;
+
+namespace internal {
+
+/** Protects the installed writer; shared while a line is handed over, so that it is not destroyed meanwhile. */
+[[nodiscard]] std::shared_mutex &writer_mutex() noexcept;
+
+[[nodiscard]] background_writer *&installed_writer() noexcept;
+
+/** Writes one line through glog on this thread. */
+void write_line(severity level, const std::string &text);
+
+} // namespace internal
+} // namespace dotterelstack::log
--- a/test/cli/apply.cpp
+++ b/test/cli/apply.cpp
@@ -1,4 +1,7 @@
+#include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
+#include <thread>
 
 #include "cli/fixture.hpp"
 
@@ -72,6 +75,44 @@
     CHECK(has(it.out, "~ row/north/drafting weight: 3.0 -> 2.0"));
 }
 
+// Guards against a race between the comparison and the commit: both operators would believe that they have won.
+TEST_CASE("of operators who apply the same row at the same time exactly one succeeds") {
+    test::cli_fixture it;
+    it.start();
+    for (int round = 0; round < 10; ++round) {
+        constexpr std::size_t writers = 3;
+        std::array<int, writers> codes{};
+        std::vector<std::thread> threads;
+        threads.reserve(writers);
+        for (std::size_t n = 0; n < writers; ++n) {
+            const auto directory = it.path("w" + std::to_string(n));
+            REQUIRE(it.run({"export", directory, "--force"}) == 0);
+            it.edit(directory, weight(north_drafting, 10 * round + 2 + static_cast<int>(n)));
+            it.edit(directory, weight({n == 0 ? "south" : "north", n == 2 ? "drafting" : "booking"}, 100 + round));
+        }
+        for (std::size_t n = 0; n < writers; ++n) {
+            threads.emplace_back([&it, &codes, n] {
+                std::ostringstream out;
+                std::ostringstream err;
+                const auto directory = it.path("w" + std::to_string(n));
+                const std::vector<std::string_view> arguments{"apply",   directory,     "--author",   "writer",
+                                                              "--store", "127.0.0.1:1", "--platform", "127.0.0.1:2"};
+                codes[n] = cli::run(arguments, {it.store, it.platform, it.entries, out, err, it.clock,
+                                                [](base::duration) { std::this_thread::yield(); }});
+            });
+        }
+        for (auto &thread : threads) {
+            thread.join();
+        }
+        const auto winner = std::find(codes.begin(), codes.end(), 0);
+        REQUIRE(std::count(codes.begin(), codes.end(), 0) == 1);
+        CHECK(std::count(codes.begin(), codes.end(), 3) == 2);
+        const auto n = static_cast<int>(winner - codes.begin());
+        // Writer 2 sets the row twice; its last value counts.
+        CHECK(it.state()->values().rows.at(north_drafting).weight == (n == 2 ? 100 + round : 10 * round + 2 + n));
+    }
+}
+
 // Guards against a promise that an apply breaks without the operator having named the risk.
 TEST_CASE("risks are refused with exit code 3 until they are accepted by name") {
     test::cli_fixture it;
--- a/test/config/config_tracker.cpp
+++ b/test/config/config_tracker.cpp
@@ -33,6 +33,8 @@
     CHECK(tracker.age() == 4s);
     CHECK(tracker.on_head(test::head_text(chain, 3), clock.now()).empty());
     CHECK(tracker.age() == 0s);
+    CHECK(tracker.on_head(test::head_text(chain, 3), clock.now() - 2s).empty());
+    CHECK(tracker.age() == 0s);
 }
 
 // Guards against a process that stays behind when the log no longer reaches back to its version.
@@ -91,6 +93,28 @@
     CHECK(tracker.current()->version() == 5);
 }
 
+// Guards against a process that was down during an accept and comes back with less than the others have.
+TEST_CASE("a configuration accepted while a process is down reaches it at its start") {
+    const auto chain = test::make_chain(9);
+    base::manual_clock clock;
+    config::config_tracker up{clock};
+    REQUIRE(only<config::adopted>(up.on_head(test::head_text(chain, 3), clock.now())));
+    REQUIRE(only<config::adopted>(up.on_head(test::head_text(chain, 9, 2), clock.now())));
+    config::config_tracker from_store{clock};
+    const auto wanted = from_store.on_head(test::head_text(chain, 9, 6), clock.now());
+    REQUIRE(only<config::fetch_snapshot>(wanted));
+    from_store.on_snapshot_failed();
+    REQUIRE(only<config::fetch_snapshot>(from_store.on_head(test::head_text(chain, 9, 6), clock.now())));
+    CHECK(only<config::adopted>(from_store.on_snapshot(6, config::encode_snapshot(*test::state_after(chain, 6)))));
+    config::config_tracker from_peer{clock};
+    CHECK(only<config::adopted>(from_peer.on_peer(up.answer_peer(std::nullopt), clock.now())));
+    for (const auto *it : {&from_store, &from_peer}) {
+        CHECK(it->current()->version() == 9);
+        CHECK(it->current()->values() == up.current()->values());
+        CHECK(it->age() == 0s);
+    }
+}
+
 // Guards against two histories that are mixed silently after the store was restored from a backup.
 TEST_CASE("the same version with another change is reported as diverged") {
     auto chain = test::make_chain(3);
--- a/test/config/repository.cpp
+++ b/test/config/repository.cpp
@@ -107,6 +107,17 @@
     CHECK(got.error().code == "stale_read");
 }
 
+// Guards against writing again on a version that has already been refused, for as long as reads are stale.
+TEST_CASE("after a conflict, reads of the refused version count as stale") {
+    fixture it;
+    REQUIRE(it.other.commit("bob", set_concurrency(target, 9)));
+    it.store.stale_gets = 3;
+    const auto before = it.store.puts;
+    REQUIRE(it.mine.commit("alice", set_concurrency(target, 10)));
+    CHECK(it.store.puts == before + 2);
+    CHECK(it.commits() == 3);
+}
+
 // Guards against reporting "nothing was changed" when the store fell silent after the write.
 TEST_CASE("a write that stays unresolved is reported as unknown, an unreached store is not") {
     fixture it;
--- a/test/log/event.cpp
+++ b/test/log/event.cpp
@@ -3,10 +3,11 @@
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
-#include <glog/logging.h>
 #include <set>
 #include <sstream>
 
+#include "log/capture.hpp"
+
 using namespace dotterelstack;
 
 namespace {
@@ -15,20 +16,6 @@
     return level == log::severity::info ? "info" : level == log::severity::warning ? "warning" : "error";
 }
 
-struct capture final : google::LogSink {
-    std::vector<std::string> lines;
-    capture() { google::AddLogSink(this); }
-    capture(const capture &) = delete;
-    capture &operator=(const capture &) = delete;
-    capture(capture &&) = delete;
-    capture &operator=(capture &&) = delete;
-    ~capture() override { google::RemoveLogSink(this); }
-    void send(google::LogSeverity, const char *, const char *, int, const struct ::tm *, const char *text,
-              std::size_t n) override {
-        lines.emplace_back(text, n);
-    }
-};
-
 } // namespace
 
 // Guards against a number or name that is given twice, and against an unsorted table.
@@ -82,8 +69,8 @@
 
 // Guards against events that do not reach glog.
 TEST_CASE("write hands one line to glog") {
-    capture seen;
+    test::log_capture seen;
     log::write("config_adopted", {{"version", 3}});
-    REQUIRE(seen.lines.size() == 1);
-    CHECK(seen.lines.front() == "E1101 event=config_adopted version=3");
+    REQUIRE(seen.lines().size() == 1);
+    CHECK(seen.lines().front() == "E1101 event=config_adopted version=3");
 }
