--- a/src/limits/admission.cpp
+++ b/src/limits/admission.cpp
@@ -217,13 +217,14 @@
     auto &service = services_[row.service];
     row.prompt.take(prompt, now_);
     row.generated.take(generated, now_);
+    row.charged_prompt += prompt;
+    row.charged_generated += generated;
     const double virtual_time = row.virtual_time + (prompt + generated) / row.limits.weight;
     if (row.ready) {
         service.ready.erase({row.virtual_time, id});
         service.ready.emplace(virtual_time, id);
     }
     row.virtual_time = virtual_time;
-    service.last_finish = std::max(service.last_finish, virtual_time);
 }
 
 void admission::start(row_id id, request_state &it) {
@@ -234,6 +235,7 @@
     it.running = true;
     it.started = now_;
     ++row.running;
+    ++row.admitted;
     ++service.running;
     row.requests.take(1, now_);
     charge(id, it.prompt, it.generated);
@@ -275,18 +277,10 @@
     deadlines_.erase({it.deadline, it.sequence});
 }
 
-void admission::end_busy_period(service_state &service) noexcept {
-    if (service.running == 0 && service.waiting == 0) {
-        // Nobody competes, so that no row owes service to another.
-        service.virtual_time = std::max(service.virtual_time, service.last_finish);
-    }
-}
-
 void admission::refuse_waiting(request_state &it, refusal reason, base::duration retry_after) {
     dequeue(it);
     const auto found = requests_.find(*it.id);
     outbox_.push_back({found->first, verdict::refused, reason, std::max(retry_after, shortest_retry)});
-    end_busy_period(services_[rows_[it.row].service]);
     requests_.erase(found);
 }
 
@@ -486,7 +480,6 @@
     auto &it = found->second;
     it.served_prompt += static_cast<double>(prompt);
     it.served_generated += static_cast<double>(generated);
-    rows_[it.row].served += static_cast<double>(prompt + generated);
     const double more_prompt = std::max(0.0, it.served_prompt - it.prompt);
     const double more_generated = std::max(0.0, it.served_generated - it.generated);
     if (more_prompt + more_generated > 0) {
@@ -512,10 +505,6 @@
     } else {
         reconsider(id);
     }
-    if (service.running == 0 && service.waiting == 0) {
-        // End of a busy period: nobody competes, so that no row owes service to another.
-        service.virtual_time = std::max(service.virtual_time, service.last_finish);
-    }
 }
 
 bool admission::finish(std::string_view request) {
@@ -546,7 +535,6 @@
         const auto id = found->second.row;
         dequeue(found->second);
         requests_.erase(found);
-        end_busy_period(services_[rows_[id].service]);
         reconsider(id);
     }
     return true;
@@ -556,7 +544,7 @@
     row_status answer;
     if (const auto id = find_row(key)) {
         const auto &row = rows_[*id];
-        answer = {row.running, row.waiting, 0, 0, row.served};
+        answer = {row.running, row.waiting, 0, 0, row.admitted, row.charged_prompt, row.charged_generated};
         for (const auto &[priority, level] : row.lanes) {
             answer.waiting_prompt_tokens += level.total.prompt;
             answer.waiting_generated_tokens += level.total.generated;
--- a/src/limits/admission.hpp
+++ b/src/limits/admission.hpp
@@ -81,7 +81,9 @@
     std::uint32_t waiting{0};
     double waiting_prompt_tokens{0};
     double waiting_generated_tokens{0}; /**< Expected, from earlier requests of the row. */
-    double served_tokens{0};            /**< Prompt and generated tokens since the row was created. */
+    std::uint64_t admitted{0};          /**< Since the row was created, as the fields below. */
+    double charged_prompt_tokens{0};    /**< Served, or expected of running requests. */
+    double charged_generated_tokens{0};
 };
 
 /**
@@ -188,7 +190,9 @@
         std::uint32_t waiting{0};
         std::uint32_t running{0};
         double virtual_time{0};
-        double served{0};
+        std::uint64_t admitted{0};
+        double charged_prompt{0};
+        double charged_generated{0};
         double mean_generated{0};
         base::instant timer{base::instant::max()};
     };
@@ -199,7 +203,6 @@
         std::uint32_t waiting{0};
         double waiting_weight{0}; /**< Sum of the weights of rows with waiting requests. */
         double virtual_time{0};   /**< Start tag of the last dispatched request. */
-        double last_finish{0};    /**< Largest virtual time of any row. */
         double mean_run{0};       /**< Seconds; 0 until a request has finished. */
         double mean_cost{0};      /**< Tokens of a request. */
         std::set<std::pair<double, row_id>> ready;
@@ -233,7 +236,6 @@
     void release(request_map::iterator it);
     void enqueue(row_id id, request_state &it);
     void dequeue(request_state &it);
-    static void end_busy_period(service_state &service) noexcept;
     void refuse_waiting(request_state &it, refusal reason, base::duration retry_after);
     void reconsider(row_id id);
     void drop_hopeless(row_id id);
