Connect the operator commands to the binary

Cause: declarations could only be written into the store by hand. Change: main runs the operator commands with the HTTP store and reads entry status over HTTP/2; daemons log through the background writer.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,6 +1,8 @@
+#include <algorithm>
 #include <csignal>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -8,12 +10,16 @@
 #include "agent/agent_daemon.hpp"
 #include "base/clock.hpp"
 #include "base/id.hpp"
+#include "cli/run.hpp"
 #include "entry/entry_daemon.hpp"
 #include "http/client.hpp"
+#include "log/background_writer.hpp"
 #include "log/event.hpp"
 #include "settings/agent_settings.hpp"
 #include "settings/entry_settings.hpp"
 #include "store/http_store.hpp"
+#include "transport/event_loop.hpp"
+#include "transport/h2_client.hpp"
 
 using namespace dotterelstack;
 
@@ -142,10 +148,43 @@
     return role == "entry" ? run_entry(file, overrides) : run_agent(file, overrides);
 }
 
-constexpr std::string_view usage_text = "usage: dotterelstack COMMAND [OPTIONS]\n"
-                                        "  entry --settings FILE    runs an entry\n"
-                                        "  agent --settings FILE    runs the agent of a backend server host\n"
-                                        "  --help, --version\n";
+/** Reads the status of entries over their peers listener. */
+class h2_status_source final : public cli::entry_status_source {
+public:
+    [[nodiscard]] base::result<std::string> read(std::string_view address) override {
+        constexpr auto status_timeout = std::chrono::seconds{2};
+        BOOST_OUTCOME_TRY(answer, client_.call(address, {"GET", "/status", {}, ""}, status_timeout));
+        return std::move(answer.body);
+    }
+
+private:
+    const base::boottime_clock clock_;
+    transport::event_loop loop_;
+    transport::h2_client client_{loop_, clock_};
+};
+
+int run_operator_command(std::span<const std::string_view> arguments) {
+    http::curl_client client;
+    // Commands that need no store never call it, so an address that was not given is no error here.
+    store::http_store objects{client, cli::find_addresses(arguments).store.value_or("")};
+    h2_status_source statuses;
+    return cli::run(arguments, objects, client, statuses, std::cout, std::cerr);
+}
+
+bool is_operator_command(std::string_view name) {
+    return std::ranges::find(cli::command_names(), name) != cli::command_names().end();
+}
+
+void print_usage(std::ostream &out) {
+    out << "usage: dotterelstack COMMAND [OPTIONS]\n\n"
+           "  entry --settings FILE    runs an entry\n"
+           "  agent --settings FILE    runs the agent of a backend server host\n"
+           "operator commands, each with --help:\n ";
+    for (const auto it : cli::command_names()) {
+        out << ' ' << it;
+    }
+    out << "\n\nexit codes: 0 success, 1 failure, 2 usage or settings error, 3 conflict or refused risk\n";
+}
 
 } // namespace
 
@@ -156,15 +195,20 @@
         return exit_success;
     }
     if (command == "--help") {
-        std::cout << usage_text;
+        print_usage(std::cout);
         return exit_success;
     }
     try {
         if (command == "entry" || command == "agent") {
             log::start(argv[0]);
             block_stop_signals();
+            const log::background_writer writer;
             return run_role(std::string{command}, argc - 1, argv + 1);
         }
+        if (is_operator_command(command)) {
+            const std::vector<std::string_view> arguments{argv + 1, argv + argc};
+            return run_operator_command(arguments);
+        }
     } catch (const cxxopts::exceptions::exception &ex) {
         std::cerr << ex.what() << std::endl;
         return exit_usage;
@@ -172,6 +216,6 @@
         std::cerr << "internal: " << ex.what() << std::endl;
         return exit_failure;
     }
-    std::cerr << usage_text;
+    print_usage(std::cerr);
     return exit_usage;
 }
