Publish entry status and spread key withdrawals between entries

Cause: operator commands ask entries for rows, backend servers and withdrawn keys; an entry that is cut off from the store but not from its peers learnt of a withdrawal only by the configuration. Change: the dispatcher's thread makes the status body every 200 ms; an entry that adopts a withdrawal tells its peers; agents count the requests they have handed over for each backend server.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -318,6 +318,12 @@
     stream.respond(status());
 }
 
+std::size_t agent_daemon::active_at(std::string_view backend) const {
+    const std::scoped_lock lock{mutex_};
+    return static_cast<std::size_t>(
+        std::ranges::count_if(active_, [backend](const auto &each) { return each.second->backend.name == backend; }));
+}
+
 http::response agent_daemon::status() const {
     json backends = json::array();
     for (const auto &it : options_.backends) {
@@ -328,6 +334,7 @@
                             {"models", it.models},
                             {"role", found.role},
                             {"healthy", found.reachable && !found.changing},
+                            {"active", active_at(it.name)},
                             {"running", found.running},
                             {"queued", found.queued},
                             {"free_blocks", found.free_blocks},
--- a/src/agent/agent_daemon.hpp
+++ b/src/agent/agent_daemon.hpp
@@ -70,6 +70,7 @@
     void drain(const transport::h2_stream &stream);
     [[nodiscard]] http::response status() const;
     [[nodiscard]] const backend_options *find_backend(std::string_view name) const noexcept;
+    [[nodiscard]] std::size_t active_at(std::string_view backend) const;
     void drop_abandoned();
 
     const agent_options options_;
--- a/src/entry/config_feed.cpp
+++ b/src/entry/config_feed.cpp
@@ -173,14 +173,39 @@
     handle(actions);
 }
 
-void config_feed::publish_age() {
-    std::optional<base::duration> age;
-    {
-        const std::scoped_lock lock{mutex_};
-        age = tracker_.age();
+std::optional<base::duration> config_feed::age() const {
+    const std::scoped_lock lock{mutex_};
+    return tracker_.age();
+}
+
+void config_feed::spread_withdrawals(const config::state_ptr &state) {
+    std::vector<std::string> fresh;
+    for (const auto &[id, key] : state->values().keys) {
+        if (key.withdrawn && withdrawn_.insert(key.sha256).second) {
+            fresh.push_back(key.sha256);
+        }
     }
-    if (age) {
-        events_.push(confirmed_event{clock_.now() - *age});
+    // The first configuration brings old withdrawals, which peers already have.
+    const bool first = fresh.size() == withdrawn_.size();
+    if (fresh.empty() || first) {
+        return;
+    }
+    http::request message;
+    message.method = "POST";
+    message.target = "/keys/withdrawn";
+    message.body = nlohmann::json{{"hashes", fresh}}.dump();
+    for (const auto &address : peers_()) {
+        transport::h2_handlers handlers;
+        handlers.on_head = [](int /*status*/, const http::field_list & /*fields*/) {};
+        handlers.on_data = [](std::string_view /*part*/) {};
+        handlers.on_end = [](transport::h2_outcome /*outcome*/) {};
+        client_.send(address, message, std::move(handlers));
+    }
+}
+
+void config_feed::publish_age() {
+    if (const auto value = age()) {
+        events_.push(confirmed_event{clock_.now() - *value});
     }
 }
 
--- a/src/entry/config_feed.hpp
+++ b/src/entry/config_feed.hpp
@@ -3,6 +3,8 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -38,6 +40,9 @@
     /** @return True while the last call to the store succeeded. */
     [[nodiscard]] bool store_reachable() const noexcept { return store_reachable_; }
 
+    /** @return How old the configuration may be; nothing if unknown. */
+    [[nodiscard]] std::optional<base::duration> age() const;
+
     /** @return Version in force, 0 before the first. */
     [[nodiscard]] std::uint64_t version() const;
 
@@ -48,6 +53,7 @@
     void handle(const config::tracker_actions &actions);
     void fetch(const config::fetch_snapshot &wanted);
     void publish_age();
+    void spread_withdrawals(const config::state_ptr &state);
 
     const base::clock &clock_;
     store::object_store &store_;
@@ -57,6 +63,7 @@
     mutable std::mutex mutex_;
     config::config_tracker tracker_;
     std::uint64_t revision_{0};
+    std::set<std::string, std::less<>> withdrawn_; /**< Hashes already told to peers. */
     std::atomic<bool> store_reachable_{false};
     std::jthread thread_;
 };
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -314,6 +314,27 @@
     }
 }
 
+std::vector<std::string> dispatcher::withdrawn_key_ids() const {
+    std::vector<std::string> out;
+    for (const auto &hash : withdrawn_) {
+        if (const auto *key = config_ ? config_->find_active_key(hash) : nullptr) {
+            out.push_back(key->id);
+        }
+    }
+    return out;
+}
+
+std::map<config::row_name, limits::row_status> dispatcher::active_rows() const {
+    std::map<config::row_name, limits::row_status> out;
+    for (const auto &[id, it] : flows_) {
+        const config::row_name name{it->organisation, it->service};
+        if (!out.contains(name)) {
+            out.emplace(name, admission_.status({it->organisation, it->service}));
+        }
+    }
+    return out;
+}
+
 flow *dispatcher::find_call(call_id call) {
     const auto it = calls_.find(call);
     return it == calls_.end() ? nullptr : find_flow(it->second);
--- a/src/entry/dispatcher.hpp
+++ b/src/entry/dispatcher.hpp
@@ -42,6 +42,8 @@
     routing::backend_facts facts;
     routing::load_report report;
     bool has_report{false};
+    std::string host;
+    std::uint64_t active{0}; /**< Requests of all entries that the agent has handed over and that have not ended. */
 };
 
 /**
@@ -96,8 +98,12 @@
     [[nodiscard]] freshness_guard &freshness() noexcept { return freshness_; }
     [[nodiscard]] std::size_t active() const noexcept { return flows_.size(); }
     [[nodiscard]] std::uint64_t config_version() const noexcept { return config_ ? config_->version() : 0; }
-    [[nodiscard]] const std::set<std::string, std::less<>> &withdrawn() const noexcept { return withdrawn_; }
-    [[nodiscard]] const limits::admission &admission() const noexcept { return admission_; }
+
+    /** @return Ids of the keys that peers have reported as withdrawn. */
+    [[nodiscard]] std::vector<std::string> withdrawn_key_ids() const;
+
+    /** @return Load of each row that has requests here. */
+    [[nodiscard]] std::map<config::row_name, limits::row_status> active_rows() const;
 
 private:
     struct identity {
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t event_ring_limit = 16384;
 // The dispatcher's periodic work runs at least this often.
 constexpr auto tick_interval = std::chrono::milliseconds{50};
+// Age of the figures that peers and operators read.
+constexpr auto status_interval = std::chrono::milliseconds{200};
 const http::field_list json_type{{"content-type", "application/json"}};
 
 /** The connection to a caller over libmicrohttpd. */
@@ -104,14 +106,42 @@
 }
 
 http::response entry_daemon::peer_status() {
-    const json body{{"name", settings_.name},
-                    {"failure_domain", settings_.failure_domain},
-                    {"incarnation", incarnation_},
-                    {"config_version", version_.load()},
-                    {"withdrawn_keys", withdrawn_.load()},
-                    {"store_reachable", config_ && config_->store_reachable()},
-                    {"active_requests", active_.load()}};
-    return {200, internal::json_type, body.dump()};
+    const std::scoped_lock lock{status_mutex_};
+    return {200, internal::json_type, status_};
+}
+
+void entry_daemon::update_status() {
+    json body{{"entry", settings_.name},
+              {"failure_domain", settings_.failure_domain},
+              {"incarnation", incarnation_},
+              {"config_version", dispatcher_->config_version()},
+              {"withdrawn_keys", dispatcher_->withdrawn_key_ids()},
+              {"store_reachable", config_->store_reachable()},
+              {"active_requests", dispatcher_->active()},
+              {"peers", fleet_->peers()},
+              {"rows", json::array()},
+              {"backends", json::array()}};
+    if (const auto age = config_->age()) {
+        body["config_age_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(*age).count();
+    }
+    for (const auto &[name, row] : dispatcher_->active_rows()) {
+        body["rows"].push_back({{"organisation", name.first}, {"service", name.second}, {"running", row.running}});
+    }
+    for (const auto &it : fleet_->backends()) {
+        body["backends"].push_back({{"name", it.facts.name},
+                                    {"host", it.host},
+                                    {"service", it.facts.service},
+                                    {"models", it.facts.models},
+                                    {"failure_domain", it.facts.failure_domain},
+                                    {"draining", it.facts.leaving},
+                                    {"healthy", it.facts.healthy},
+                                    {"role", routing::to_string(it.facts.role)},
+                                    {"active", it.active},
+                                    {"used_blocks", it.facts.total_blocks - it.report.free_blocks},
+                                    {"total_blocks", it.facts.total_blocks}});
+    }
+    const std::scoped_lock lock{status_mutex_};
+    status_ = body.dump();
 }
 
 void entry_daemon::on_peer(const transport::h2_stream &stream) {
@@ -157,8 +187,10 @@
             dispatcher_->tick();
         }
         active_ = dispatcher_->active();
-        version_ = dispatcher_->config_version();
-        withdrawn_ = dispatcher_->withdrawn().size();
+        if (clock_.now() >= status_due_) {
+            status_due_ = clock_.now() + internal::status_interval;
+            update_status();
+        }
     }
 }
 
--- a/src/entry/entry_daemon.hpp
+++ b/src/entry/entry_daemon.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -57,6 +58,7 @@
     void dispatch();
     void handle(entry_event &event);
     [[nodiscard]] http::response peer_status();
+    void update_status();
     void stop_threads();
 
     const settings::entry_settings settings_;
@@ -79,8 +81,9 @@
     http::server caller_server_;
     std::thread dispatch_thread_;
     std::atomic<std::size_t> active_{0};
-    std::atomic<std::uint64_t> version_{0};
-    std::atomic<std::uint64_t> withdrawn_{0};
+    std::mutex status_mutex_;
+    std::string status_; /**< Body of `GET /status`, made by the dispatcher's thread. */
+    base::instant status_due_{};
     bool stopped_{false};
 };
 
--- a/src/entry/fleet_feed.cpp
+++ b/src/entry/fleet_feed.cpp
@@ -36,6 +36,8 @@
 
 backend_status to_status(const json &it, const listed_host &host, const std::string &incarnation) {
     backend_status out;
+    out.host = host.host;
+    out.active = it.value("active", std::uint64_t{0});
     auto &facts = out.facts;
     facts.name = it.value("name", "");
     facts.agent_address = host.address;
@@ -97,6 +99,11 @@
     return hosts_;
 }
 
+std::vector<backend_status> fleet_feed::backends() const {
+    const std::scoped_lock lock{mutex_};
+    return published_;
+}
+
 void fleet_feed::set_config(config::state_ptr state) {
     {
         const std::scoped_lock lock{mutex_};
@@ -225,6 +232,7 @@
                 out.all.push_back(std::move(it));
             }
         }
+        published_ = out.all;
         std::erase_if(views_, [&listed](const auto &each) { return !listed.contains(each.first); });
     }
     events_.push(std::move(out));
--- a/src/entry/fleet_feed.hpp
+++ b/src/entry/fleet_feed.hpp
@@ -51,6 +51,9 @@
     /** @return Hosts of the last list that was read. */
     [[nodiscard]] std::vector<listed_host> hosts() const;
 
+    /** @return Backend servers as last published. */
+    [[nodiscard]] std::vector<backend_status> backends() const;
+
     /** @brief Planned drains of the configuration in force count as leaving at once. */
     void set_config(config::state_ptr state);
 
@@ -76,6 +79,7 @@
     std::vector<listed_host> hosts_;
     config::state_ptr config_;
     std::map<std::string, agent_view> views_; /**< By host. */
+    std::vector<backend_status> published_;
     std::jthread thread_;
 };
 
