Use the retry policy and budgets in the dispatcher

Cause: the dispatcher repeated a failed attempt at once and up to three times, with no budget over requests, so a failing service multiplied its own load. Change: each end of an attempt is given to retry_policy as evidence; it decides on retry, resume with a delay, or the final answer and its 'ran' claim. Ruled out: deciding 'ran' from a flag of the dispatcher; the policy's history is the one place.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -15,6 +15,16 @@
 // Wait suggested when there is no better estimate: the time in which membership changes are seen.
 constexpr auto membership_delay = std::chrono::seconds{2};
 
+// Retry budgets that are no longer used are dropped at this interval.
+constexpr auto prune_interval = std::chrono::minutes{1};
+
+/** Uniform number in [0, 1) from 64 random bits. */
+double to_unit(std::uint64_t bits) noexcept {
+    constexpr unsigned int unused_bits = 11;
+    constexpr double step = 1.0 / static_cast<double>(std::uint64_t{1} << 53U);
+    return static_cast<double>(bits >> unused_bits) * step;
+}
+
 std::int64_t wall_clock_seconds() {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
     return std::chrono::duration_cast<std::chrono::seconds>(since).count();
@@ -50,6 +60,8 @@
 
 dispatcher::dispatcher(dispatcher_settings settings, dependencies with)
     : settings_{std::move(settings)}, with_{std::move(with)}, admission_{with_.time}, router_{with_.time, with_.random},
+      budget_{with_.time},
+      retries_{with_.time, budget_, [random = with_.random] { return internal::to_unit(random()); }},
       freshness_{with_.time, settings_.isolation_limit} {}
 
 const config::service *dispatcher::find_service(const caller_request &request) const {
@@ -150,6 +162,10 @@
 
 void dispatcher::admitted(flow &it) {
     with_.metrics.observe(metrics::timing::queue_wait, it.organisation, it.service, with_.time.now() - it.received);
+    it.history = retries_.begin({.repeatable = it.repeatable,
+                                 .resumable = it.request.kind != request_kind::call,
+                                 .idempotency_key = !it.request.idempotency_key.empty()},
+                                it.organisation, it.service, it.deadline);
     if (it.repeatable || it.request.idempotency_key.empty()) {
         start_attempt(it);
         return;
@@ -282,6 +298,10 @@
     if (check_keys) {
         next_key_check_ = now + settings_.key_check_interval;
     }
+    if (now >= next_prune_) {
+        next_prune_ = now + internal::prune_interval;
+        budget_.prune();
+    }
     std::vector<std::string> ids;
     for (const auto &[id, it] : flows_) {
         ids.push_back(id);
@@ -293,11 +313,12 @@
         }
         if (check_keys && !it->key_hash.empty() && config_ && !key_valid(it->key_hash)) {
             log::write("stream_ended_key_withdrawn", {{"request", it->id}, {"organisation", it->organisation}});
-            give_up(*it, {401, "key_withdrawn", "the key was withdrawn; use a valid one",
-                          it->may_have_run ? ran_claim::unknown : ran_claim::no});
+            give_up(*it, {401, "key_withdrawn", "the key was withdrawn; use a valid one", claim_of(*it)});
         } else if (now >= it->deadline && it->stage != flow_stage::probing) {
-            give_up(*it, {504, "deadline", "the request took too long; ask for less or retry later",
-                          it->may_have_run ? ran_claim::unknown : ran_claim::no, internal::membership_delay});
+            give_up(*it, {504, "deadline", "the request took too long; ask for less or retry later", claim_of(*it),
+                          internal::membership_delay});
+        } else if (it->stage == flow_stage::delayed && now >= it->retry_at) {
+            start_attempt(*it);
         } else if (it->request.kind != request_kind::call && it->caller->gone()) {
             give_up(*it, {499, "caller_gone", "the caller closed the connection", ran_claim::unknown});
         }
--- a/src/entry/dispatcher.hpp
+++ b/src/entry/dispatcher.hpp
@@ -19,6 +19,8 @@
 #include "entry/ports.hpp"
 #include "limits/admission.hpp"
 #include "metrics/registry.hpp"
+#include "retry/retry_budget.hpp"
+#include "retry/retry_policy.hpp"
 #include "routing/router.hpp"
 
 namespace dotterelstack::entry {
@@ -33,7 +35,6 @@
     base::duration key_check_interval{std::chrono::seconds{1}};
     base::duration isolation_limit{std::chrono::seconds{5}};
     base::duration probe_timeout{std::chrono::seconds{2}}; /**< Longest wait for the answer to a cancel. */
-    std::uint32_t attempts{3};
     std::uint32_t block_tokens{1000};
 };
 
@@ -128,7 +129,8 @@
     void after_failure(flow &it, call_end how);
     void after_call(flow &it);
     void probe(flow &it);
-    void retry_or_give_up(flow &it);
+    void retry_or_give_up(flow &it, retry::evidence_kind seen);
+    [[nodiscard]] static ran_claim claim_of(const flow &it) noexcept;
     void end_attempt(flow &it, routing::outcome how);
 
     // Ends
@@ -143,7 +145,10 @@
     dependencies with_;
     limits::admission admission_;
     routing::router router_;
+    retry::retry_budget budget_;
+    retry::retry_policy retries_;
     freshness_guard freshness_;
+    base::instant next_prune_{};
     config::state_ptr config_;
     std::set<std::string, std::less<>> withdrawn_;
     std::map<std::string, std::shared_ptr<flow>, std::less<>> flows_;
--- a/src/entry/dispatcher_attempt.cpp
+++ b/src/entry/dispatcher_attempt.cpp
@@ -68,8 +68,7 @@
     if (!chosen) {
         log::write("no_backend", {{"service", it.service}, {"request", it.id}});
         const auto why = routing::to_error(chosen.error());
-        return give_up(it, {503, why.code, why.message, it.may_have_run ? ran_claim::unknown : ran_claim::no,
-                            internal::give_up_delay});
+        return give_up(it, {503, why.code, why.message, claim_of(it), internal::give_up_delay});
     }
     const auto &backend = *chosen.value().backend;
     ++it.attempt;
@@ -166,7 +165,6 @@
         router_.progress(internal::attempt_key(it));
     }
     it.last_token = now;
-    it.may_have_run = true;
     admission_.add_served_tokens(it.id, it.assembly.next_offset() == 1 ? it.request.prompt_tokens : 0, 1);
     if (!it.request.stream) {
         it.text += part.text;
@@ -190,25 +188,26 @@
     const bool answered = how == call_end::complete && it->refusal_status == 0 && it->answer.status != 0 &&
                           it->answer.body.size() == it->answer.total;
     if (it->request.kind == request_kind::call && answered) {
-        return after_call(*it);
+        return complete(*it);
     }
     after_failure(*it, how);
 }
 
-void dispatcher::after_call(flow &it) {
-    it.may_have_run = true;
-    complete(it);
-}
-
 void dispatcher::after_failure(flow &it, call_end how) {
-    const bool not_run = it.refused || how == call_end::not_sent || how == call_end::not_started;
-    end_attempt(it, it.refused ? routing::outcome::rejected : routing::outcome::failed);
+    const bool never_sent = how == call_end::not_sent || how == call_end::not_started;
+    const bool refused = it.refused;
+    end_attempt(it, refused ? routing::outcome::rejected : routing::outcome::failed);
     calls_.erase(it.call);
     it.refusal_status = 0;
+    it.refused = false;
     it.excluded.push_back(it.backend);
-    if (not_run || it.repeatable) {
-        it.may_have_run = it.may_have_run || !not_run;
-        return retry_or_give_up(it);
+    if (refused || never_sent) {
+        return retry_or_give_up(it, refused ? retry::evidence_kind::refused_before_handover
+                                            : retry::evidence_kind::never_sent);
+    }
+    if (it.repeatable) {
+        const bool begun = it.assembly.next_offset() > 0;
+        return retry_or_give_up(it, begun ? retry::evidence_kind::broken_stream : retry::evidence_kind::unknown);
     }
     // Only the agent can tell whether work that must not be repeated was handed over.
     probe(it);
@@ -229,26 +228,42 @@
         return;
     }
     if (outcome == "never_starts") {
-        return retry_or_give_up(*it);
+        return retry_or_give_up(*it, retry::evidence_kind::never_starts);
     }
-    it->may_have_run = true;
     log::write("outcome_unknown", {{"request", it->id}, {"service", it->service}, {"backend", it->backend}});
-    give_up(*it, {502, "outcome_unknown", "the call may have run; check the service's records before repeating it",
-                  ran_claim::unknown});
+    retry_or_give_up(*it, retry::evidence_kind::unknown);
 }
 
-void dispatcher::retry_or_give_up(flow &it) {
-    // After a barred cancel the agent refuses this request's id for good, so that only other agents remain.
-    if (it.attempt < settings_.attempts && !it.caller->gone() && !stopping_) {
+void dispatcher::retry_or_give_up(flow &it, retry::evidence_kind seen) {
+    const auto next = retries_.decide(it.history, {seen, it.assembly.next_offset()});
+    const bool again =
+        next.action == retry::retry_action::retry_elsewhere || next.action == retry::retry_action::resume_elsewhere;
+    if (again && !it.caller->gone()) {
         with_.metrics.count("retries_total", "service=\"" + it.service + "\"");
-        if (it.assembly.next_offset() > 0) {
-            log::write("request_resumed", {{"request", it.id}, {"service", it.service}});
+        if (next.action == retry::retry_action::resume_elsewhere) {
+            log::write("request_resumed", {{"request", it.id}, {"service", it.service}, {"offset", next.offset}});
         }
-        return start_attempt(it);
+        it.stage = flow_stage::delayed;
+        it.retry_at = with_.time.now() + next.delay;
+        return;
     }
     log::write("request_given_up", {{"request", it.id}, {"service", it.service}, {"attempts", it.attempt}});
-    give_up(it, {503, "attempts_exhausted", "several backend servers failed; retry later",
-                 it.may_have_run ? ran_claim::unknown : ran_claim::no, internal::give_up_delay});
+    if (next.reason == retry::give_up_reason::not_repeatable) {
+        return give_up(it,
+                       {502, "outcome_unknown",
+                        "the call may have run; check the service's records before repeating it", ran_claim::unknown});
+    }
+    const bool budget = next.reason == retry::give_up_reason::organisation_budget ||
+                        next.reason == retry::give_up_reason::service_budget;
+    if (budget) {
+        log::write("retry_budget_empty", {{"service", it.service}, {"organisation", it.organisation}});
+    }
+    give_up(it, {503, budget ? "retry_budget" : "attempts_exhausted", "several backend servers failed; retry later",
+                 next.ran == retry::ran_state::no ? ran_claim::no : ran_claim::unknown, internal::give_up_delay});
+}
+
+ran_claim dispatcher::claim_of(const flow &it) noexcept {
+    return it.history.may_have_run() ? ran_claim::unknown : ran_claim::no;
 }
 
 void dispatcher::end_attempt(flow &it, routing::outcome how) {
@@ -300,9 +315,8 @@
         end_attempt(it, routing::outcome::cancelled);
         with_.agents.reset(it.call);
         calls_.erase(it.call);
-        if (!it.repeatable) {
-            answer.ran = ran_claim::unknown;
-        }
+        // The attempt that is cut here may have been handed over already.
+        answer.ran = ran_claim::unknown;
     }
     if (it.claimed) {
         if (answer.ran == ran_claim::no) {
--- a/src/entry/flow.hpp
+++ b/src/entry/flow.hpp
@@ -11,6 +11,7 @@
 #include "entry/caller_request.hpp"
 #include "entry/ports.hpp"
 #include "entry/response_format.hpp"
+#include "retry/retry_policy.hpp"
 #include "routing/router.hpp"
 
 namespace dotterelstack::entry {
@@ -20,6 +21,7 @@
     queued,   /**< Waits for admission. */
     claiming, /**< Admitted; its idempotency claim is being written. */
     running,  /**< An attempt is under way. */
+    delayed,  /**< Waits for the next attempt. */
     probing,  /**< An attempt broke off; the agent is asked whether it ran. */
     holding,  /**< Answered; a peer is taking its usage record. */
 };
@@ -48,14 +50,15 @@
     base::instant deadline{};
 
     std::uint32_t attempt{0};
+    retry::request_history history{};
+    base::instant retry_at{}; /**< Start of the next attempt, while delayed. */
     call_id call{0};
     std::string backend{};
     std::string agent_address{};
     std::string incarnation{};
     std::vector<std::string> excluded{};
     std::vector<std::uint64_t> prefix_blocks{};
-    bool refused{false};      /**< The agent refused the attempt before hand-over. */
-    bool may_have_run{false}; /**< Some attempt may have reached a backend server. */
+    bool refused{false}; /**< The agent refused the attempt before hand-over. */
     int refusal_status{0};
     std::string line_rest{}; /**< Incomplete line of the current attempt. */
 
