--- a/src/limits/fwd.hpp
+++ b/src/limits/fwd.hpp
@@ -8,6 +8,7 @@
 struct row_limits;
 struct row_share;
 struct row_status;
+struct row_use;
 struct submission;
 struct decision;
 struct share_member;
--- a/test/limits/admission_model.cpp
+++ b/test/limits/admission_model.cpp
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <array>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -270,3 +272,52 @@
     });
     CHECK(holds);
 }
+
+// Guards against a request that is answered after its deadline, or never, when the owner polls as announced.
+TEST_CASE("every request is answered before its deadline passes") {
+    const bool holds = rc::check("answered in time", [] {
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4000));
+        manual_clock clock;
+        admission subject{clock};
+        subject.set_capacity("s", 2);
+        subject.set_row(keys[0], {.requests_per_second = 2, .max_queue = 10'000});
+        subject.set_row(keys[1], {.max_concurrency = 1, .max_queue = 10'000});
+        std::map<std::string, instant> waiting;
+        std::vector<std::string> running;
+        int number = 0;
+        const auto collect = [&](const decision &it) {
+            if (it.outcome == verdict::admitted) {
+                RC_ASSERT(!waiting.contains(it.request) || clock.now() < waiting[it.request]);
+                running.push_back(it.request);
+            } else {
+                RC_ASSERT(it.retry_after > 0ns);
+                RC_ASSERT(!waiting.contains(it.request) || clock.now() <= waiting[it.request]);
+            }
+            waiting.erase(it.request);
+        };
+        for (const int step : steps) {
+            const auto id = std::to_string(number++);
+            const auto deadline = clock.now() + 1ms * (step + 1);
+            const auto answer = subject.submit({id, keys[static_cast<std::size_t>(step) % 2], 10, 0, 0, deadline});
+            if (answer.outcome == verdict::queued) {
+                waiting[id] = deadline;
+            } else {
+                collect(answer);
+            }
+            if (step % 3 == 0 && !running.empty()) {
+                RC_ASSERT(subject.finish(running.back()));
+                running.pop_back();
+            }
+            const auto until = clock.now() + 1ms * (step / 4);
+            while (clock.now() < until) {
+                const auto at = std::min(until, subject.next_wakeup().value_or(until));
+                clock.advance(std::max(1ns, at - clock.now()));
+                for (const auto &it : subject.poll()) {
+                    collect(it);
+                }
+            }
+        }
+        RC_ASSERT(subject.status(keys[0]).waiting + subject.status(keys[1]).waiting == waiting.size());
+    });
+    CHECK(holds);
+}
