--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -60,8 +60,8 @@
 
 dispatcher::dispatcher(dispatcher_settings settings, dependencies with)
     : settings_{std::move(settings)}, with_{std::move(with)}, admission_{with_.time}, router_{with_.time, with_.random},
-      budget_{with_.time},
-      retries_{with_.time, budget_, [random = with_.random] { return internal::to_unit(random()); }},
+      budget_{with_.time}, retries_{with_.time, budget_,
+                                    [random = with_.random] { return internal::to_unit(random()); }},
       freshness_{with_.time, settings_.isolation_limit} {}
 
 const config::service *dispatcher::find_service(const caller_request &request) const {
