--- /dev/null
+++ b/src/agent/order_desk.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "agent/agent_daemon.hpp"
+#include "agent/options.hpp"
+#include "base/clock.hpp"
+#include "http/client.hpp"
+#include "order/order_executor.hpp"
+#include "store/object_store.hpp"
+
+namespace dotterelstack::agent {
+
+/** @brief Takes the planner's orders for the engines of this host, one executor for each engine. */
+class order_desk final : public order_handler {
+public:
+    order_desk(const agent_options &options, const base::clock &time, store::object_store &store, http::client &client);
+
+    [[nodiscard]] http::response handle(const http::request &order) override;
+
+private:
+    struct engine_order {
+        std::string address;
+        order::order_executor executor;
+    };
+
+    const base::clock &clock_;
+    store::object_store &store_;
+    http::client &client_;
+    std::map<std::string, std::unique_ptr<engine_order>, std::less<>> engines_;
+};
+
+} // namespace dotterelstack::agent
--- a/src/config/config_tracker.hpp
+++ b/src/config/config_tracker.hpp
@@ -58,6 +58,13 @@
      */
     [[nodiscard]] tracker_actions on_head(std::optional<std::string_view> value, base::instant started);
 
+    /** @brief The store answered that the head has not changed. @param started When the call was sent. */
+    void on_unchanged(base::instant started) noexcept {
+        if (!pending_) {
+            confirm(started);
+        }
+    }
+
     /** @brief The parts that `fetch_snapshot` asked for have arrived. */
     [[nodiscard]] tracker_actions on_snapshot(std::uint64_t version, const std::vector<std::string> &parts);
 
--- a/src/entry/config_feed.cpp
+++ b/src/entry/config_feed.cpp
@@ -99,8 +99,9 @@
         }
         handle(actions);
     }
-    if (fresh) {
-        events_.push(confirmed_event{started});
+    if (fresh && !seen) {
+        const std::scoped_lock lock{mutex_};
+        tracker_.on_unchanged(started);
     }
     return true;
 }
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -15,6 +15,9 @@
 // Wait suggested when there is no better estimate: the time in which membership changes are seen.
 constexpr auto membership_delay = std::chrono::seconds{2};
 
+// Limits of requests without a key on public routes, for services whose table has no row for them.
+constexpr limits::row_limits public_limits{
+    .weight = 1, .max_concurrency = 8, .requests_per_second = 20, .max_queue = 16};
 // Retry budgets that are no longer used are dropped at this interval.
 constexpr auto prune_interval = std::chrono::minutes{1};
 
@@ -112,7 +115,8 @@
     }
     const auto *key = hash.empty() || !key_valid(hash) ? nullptr : config_->find_active_key(hash);
     const std::string organisation = key == nullptr ? std::string{public_organisation} : key->organisation;
-    if (config_->find_row(organisation, service->name) == nullptr) {
+    const bool anonymous = organisation == public_organisation;
+    if (!anonymous && config_->find_row(organisation, service->name) == nullptr) {
         return refuse(*caller,
                       {403, "service_not_allowed", "ask the operator for a row for this organisation and service"},
                       service->name);
@@ -233,6 +237,11 @@
                             .generated_tokens_per_second = row.generated_tokens_per_second,
                             .max_queue = static_cast<std::uint32_t>(row.max_queue)});
     }
+    for (const auto &[name, service] : config_->values().services) {
+        if (config_->find_row(public_organisation, name) == nullptr) {
+            admission_.set_row({public_organisation, name}, internal::public_limits);
+        }
+    }
     if (old) {
         for (const auto &[name, row] : old->values().rows) {
             if (!config_->values().rows.contains(name)) {
