Carry out planned changes under the planner lease

Cause: drains, role changes and replacements were recorded but nobody carried them out. The agent's unfenced POST /drain is removed: the planned change in the configuration already takes the backend server out of routing. Ruled out: fencing POST /drain; a second way to drain would need the same checks again.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -158,8 +158,6 @@
         stream.respond(status());
     } else if (path == "/order") {
         orders_->take(stream);
-    } else if (path == "/drain") {
-        drain(stream);
     } else {
         stream.respond(internal::error_response(404, "unknown_path", "the agent has no such path", true));
     }
@@ -308,16 +306,6 @@
         {200, internal::json_type, json{{"incarnation", table_.incarnation()}, {"outcome", outcome}}.dump()});
 }
 
-void agent_daemon::drain(const transport::h2_stream &stream) {
-    const auto body = json::parse(stream.message().body, nullptr, false);
-    const bool on = !body.is_object() || body.value("draining", true);
-    {
-        const std::scoped_lock lock{mutex_};
-        table_.set_draining(on);
-    }
-    stream.respond(status());
-}
-
 std::size_t agent_daemon::active_at(std::string_view backend) const {
     const std::scoped_lock lock{mutex_};
     return static_cast<std::size_t>(
--- a/src/agent/agent_daemon.hpp
+++ b/src/agent/agent_daemon.hpp
@@ -67,7 +67,6 @@
     void start_call(const std::shared_ptr<active_request> &it);
     void end(const std::shared_ptr<active_request> &it);
     void cancel(const transport::h2_stream &stream);
-    void drain(const transport::h2_stream &stream);
     [[nodiscard]] http::response status() const;
     [[nodiscard]] const backend_options *find_backend(std::string_view name) const noexcept;
     [[nodiscard]] std::size_t active_at(std::string_view backend) const;
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -69,11 +69,17 @@
                                                               .interval = settings_.timings.host_list_interval},
                                           clock_, client_, h2_client_, events_);
     config_ = std::make_unique<config_feed>(clock_, store_, h2_client_, events_, [this] { return fleet_->peers(); });
+    planner_ = std::make_unique<planner_task>(planner_task::options{.holder = incarnation_,
+                                                                    .platform = settings_.platform,
+                                                                    .lease_term = settings_.timings.lease_term,
+                                                                    .lease_margin = settings_.timings.lease_margin},
+                                              clock_, ids_, store_, client_, h2_client_, *fleet_);
     dispatch_thread_ = std::thread{[this] { dispatch(); }};
     claims_.start();
     usage_.start();
     config_->start();
     fleet_->start();
+    planner_->start();
     http::server_limits limits;
     limits.body_bytes = settings_.limits.body_bytes;
     BOOST_OUTCOME_TRY(callers,
@@ -206,6 +212,7 @@
                    [&to](usage_held_event &it) { to.on_usage_held(it.request); },
                    [this, &to](config_event &it) {
                        fleet_->set_config(it.state);
+                       planner_->set_config(it.state);
                        to.on_config(std::move(it.state));
                    },
                    [&to](confirmed_event &it) { to.freshness().confirmed(it.when); },
@@ -235,6 +242,9 @@
         return;
     }
     stopped_ = true;
+    if (planner_) {
+        planner_->stop();
+    }
     if (config_) {
         config_->stop();
     }
--- a/src/entry/entry_daemon.hpp
+++ b/src/entry/entry_daemon.hpp
@@ -14,6 +14,7 @@
 #include "entry/dispatcher.hpp"
 #include "entry/events.hpp"
 #include "entry/fleet_feed.hpp"
+#include "entry/planner_task.hpp"
 #include "entry/usage_link.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
@@ -77,6 +78,7 @@
     usage_link usage_;
     std::unique_ptr<fleet_feed> fleet_;
     std::unique_ptr<config_feed> config_;
+    std::unique_ptr<planner_task> planner_;
     std::unique_ptr<dispatcher> dispatcher_;
     http::server caller_server_;
     std::thread dispatch_thread_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "agent/agent_daemon.hpp"
+#include "agent/order_desk.hpp"
 #include "base/clock.hpp"
 #include "base/id.hpp"
 #include "cli/run.hpp"
@@ -79,14 +80,6 @@
     return exit_success;
 }
 
-/** Refuses orders until an executor is connected. */
-class no_orders final : public agent::order_handler {
-public:
-    [[nodiscard]] http::response handle(const http::request & /*order*/) override {
-        return {503, {{"ds-ran", "no"}}, R"({"error":{"code":"no_orders","message":"orders are off","ran":"no"}})"};
-    }
-};
-
 agent::agent_options to_options(const settings::agent_settings &values) {
     agent::agent_options out;
     out.host = values.host;
@@ -111,8 +104,12 @@
     const base::boottime_clock clock;
     base::id_source ids;
     http::curl_client client;
-    no_orders orders;
-    agent::agent_daemon daemon{to_options(values.value()), clock, ids.next(), client, orders};
+    store::http_store_options limits;
+    limits.timeout = values.value().timings.store_timeout;
+    store::http_store store{client, values.value().store, limits};
+    const auto options = to_options(values.value());
+    agent::order_desk orders{options, clock, store, client};
+    agent::agent_daemon daemon{options, clock, ids.next(), client, orders};
     const auto address = daemon.start();
     if (!address) {
         return report(address.error());
--- a/src/transport/h2_call_client.hpp
+++ b/src/transport/h2_call_client.hpp
@@ -13,7 +13,7 @@
  */
 class h2_call_client final : public http::client {
 public:
-    explicit h2_call_client(h2_client &client) : client_{client} {}
+    explicit h2_call_client(h2_client &transport) : client_{transport} {}
 
     [[nodiscard]] base::result<http::response> call(std::string_view address, const http::request &message,
                                                     const http::call_options &options) override {
@@ -34,7 +34,8 @@
                                                             const http::call_options &options,
                                                             const http::final_check &check) override {
         if (!check()) {
-            return base::fail(base::error_kind::refused, "authority_lost", "the lease was lost; the order was not sent");
+            return base::fail(base::error_kind::refused, "authority_lost",
+                              "the lease was lost; the order was not sent");
         }
         return client_.call(address, message, options.timeout);
     }
