--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -146,6 +146,10 @@
                                     {"used_blocks", it.facts.total_blocks - it.report.free_blocks},
                                     {"total_blocks", it.facts.total_blocks}});
     }
+    metrics_.set("active_requests", "", static_cast<double>(dispatcher_->active()));
+    metrics_.set("config_version", "", static_cast<double>(dispatcher_->config_version()));
+    metrics_.set("internal_bytes", "direction=\"sent\"", static_cast<double>(loop_.bytes_sent()));
+    metrics_.set("internal_bytes", "direction=\"received\"", static_cast<double>(loop_.bytes_received()));
     const std::scoped_lock lock{status_mutex_};
     status_ = body.dump();
 }
--- a/src/transport/event_loop.hpp
+++ b/src/transport/event_loop.hpp
@@ -3,6 +3,7 @@
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -38,6 +39,16 @@
     /** @return The reactor, for use on the loop's thread. */
     [[nodiscard]] ACE_Reactor &reactor() noexcept { return *reactor_; }
 
+    /** @brief Adds to the byte counters; called by connections on the loop's thread. */
+    void count_bytes(std::uint64_t sent, std::uint64_t received) noexcept {
+        bytes_sent_ += sent;
+        bytes_received_ += received;
+    }
+
+    /** @return Bytes sent over all connections of this loop. */
+    [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return bytes_sent_; }
+    [[nodiscard]] std::uint64_t bytes_received() const noexcept { return bytes_received_; }
+
     [[nodiscard]] bool on_loop_thread() const noexcept { return std::this_thread::get_id() == thread_.get_id(); }
 
 private:
@@ -52,6 +63,8 @@
     std::mutex mutex_;
     std::vector<std::function<void()>> tasks_;
     std::atomic<bool> stopping_{false};
+    std::atomic<std::uint64_t> bytes_sent_{0};
+    std::atomic<std::uint64_t> bytes_received_{0};
     std::thread thread_;
 };
 
--- a/src/transport/h2_connection.cpp
+++ b/src/transport/h2_connection.cpp
@@ -218,6 +218,7 @@
         shut(close_reason::peer_closed);
         return 0;
     }
+    loop_.count_bytes(0, static_cast<std::uint64_t>(n));
     const auto *data = reinterpret_cast<const std::uint8_t *>(buf.data());
     if (nghttp2_session_mem_recv(session_, data, static_cast<std::size_t>(n)) < 0) {
         shut(close_reason::protocol_error);
@@ -242,6 +243,7 @@
         if (n <= 0) {
             return false;
         }
+        loop_.count_bytes(static_cast<std::uint64_t>(n), 0);
         output_.erase(0, static_cast<std::size_t>(n));
     }
     return true;
