--- a/bench/replay.cpp
+++ b/bench/replay.cpp
@@ -14,15 +14,15 @@
     std::vector<bench::policy> out{
         {.name = "round robin", .pick = pick_rule::round_robin},
         {.name = "least loaded by report", .pick = pick_rule::least_reported},
-        {.name = "first come, first served", .fair = false, .plan_roles = true},
+        {.name = "first come, first served", .fair = false, .prefill_engines = 3, .plan_roles = true},
         {.name = "fixed roles, all mixed"},
         {.name = "fixed roles, 3 prefill", .prefill_engines = 3},
-        {.name = "planned roles", .plan_roles = true},
-        {.name = "planned roles and capacity", .plan_roles = true, .plan_capacity = true},
+        {.name = "planned roles", .prefill_engines = 3, .plan_roles = true},
+        {.name = "planned roles and capacity", .prefill_engines = 3, .plan_roles = true, .plan_capacity = true},
     };
     if (ablations) {
         const auto add = [&](std::string name, auto change) {
-            bench::policy it{.name = std::move(name), .plan_roles = true};
+            bench::policy it{.name = std::move(name), .prefill_engines = 3, .plan_roles = true};
             change(it);
             out.push_back(std::move(it));
         };
@@ -32,9 +32,14 @@
         add("- no memory cost", [](auto &it) { it.routing.memory_cost = 0; });
         add("- no outstanding cost", [](auto &it) { it.routing.outstanding_cost = 0; });
         add("- outstanding cost x 3", [](auto &it) { it.routing.outstanding_cost *= 3; });
+        add("- start from all mixed", [](auto &it) { it.prefill_engines = 0; });
         add("- no remote cost", [](auto &it) { it.routing.remote_cost = 0; });
         add("- no failure cost", [](auto &it) { it.routing.failure_cost = 0; });
         add("- no prefix index", [](auto &it) { it.routing.prefix_capacity = 0; });
+        add("- link of 316 MB/s", [](auto &it) {
+            it.transfer.bytes_per_second = 316e6;
+            it.roles.transfer_rate = 316e6 / it.transfer.bytes_per_token;
+        });
         add("- no demand margin", [](auto &it) { it.roles.demand_margin = 0; });
     }
     return out;
--- a/bench/support/queue.hpp
+++ b/bench/support/queue.hpp
@@ -16,6 +16,8 @@
     request_queue() = default;
     request_queue(const request_queue &) = delete;
     request_queue &operator=(const request_queue &) = delete;
+    request_queue(request_queue &&) = delete;
+    request_queue &operator=(request_queue &&) = delete;
     virtual ~request_queue() = default;
 
     virtual void push(std::uint64_t id, int organisation) = 0;
--- a/bench/support/replay.hpp
+++ b/bench/support/replay.hpp
@@ -6,6 +6,7 @@
 #include "bench/support/workload.hpp"
 #include "roles/capacity_planner.hpp"
 #include "roles/role_planner.hpp"
+#include "roles/transfer_cost.hpp"
 #include "routing/router.hpp"
 
 namespace dotterelstack::bench {
@@ -28,6 +29,7 @@
     bool plan_capacity{false};
     routing::router_settings routing{};
     roles::role_settings roles{};
+    roles::transfer_settings transfer{};
 };
 
 /** @brief Measured figures of one run. */
--- a/bench/support/workload.cpp
+++ b/bench/support/workload.cpp
@@ -90,7 +90,7 @@
     };
     const auto flood = [](int who, double at) { return who == 3 && at > 80 && at < 220 ? 18.0 : 1.0; };
     const auto burst = [](int, double at) { return at > 80 && at < 160 ? 1.5 : 1.0; };
-    const auto make = [&](std::string name, shape form) {
+    const auto make = [&](std::string name, const shape &form) {
         generator source{seed};
         return workload{.name = std::move(name), .seconds = seconds, .arrivals = source.run(seconds, form)};
     };
--- a/src/roles/role_planner.cpp
+++ b/src/roles/role_planner.cpp
@@ -55,14 +55,37 @@
     return out;
 }
 
-// Between the target and full utilisation the share of requests beyond the targets grows from none to all. Beyond that
-// a small slope remains, so that the first of several changes that are needed together shows a gain.
-double missed_share(double load, double target) noexcept {
-    constexpr double overload_slope = 0.1;
+// A small slope remains when all requests miss the targets, so that the first of several changes that are needed
+// together shows a gain.
+constexpr double overload_slope = 0.1;
+
+// Share of requests that wait for a place in a batch: grows from none at the target to all at full utilisation.
+double crowded_share(double load, double target) noexcept {
     const auto share = std::max(0.0, (load - target) / (1 - target));
     return share <= 1 ? share : 1 + overload_slope * (share - 1);
 }
 
+// Mean wait at one of several engines at utilisation `load`. Between that of a common queue and that of separate ones:
+// a router with lagging reports finds an idle engine often, but not always.
+double mean_wait(double load, double service) noexcept {
+    return service * load * load / (1 - load);
+}
+
+// Share of the requests whose wait, taken as exponential, exceeds what the target leaves after their own service. The
+// lengths of the prompts are spread over three points around their mean.
+double late_share(double load, double mean_service, double own_service, double target) noexcept {
+    if (load >= 1) {
+        return 1 + overload_slope * (load - 1);
+    }
+    const auto wait = mean_wait(load, mean_service);
+    double sum = 0;
+    for (const auto spread : {0.65, 1.0, 1.35}) {
+        const auto slack = target - spread * own_service;
+        sum += slack <= 0 ? 1 : (wait > 0 ? std::exp(-slack / wait) : 0);
+    }
+    return sum / 3;
+}
+
 } // namespace internal
 
 role_planner::role_planner(const base::clock &time, role_settings settings) : time_{time}, settings_{settings} {}
@@ -102,23 +125,51 @@
 }
 
 double role_planner::expected_misses(const role_counts &engines, const role_demand &demand) const noexcept {
+    // The router balances long prompts between prefill and mixed engines; the best of eleven splits stands for that.
+    constexpr int splits = 10;
+    double best = misses_with_split(engines, demand, 0);
+    const bool splittable = engines[internal::index(backend_role::prefill)] > 0 && demand.long_prefill > 0;
+    for (int it = 1; splittable && it <= splits; ++it) {
+        best = std::min(best, misses_with_split(engines, demand, static_cast<double>(it) / splits));
+    }
+    return best;
+}
+
+double role_planner::misses_with_split(const role_counts &engines, const role_demand &demand,
+                                       double moved_share) const noexcept {
     using internal::index;
+    using internal::late_share;
+    using internal::share;
     const double prefill = engines[index(backend_role::prefill)];
     const double mixed = engines[index(backend_role::mixed)];
     const double decode = engines[index(backend_role::decode)];
-    // Long prompts beyond the prefill engines' capacity go to mixed ones, which are too slow for them.
-    const auto capacity = prefill * settings_.prefill_engine_rate * settings_.target_utilisation;
-    const auto overflow = std::max(0.0, demand.long_prefill - capacity);
-    const auto long_missed = internal::share(overflow, demand.long_prefill);
-    // Their responses are produced by decode engines as far as these suffice.
-    const auto handed_over = demand.long_decode * (1 - long_missed);
-    const auto decoded = std::min(handed_over, decode * settings_.decode_engine_rate * settings_.target_utilisation);
-    const auto mixed_prefill = internal::share(demand.short_prefill + overflow, mixed * settings_.mixed_prefill_rate);
-    const auto mixed_decode =
-        internal::share(demand.short_decode + demand.long_decode - decoded, mixed * settings_.mixed_decode_rate);
-    const auto load = std::max(mixed_prefill, mixed_decode);
-    const auto missed = internal::missed_share(load, settings_.target_utilisation);
-    return demand.long_requests * (long_missed + missed) + demand.short_requests * missed;
+    const auto target = settings_.first_token_target;
+    // A prefill engine that cannot hand over its state waits for its link.
+    const auto prefill_rate = std::min(settings_.prefill_engine_rate, settings_.transfer_rate);
+    const auto moved = demand.long_prefill * moved_share;
+    const auto long_prompt = demand.long_requests > 0 ? demand.long_prefill / demand.long_requests : 0;
+    const auto short_prompt = demand.short_requests > 0 ? demand.short_prefill / demand.short_requests : 0;
+    const auto moved_service = long_prompt / prefill_rate;
+    const auto moved_late =
+        moved > 0 ? late_share(moved / (prefill * prefill_rate), moved_service, moved_service, target) : 0;
+    // The other long prompts and all short ones share the mixed engines.
+    const auto rest = demand.long_requests * (1 - moved_share);
+    const auto tokens = demand.short_prefill + demand.long_prefill - moved;
+    const auto load = share(tokens, mixed * settings_.mixed_prefill_rate);
+    const auto service = share(tokens, rest + demand.short_requests) / settings_.mixed_prefill_rate;
+    const auto late = [&](double prompt) {
+        return late_share(load, service, prompt / settings_.mixed_prefill_rate, target);
+    };
+    // Responses to moved prompts are produced by decode engines as far as these suffice.
+    const auto decoded = std::min(demand.long_decode * moved_share,
+                                  decode * settings_.decode_engine_rate * settings_.decode_utilisation);
+    // A mixed engine decodes faster in the steps that have no prompt to process.
+    const auto busy = std::min(1.0, load);
+    const auto mixed_decode_rate = 1 / ((1 - busy) / settings_.decode_engine_rate + busy / settings_.mixed_decode_rate);
+    const auto decode_load = share(demand.short_decode + demand.long_decode - decoded, mixed * mixed_decode_rate);
+    const auto crowded = internal::crowded_share(decode_load, settings_.decode_utilisation);
+    return demand.long_requests * moved_share * moved_late + rest * late(long_prompt) +
+           demand.short_requests * late(short_prompt) + (demand.long_requests + demand.short_requests) * crowded;
 }
 
 role_planner::role_counts role_planner::serving_now() const noexcept {
--- a/src/roles/role_planner.hpp
+++ b/src/roles/role_planner.hpp
@@ -19,8 +19,8 @@
 /**
  * @brief Demand on the engines of one model, as requests and tokens per second.
  *
- * A prompt is long when a mixed engine cannot process it within the time to the first token. Prefill tokens are those
- * that were not cached.
+ * A prompt is long when an entry would rather place it on a prefill engine. Prefill tokens are those that were not
+ * cached.
  */
 struct role_demand {
     double long_requests{0};
@@ -59,13 +59,15 @@
 struct role_settings {
     double prefill_engine_rate{11'000};
     double mixed_prefill_rate{6'400};
-    double mixed_decode_rate{1'200};
+    double mixed_decode_rate{1'450};
     double decode_engine_rate{2'900};
-    double target_utilisation{0.7};                       /**< Beyond it, requests start to miss the targets. */
-    base::duration change_time{std::chrono::seconds{12}}; /**< Drain and change; the engine serves nothing. */
+    double transfer_rate{16'900};    /**< Prompt tokens whose state a link moves: 1.25 GB/s at 74 kB. */
+    double first_token_target{0.74}; /**< Seconds. */
+    double decode_utilisation{0.8};  /**< Beyond it, batches fill up and requests wait for a place. */
+    base::duration change_time{std::chrono::seconds{18}}; /**< Drain and change; the engine serves nothing. */
     base::duration horizon{std::chrono::seconds{90}};     /**< Over which a change has to pay. */
     double gain_factor{1.5};                              /**< Hysteresis: gain over cost. */
-    double fixed_cost{20};                                /**< Requests; keeps noise from causing changes. */
+    double fixed_cost{25};                                /**< Requests; keeps noise from causing changes. */
     base::duration smoothing{std::chrono::seconds{15}};   /**< Time constant of the mean of the demand; 0 for none. */
     base::duration dwell{std::chrono::seconds{60}};       /**< An engine keeps a role at least this long. */
     /** Hysteresis: a change must also pay when long and short prompts, or prefill and decode, shift by this share. */
@@ -142,6 +144,8 @@
         double gain{0};
     };
 
+    [[nodiscard]] double misses_with_split(const role_counts &engines, const role_demand &demand,
+                                           double moved_share) const noexcept;
     [[nodiscard]] role_counts serving_now() const noexcept;
     [[nodiscard]] role_counts serving_after() const noexcept;
     [[nodiscard]] std::vector<step> worthwhile_steps() const;
--- a/src/roles/transfer_cost.cpp
+++ b/src/roles/transfer_cost.cpp
@@ -30,7 +30,10 @@
 transfer_plan plan_transfer(const transfer_settings &settings, const transfer_offer &offer) noexcept {
     const auto compute = recompute_time(settings, offer);
     const auto move = transfer_time(settings, offer);
-    if (offer.same_failure_domain && offer.held_tokens > offer.hit_tokens && move < compute) {
+    const auto engine_time =
+        settings.engine_time_weight * internal::missing_tokens(offer) / settings.prefill_tokens_per_second;
+    const bool cheaper = move < compute + internal::from_seconds(engine_time);
+    if (offer.same_failure_domain && offer.held_tokens > offer.hit_tokens && cheaper) {
         return {transfer_choice::move, move};
     }
     return {transfer_choice::recompute, compute};
--- a/src/roles/transfer_cost.hpp
+++ b/src/roles/transfer_cost.hpp
@@ -11,9 +11,13 @@
 struct transfer_settings {
     /** 2,400 GB/s of prompt KV cache at 8,100 requests/s are 296 MB per request, 74 kB per token at 4,000 tokens. */
     double bytes_per_token{74'000};
-    double bytes_per_second{316e6}; /**< Per accelerator: 2,400 GB/s over 7,600. */
+    /** Link of one accelerator within its failure domain (10 Gbit/s). Prompt KV cache is produced at 316 MB/s per
+        accelerator on average, but at 814 MB/s by an engine that does prefill only. */
+    double bytes_per_second{1.25e9};
     base::duration setup{std::chrono::milliseconds{5}};
     double prefill_tokens_per_second{6400}; /**< Of the receiving engine. */
+    /** Recomputing also delays the other requests of the engine; weight of that time against the time of this one. */
+    double engine_time_weight{1};
 };
 
 /** @brief One piece of cached state that could be moved to where a request continues. */
@@ -44,10 +48,10 @@
 [[nodiscard]] base::duration recompute_time(const transfer_settings &settings, const transfer_offer &offer) noexcept;
 
 /**
- * @brief Decides by time. State never leaves its failure domain.
+ * @brief Decides by time, that of the engine included. State never leaves its failure domain.
  * @param settings Rates.
  * @param offer The state.
- * @return The faster of the two and its expected time.
+ * @return The cheaper of the two and its expected time.
  */
 [[nodiscard]] transfer_plan plan_transfer(const transfer_settings &settings, const transfer_offer &offer) noexcept;
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -73,7 +73,7 @@
     const route_request &request;
     std::uint32_t domain{0};
     base::instant now;
-    candidate best{.cost = std::numeric_limits<double>::infinity()};
+    candidate best{.wait = {}, .cost = std::numeric_limits<double>::infinity()};
     bool any{false};       /**< At least one was not excluded. */
     bool any_large{false}; /**< At least one is large enough when empty. */
     bool found{false};
@@ -136,16 +136,29 @@
     }
 }
 
+template<typename Function>
+void router::for_each_list(pool &target, backend_role role, Function function) {
+    function(target.open);
+    for (std::size_t phase = 0; phase < target.fitting.size(); ++phase) {
+        if (internal::role_fits(role, static_cast<request_phase>(phase))) {
+            function(target.fitting[phase]);
+        }
+    }
+}
+
 void router::join_pools(slot_id id) {
     const auto &it = slots_[id];
     for_each_pool(it.facts, [&](pool &target) {
         ++target.members;
         target.leaving += it.facts.leaving ? 1 : 0;
-        if (it.facts.healthy && !it.facts.leaving) {
-            target.open.push_back(id);
-            target.by_domain.resize(std::max<std::size_t>(target.by_domain.size(), it.domain + 1));
-            target.by_domain[it.domain].push_back(id);
+        if (!it.facts.healthy || it.facts.leaving) {
+            return;
         }
+        for_each_list(target, it.role, [&](open_list &list) {
+            list.all.push_back(id);
+            list.by_domain.resize(std::max<std::size_t>(list.by_domain.size(), it.domain + 1));
+            list.by_domain[it.domain].push_back(id);
+        });
     });
 }
 
@@ -154,10 +167,13 @@
     for_each_pool(it.facts, [&](pool &target) {
         --target.members;
         target.leaving -= it.facts.leaving ? 1 : 0;
-        if (it.facts.healthy && !it.facts.leaving) {
-            std::erase(target.open, id);
-            std::erase(target.by_domain[it.domain], id);
+        if (!it.facts.healthy || it.facts.leaving) {
+            return;
         }
+        for_each_list(target, it.role, [&](open_list &list) {
+            std::erase(list.all, id);
+            std::erase(list.by_domain[it.domain], id);
+        });
     });
 }
 
@@ -277,17 +293,20 @@
            std::exp2(-internal::seconds(now - it.failures_at) / internal::seconds(settings_.failure_half_life));
 }
 
-double router::cost_of(const slot &it, const route_request &request, std::uint32_t hit_tokens, std::uint32_t domain,
-                       base::instant now) const noexcept {
+router::wait_estimate router::wait_of(const slot &it, const route_request &request,
+                                      std::uint32_t hit_tokens) const noexcept {
     // Of the queue of other entries only the length is known; their prompts are taken as average.
     const auto queued = std::max(it.now.queued * mean_prompt_tokens_, static_cast<double>(it.now.known_prefill));
     const auto own = request.phase == request_phase::decode ? 0 : internal::minus(request.prompt_tokens, hit_tokens);
-    double cost = (queued + it.now.unreported_prefill + own) /
-                  settings_.prefill_tokens_per_second[static_cast<std::size_t>(it.role)];
+    const auto rate = settings_.prefill_tokens_per_second[static_cast<std::size_t>(it.role)];
+    return {(queued + it.now.unreported_prefill) / rate, own / rate};
+}
+
+double router::cost_of(const slot &it, std::uint32_t domain, base::instant now) const noexcept {
+    double cost = 0;
     cost += settings_.outstanding_cost * outstanding_of(it);
     cost += settings_.failure_cost * failures_now(it, now);
     cost += it.domain == domain ? 0 : settings_.remote_cost;
-    cost += internal::role_fits(it.role, request.phase) ? 0 : settings_.role_cost;
     if (it.total_blocks != 0) {
         cost += settings_.memory_cost * (1 - static_cast<double>(free_of(it)) / it.total_blocks);
     }
@@ -312,9 +331,10 @@
     if (it.total_blocks != 0 && need > free_of(it) + hit_blocks) {
         return;
     }
-    const auto cost = cost_of(it, state.request, hit_tokens, state.domain, state.now);
+    const auto wait = wait_of(it, state.request, hit_tokens);
+    const auto cost = wait.queue + wait.own + cost_of(it, state.domain, state.now);
     if (cost < state.best.cost) {
-        state.best = {id, hit_tokens, cost};
+        state.best = {id, hit_tokens, wait, cost};
         state.found = true;
     }
 }
@@ -336,39 +356,53 @@
     }
 }
 
-choice router::choose(const route_request &request) {
-    const auto *from = find_pool(request.service, request.model);
-    if (from == nullptr || from->members == 0) {
-        return refusal{refusal_kind::no_backend};
-    }
-    if (from->leaving == from->members) {
-        return refusal{refusal_kind::all_leaving};
-    }
-    search state{.request = request, .domain = find_domain(request.failure_domain), .now = time_.now()};
+void router::consider_holders(search &state) {
+    const auto &request = state.request;
     prefix_index::matches held{};
     const auto n = request.prefix_blocks.empty() ? 0 : prefixes_.find(request.prefix_blocks, held);
     for (std::size_t it = 0; it < n; ++it) {
         const auto &facts = slots_[held[it].backend].facts;
         const bool serves = facts.service == request.service &&
                             std::find(facts.models.begin(), facts.models.end(), request.model) != facts.models.end();
-        if (serves && facts.healthy && !facts.leaving) {
+        if (serves && facts.healthy && !facts.leaving && internal::role_fits(facts.role, request.phase)) {
             consider(state, held[it].backend, held[it].blocks);
         }
     }
-    const bool local = from->open.size() > settings_.samples && state.domain < from->by_domain.size() &&
-                       !from->by_domain[state.domain].empty();
+}
+
+void router::consider_open(search &state, const open_list &from) {
+    const bool local = from.all.size() > settings_.samples && state.domain < from.by_domain.size() &&
+                       !from.by_domain[state.domain].empty();
     if (local) {
-        consider_samples(state, from->by_domain[state.domain], (settings_.samples + 1) / 2);
+        consider_samples(state, from.by_domain[state.domain], (settings_.samples + 1) / 2);
     }
-    consider_samples(state, from->open, local ? settings_.samples / 2 : settings_.samples);
+    consider_samples(state, from.all, local ? settings_.samples / 2 : settings_.samples);
     if (!state.found) {
         // The samples may have been unlucky; a refusal must be true of the whole pool.
-        consider_samples(state, from->open, from->open.size());
+        consider_samples(state, from.all, from.all.size());
+    }
+}
+
+choice router::choose(const route_request &request) {
+    const auto *from = find_pool(request.service, request.model);
+    if (from == nullptr || from->members == 0) {
+        return refusal{refusal_kind::no_backend};
+    }
+    if (from->leaving == from->members) {
+        return refusal{refusal_kind::all_leaving};
+    }
+    search state{.request = request, .domain = find_domain(request.failure_domain), .now = time_.now()};
+    consider_holders(state);
+    consider_open(state, from->fitting[static_cast<std::size_t>(request.phase)]);
+    if (!state.any_large) {
+        consider_open(state, from->open);
     }
     if (!state.found) {
         return state.any ? refusal{refusal_kind::no_memory, !state.any_large} : refusal{refusal_kind::no_backend};
     }
-    return selection{&slots_[state.best.slot].facts, state.best.hit_tokens, internal::to_duration(state.best.cost)};
+    const auto &best = state.best;
+    return selection{&slots_[best.slot].facts, best.hit_tokens, internal::to_duration(best.wait.queue),
+                     internal::to_duration(best.wait.queue + best.wait.own)};
 }
 
 void router::started(std::string_view id, std::string_view backend, const route_request &request) {
@@ -431,7 +465,7 @@
         // Also when the last report does not include it: a later one may have been made while it was running.
         it.ended_since.push_back({one.started_at, time_.now(), one.blocks});
         if (it.ended_since.size() > internal::max_ended) {
-            it.ended_since.pop_front();
+            it.ended_since.erase(it.ended_since.begin());
         }
         recount(it);
         if (how == outcome::failed) {
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -44,6 +44,7 @@
 struct selection {
     const backend_facts *backend{nullptr}; /**< Valid until the backend server is updated or removed. */
     std::uint32_t hit_tokens{0};           /**< Prompt tokens that are probably cached there. */
+    base::duration queue_wait{0};          /**< Estimated time until its prompt is processed. */
     base::duration expected_wait{0};       /**< Estimated time to the first token. */
 };
 
@@ -64,7 +65,7 @@
 /** @param it A refusal. @return The error for the caller, with its remedy. */
 [[nodiscard]] base::error to_error(refusal it);
 
-/** @brief Tuning of the router. All costs are seconds of expected wait. */
+/** @brief Tuning of the router. All costs are seconds, added to the expected wait. */
 struct router_settings {
     std::size_t samples{4}; /**< Backend servers drawn at random per choice. */
     /** Of one engine, by `backend_role`. */
@@ -73,7 +74,6 @@
     double memory_cost{0.1};        /**< For a full memory, in proportion below. */
     double remote_cost{0.002};      /**< For another failure domain. */
     double failure_cost{0.5};       /**< Per recent failure. */
-    double role_cost{0.5};          /**< For a backend server set up for the other phase. */
     base::duration failure_half_life{std::chrono::seconds{10}};
     /** Work sent this long before a report was made is still counted on top of it: it may have been on its way. */
     base::duration report_margin{std::chrono::milliseconds{20}};
@@ -89,6 +89,8 @@
  *
  * The load of a backend server is its last report plus the work sent from here that the report cannot include. A choice
  * scores a few randomly drawn backend servers and the probable holders of the prompt's prefix, and takes the cheapest.
+ * An engine set up for the other phase is chosen only when no other one is left: a response from a prefill engine
+ * misses the target between tokens, which costs more than a wait.
  */
 class router {
 public:
@@ -194,19 +196,32 @@
         std::uint32_t generation{0};
         backend_facts facts;
         std::vector<flight *> flights;
-        std::deque<ended> ended_since;
+        std::vector<ended> ended_since;
+    };
+
+    /** Backend servers that are healthy and not leaving. */
+    struct open_list {
+        std::vector<slot_id> all;
+        std::vector<std::vector<slot_id>> by_domain;
     };
 
     struct pool {
-        std::vector<slot_id> open;                   /**< Healthy and not leaving. */
-        std::vector<std::vector<slot_id>> by_domain; /**< The same, by failure domain. */
+        open_list open;
+        std::array<open_list, 3> fitting; /**< Those whose role fits, by `request_phase`. */
         std::uint32_t members{0};
         std::uint32_t leaving{0};
     };
 
+    /** Seconds. */
+    struct wait_estimate {
+        double queue{0};
+        double own{0};
+    };
+
     struct candidate {
         slot_id slot{0};
         std::uint32_t hit_tokens{0};
+        wait_estimate wait;
         double cost{0};
     };
 
@@ -218,6 +233,8 @@
     [[nodiscard]] slot_id take_slot();
     template<typename Function>
     void for_each_pool(const backend_facts &facts, Function function);
+    template<typename Function>
+    void for_each_list(pool &target, backend_role role, Function function);
     void join_pools(slot_id id);
     void leave_pools(slot_id id);
     void reset_load(slot &it);
@@ -227,12 +244,15 @@
     [[nodiscard]] static std::uint32_t outstanding_of(const slot &it) noexcept;
     [[nodiscard]] static std::uint32_t free_of(const slot &it) noexcept;
     [[nodiscard]] std::uint32_t blocks_needed(const slot &it, const route_request &request) const noexcept;
-    [[nodiscard]] double cost_of(const slot &it, const route_request &request, std::uint32_t hit_tokens,
-                                 std::uint32_t domain, base::instant now) const noexcept;
+    [[nodiscard]] wait_estimate wait_of(const slot &it, const route_request &request,
+                                        std::uint32_t hit_tokens) const noexcept;
+    [[nodiscard]] double cost_of(const slot &it, std::uint32_t domain, base::instant now) const noexcept;
 
     struct search;
     void consider(search &state, slot_id id, std::uint32_t hit_blocks);
     void consider_samples(search &state, const std::vector<slot_id> &from, std::size_t n);
+    void consider_holders(search &state);
+    void consider_open(search &state, const open_list &from);
 
     const base::clock &time_;
     random_source random_;
--- a/test/routing/router.cpp
+++ b/test/routing/router.cpp
@@ -286,3 +286,18 @@
     request.phase = request_phase::decode;
     CHECK(entry.choose(request).value().backend->name == "d");
 }
+
+// Guards against a response from a prefill engine because the mixed ones are short of memory, and against a refusal
+// when only engines of the other role are left.
+TEST_CASE("an engine set up for the other phase is the last resort") {
+    base::manual_clock clock;
+    router entry{clock, seeded(8)};
+    auto prefill = engine("p");
+    prefill.role = backend_role::prefill;
+    entry.update_backend(prefill);
+    entry.update_backend(engine("m"));
+    CHECK(entry.apply_report("m", {.seq = 1, .running = 60, .free_blocks = 0}));
+    CHECK(entry.choose(small_request).error().kind == refusal_kind::no_memory);
+    entry.remove_backend("m");
+    CHECK(entry.choose(small_request).value().backend->name == "p");
+}
