--- a/bench/replay.cpp
+++ b/bench/replay.cpp
@@ -27,13 +27,11 @@
             out.push_back(std::move(it));
         };
         add("- 2 samples", [](auto &it) { it.routing.samples = 2; });
-        add("- 8 samples", [](auto &it) { it.routing.samples = 8; });
+        add("- 4 samples", [](auto &it) { it.routing.samples = 4; });
         add("- all sampled", [](auto &it) { it.routing.samples = 100; });
-        add("- no memory cost", [](auto &it) { it.routing.memory_cost = 0; });
         add("- no outstanding cost", [](auto &it) { it.routing.outstanding_cost = 0; });
         add("- outstanding cost x 3", [](auto &it) { it.routing.outstanding_cost *= 3; });
         add("- start from all mixed", [](auto &it) { it.prefill_engines = 0; });
-        add("- no remote cost", [](auto &it) { it.routing.remote_cost = 0; });
         add("- no failure cost", [](auto &it) { it.routing.failure_cost = 0; });
         add("- no prefix index", [](auto &it) { it.routing.prefix_capacity = 0; });
         add("- link of 316 MB/s", [](auto &it) {
--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -98,6 +98,7 @@
     fleet all{static_cast<int>(state.range(0))};
     std::uint64_t n = 0;
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(state.range(0)));
     for (int it = 0; it < state.range(0); ++it) {
         names.push_back("runner-" + std::to_string(it));
     }
@@ -132,9 +133,11 @@
 int main(int argc, char **argv) {
     benchmark::Initialize(&argc, argv);
     for (const int n : {500, 7600}) {
-        const auto before = mallinfo2().uordblks;
+        const auto before = mallinfo2();
         const fleet all{n};
-        const auto total = mallinfo2().uordblks - before - all.router.prefixes().memory_bytes();
+        const auto after = mallinfo2();
+        const auto total =
+            after.uordblks + after.hblkhd - before.uordblks - before.hblkhd - all.router.prefixes().memory_bytes();
         std::printf("%d backend servers: %zu allocated bytes each, prefix index %.1f bytes per block\n", n,
                     total / static_cast<std::size_t>(n),
                     static_cast<double>(all.router.prefixes().memory_bytes()) / (std::size_t{1} << 17U));
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -302,15 +302,8 @@
     return {(queued + it.now.unreported_prefill) / rate, own / rate};
 }
 
-double router::cost_of(const slot &it, std::uint32_t domain, base::instant now) const noexcept {
-    double cost = 0;
-    cost += settings_.outstanding_cost * outstanding_of(it);
-    cost += settings_.failure_cost * failures_now(it, now);
-    cost += it.domain == domain ? 0 : settings_.remote_cost;
-    if (it.total_blocks != 0) {
-        cost += settings_.memory_cost * (1 - static_cast<double>(free_of(it)) / it.total_blocks);
-    }
-    return cost;
+double router::cost_of(const slot &it, base::instant now) const noexcept {
+    return settings_.outstanding_cost * outstanding_of(it) + settings_.failure_cost * failures_now(it, now);
 }
 
 void router::consider(search &state, slot_id id, std::uint32_t hit_blocks) {
@@ -332,7 +325,7 @@
         return;
     }
     const auto wait = wait_of(it, state.request, hit_tokens);
-    const auto cost = wait.queue + wait.own + cost_of(it, state.domain, state.now);
+    const auto cost = wait.queue + wait.own + cost_of(it, state.now);
     if (cost < state.best.cost) {
         state.best = {id, hit_tokens, wait, cost};
         state.found = true;
--- a/src/routing/router.hpp
+++ b/src/routing/router.hpp
@@ -67,12 +67,10 @@
 
 /** @brief Tuning of the router. All costs are seconds, added to the expected wait. */
 struct router_settings {
-    std::size_t samples{4}; /**< Backend servers drawn at random per choice. */
+    std::size_t samples{8}; /**< Backend servers drawn at random per choice. */
     /** Of one engine, by `backend_role`. */
     std::array<double, 4> prefill_tokens_per_second{6400, 11000, 2000, 6400};
     double outstanding_cost{0.004}; /**< Per request in the runner. */
-    double memory_cost{0.1};        /**< For a full memory, in proportion below. */
-    double remote_cost{0.002};      /**< For another failure domain. */
     double failure_cost{0.5};       /**< Per recent failure. */
     base::duration failure_half_life{std::chrono::seconds{10}};
     /** Work sent this long before a report was made is still counted on top of it: it may have been on its way. */
@@ -89,8 +87,9 @@
  *
  * The load of a backend server is its last report plus the work sent from here that the report cannot include. A choice
  * scores a few randomly drawn backend servers and the probable holders of the prompt's prefix, and takes the cheapest.
- * An engine set up for the other phase is chosen only when no other one is left: a response from a prefill engine
- * misses the target between tokens, which costs more than a wait.
+ * Half of the drawn ones are in the failure domain of the entry. An engine set up for the other phase is chosen only
+ * when no other one is left: a response from a prefill engine misses the target between tokens, which costs more than a
+ * wait.
  */
 class router {
 public:
@@ -246,7 +245,7 @@
     [[nodiscard]] std::uint32_t blocks_needed(const slot &it, const route_request &request) const noexcept;
     [[nodiscard]] wait_estimate wait_of(const slot &it, const route_request &request,
                                         std::uint32_t hit_tokens) const noexcept;
-    [[nodiscard]] double cost_of(const slot &it, std::uint32_t domain, base::instant now) const noexcept;
+    [[nodiscard]] double cost_of(const slot &it, base::instant now) const noexcept;
 
     struct search;
     void consider(search &state, slot_id id, std::uint32_t hit_blocks);
