Report requests as possibly run while an attempt is open

Cause: a request that was given up for a withdrawn key or its deadline was reported as not run unless a token had arrived, also while an attempt was under way or the agent had not answered the probe. A repeated booking whose answer was not kept was reported as not run, too. On the other hand a call that every agent had refused before hand-over was reported as unknown, since the last attempt still counted as running. Change: give_up answers unknown while an attempt is running or probed; a stage between two attempts tells that the last one is over. The case of the answer that was not kept says unknown. Ruled out: setting may_have_run when an attempt is sent; a refusal before hand-over would have to take it back.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -180,7 +180,8 @@
         return start_attempt(*it);
     case replay:
         if (!decision.answer.complete) {
-            return give_up(*it, {409, "answer_not_kept", "the request ran; its answer was too large to keep", {}});
+            return give_up(
+                *it, {409, "answer_not_kept", "the request ran; its answer was too large to keep", ran_claim::unknown});
         }
         it->caller->respond({decision.answer.status,
                              {{"Content-Type", decision.answer.content_type}, {"Idempotent-Replayed", "true"}},
--- a/src/entry/dispatcher_attempt.cpp
+++ b/src/entry/dispatcher_attempt.cpp
@@ -204,6 +204,7 @@
     const bool not_run = it.refused || how == call_end::not_sent || how == call_end::not_started;
     end_attempt(it, it.refused ? routing::outcome::rejected : routing::outcome::failed);
     calls_.erase(it.call);
+    it.stage = flow_stage::between;
     it.refusal_status = 0;
     it.excluded.push_back(it.backend);
     if (not_run || it.repeatable) {
@@ -228,6 +229,7 @@
     if (it == nullptr || it->stage != flow_stage::probing) {
         return;
     }
+    it->stage = flow_stage::between;
     if (outcome == "never_starts") {
         return retry_or_give_up(*it);
     }
@@ -300,9 +302,10 @@
         end_attempt(it, routing::outcome::cancelled);
         with_.agents.reset(it.call);
         calls_.erase(it.call);
-        if (!it.repeatable) {
-            answer.ran = ran_claim::unknown;
-        }
+    }
+    // An attempt under way, or one whose fate the agent has not told yet, may run even after a reset.
+    if (it.stage == flow_stage::running || it.stage == flow_stage::probing) {
+        answer.ran = ran_claim::unknown;
     }
     if (it.claimed) {
         if (answer.ran == ran_claim::no) {
--- a/src/entry/flow.hpp
+++ b/src/entry/flow.hpp
@@ -21,6 +21,7 @@
     claiming, /**< Admitted; its idempotency claim is being written. */
     running,  /**< An attempt is under way. */
     probing,  /**< An attempt broke off; the agent is asked whether it ran. */
+    between,  /**< The last attempt is over; the next one or the refusal follows at once. */
     holding,  /**< Answered; a peer is taking its usage record. */
 };
 
