Keep connections to stopping servers until their calls have ended

Cause: after GOAWAY the client dropped its only reference to the connection as soon as another call to that address came, which entries make every second for /status. Open calls then never ended: a planned stop of an agent left callers without an answer until their own timeout. Change: a replaced connection that is not dead is kept until it is shut. Ruled out: a race between the agent's last write and its exit; the agent's process ended with 0 after its last write.

--- a/src/transport/h2_client.cpp
+++ b/src/transport/h2_client.cpp
@@ -7,6 +7,7 @@
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <set>
 #include <vector>
 
 namespace dotterelstack::transport {
@@ -31,6 +32,7 @@
     std::atomic<std::uint64_t> next_id{1};
     bool stopped{false};
     std::map<std::string, std::shared_ptr<client_connection>, std::less<>> connections;
+    std::set<std::shared_ptr<client_connection>> replaced; /**< Refuse new calls; their open calls go on. */
     std::map<std::uint64_t, std::weak_ptr<client_connection>> call_owner;
 
     void start_call(const std::string &address, pending_call call);
@@ -117,6 +119,7 @@
     }
 
     [[nodiscard]] bool usable() const noexcept { return !dead_ && !draining(); }
+    [[nodiscard]] bool dead() const noexcept { return dead_; }
 
 protected:
     void on_headers(std::int32_t stream, http::field_list fields) override {
@@ -274,6 +277,9 @@
     }
     auto it = connections.find(address);
     if (it == connections.end() || !it->second->usable()) {
+        if (it != connections.end() && !it->second->dead()) {
+            replaced.insert(it->second);
+        }
         it = connections.insert_or_assign(address, std::make_shared<client_connection>(*this, address)).first;
         it->second->connect();
     }
@@ -295,6 +301,7 @@
     if (it != connections.end() && it->second.get() == connection) {
         connections.erase(it);
     }
+    std::erase_if(replaced, [connection](const auto &each) { return each.get() == connection; });
 }
 
 } // namespace internal
@@ -368,6 +375,10 @@
         for (const auto &[address, it] : copy) {
             it->close_all();
         }
+        const auto draining = state_->replaced;
+        for (const auto &it : draining) {
+            it->close_all();
+        }
     });
     // Connections drop their last references in tasks posted while closing; wait for those, too.
     loop_.run_and_wait([] {});
--- a/test/transport/h2.cpp
+++ b/test/transport/h2.cpp
@@ -1,5 +1,6 @@
 #include <condition_variable>
 #include <doctest/doctest.h>
+#include <optional>
 #include <thread>
 
 #include "transport/h2_client.hpp"
@@ -90,6 +91,44 @@
     caller.join();
 }
 
+// Guards against an open call that is dropped without an end when a later call to the same address needs a new
+// connection because the server is stopping.
+TEST_CASE("a call to a stopping server goes on while later calls to it are refused") {
+    fixture it;
+    std::optional<transport::h2_stream> held;
+    std::mutex mutex;
+    std::condition_variable changed;
+    it.serve([&](const transport::h2_stream &stream) {
+        const std::scoped_lock lock{mutex};
+        held = stream;
+        changed.notify_one();
+    });
+    std::optional<transport::h2_outcome> outcome;
+    std::string body;
+    transport::h2_handlers handlers;
+    handlers.on_head = [](int /*status*/, const http::field_list & /*fields*/) {};
+    handlers.on_data = [&](std::string_view part) { body.append(part); };
+    handlers.on_end = [&](transport::h2_outcome how) {
+        const std::scoped_lock lock{mutex};
+        outcome = how;
+        changed.notify_one();
+    };
+    it.client.send(it.address, {"GET", "/", {}, ""}, std::move(handlers));
+    std::unique_lock lock{mutex};
+    REQUIRE(changed.wait_for(lock, 30s, [&] { return held.has_value(); }));
+    lock.unlock();
+    it.server.quiesce();
+    // Once the client knows that the server is stopping, a later call is refused; it must not touch the open one.
+    for (int n = 0; n < 5; ++n) {
+        CHECK_FALSE(it.client.call(it.address, {"GET", "/later", {}, ""}, 5s));
+    }
+    held->respond({200, {}, "whole"});
+    lock.lock();
+    REQUIRE(changed.wait_for(lock, 30s, [&] { return outcome.has_value(); }));
+    CHECK(outcome == transport::h2_outcome::complete);
+    CHECK(body == "whole");
+}
+
 // Guards against a stream that waits for ever on a peer that no longer answers pings.
 TEST_CASE("a silent connection ends its calls as broken") {
     base::boottime_clock clock;
