--- a/src/entry/dispatcher_attempt.cpp
+++ b/src/entry/dispatcher_attempt.cpp
@@ -198,6 +198,7 @@
     const bool refused = it.refused;
     end_attempt(it, refused ? routing::outcome::rejected : routing::outcome::failed);
     calls_.erase(it.call);
+    it.stage = flow_stage::between;
     it.refusal_status = 0;
     it.refused = false;
     it.excluded.push_back(it.backend);
@@ -227,6 +228,7 @@
     if (it == nullptr || it->stage != flow_stage::probing) {
         return;
     }
+    it->stage = flow_stage::between;
     if (outcome == "never_starts") {
         return retry_or_give_up(*it, retry::evidence_kind::never_starts);
     }
@@ -315,7 +317,9 @@
         end_attempt(it, routing::outcome::cancelled);
         with_.agents.reset(it.call);
         calls_.erase(it.call);
-        // The attempt that is cut here may have been handed over already.
+    }
+    // An attempt under way, or one whose fate the agent has not told yet, may run even after a reset.
+    if (it.stage == flow_stage::running || it.stage == flow_stage::probing) {
         answer.ran = ran_claim::unknown;
     }
     if (it.claimed) {
--- a/src/entry/flow.hpp
+++ b/src/entry/flow.hpp
@@ -23,6 +23,7 @@
     running,  /**< An attempt is under way. */
     delayed,  /**< Waits for the next attempt. */
     probing,  /**< An attempt broke off; the agent is asked whether it ran. */
+    between,  /**< The last attempt is over; the next one or the refusal follows at once. */
     holding,  /**< Answered; a peer is taking its usage record. */
 };
 
