Budget only the retries that add load

Change: a resume after new tokens and an attempt that never started are not budgeted, because they continue admitted work or loaded no backend server; the number of attempts still bounds them. The stock of the minimum is an option, burst (10). Ruled out: a larger ratio, which would let a failing service multiply load.

--- a/src/entry/dispatcher_attempt.cpp
+++ b/src/entry/dispatcher_attempt.cpp
@@ -245,6 +245,9 @@
         if (next.action == retry::retry_action::resume_elsewhere) {
             log::write("request_resumed", {{"request", it.id}, {"service", it.service}, {"offset", next.offset}});
         }
+        if (next.delay <= base::duration{0}) {
+            return start_attempt(it);
+        }
         it.stage = flow_stage::delayed;
         it.retry_at = with_.time.now() + next.delay;
         return;
--- a/src/retry/retry_budget.cpp
+++ b/src/retry/retry_budget.cpp
@@ -20,7 +20,7 @@
 
 retry_budget::account &retry_budget::refreshed(accounts &from, std::string_view name) {
     const auto now = clock_.now();
-    const double stock = options_.minimum_per_second > 0 ? std::max(1.0, options_.minimum_per_second) : 0.0;
+    const double stock = options_.minimum_per_second > 0 ? std::max(1.0, options_.burst) : 0.0;
     auto it = from.find(name);
     if (it == from.end()) {
         it = from.emplace(name, account{0, stock, now}).first;
--- a/src/retry/retry_budget.hpp
+++ b/src/retry/retry_budget.hpp
@@ -13,8 +13,9 @@
 
 /** @brief Size of the retry budgets. */
 struct budget_options {
-    double ratio{0.1};                               /**< Retries earned by each first attempt. */
-    double minimum_per_second{1.0};                  /**< Retries allowed regardless of traffic; 0 = none. */
+    double ratio{0.1};              /**< Retries earned by each first attempt. */
+    double minimum_per_second{1.0}; /**< Retries allowed regardless of traffic; 0 = none. */
+    double burst{10}; /**< Minimum retries kept while unused, so that a quiet site outlives the loss of one engine. */
     base::duration window{std::chrono::seconds{10}}; /**< Time constant with which earned retries decay. */
 };
 
--- a/src/retry/retry_policy.cpp
+++ b/src/retry/retry_policy.cpp
@@ -40,7 +40,7 @@
     return out;
 }
 
-give_up_reason retry_policy::obstacle(const request_history &request, base::duration delay, bool sent) {
+give_up_reason retry_policy::obstacle(const request_history &request, base::duration delay, bool budgeted) {
     const bool repeatable = request.work_.repeatable || request.work_.resumable;
     if (request.may_have_run_ && !repeatable) {
         return give_up_reason::not_repeatable;
@@ -57,8 +57,7 @@
     if (clock_.now() + delay >= request.deadline_) {
         return give_up_reason::deadline;
     }
-    // An attempt that was never sent has loaded nobody; only the number of attempts bounds it.
-    const auto verdict = sent ? budget_.take(request.organisation_, request.service_) : budget_verdict::taken;
+    const auto verdict = budgeted ? budget_.take(request.organisation_, request.service_) : budget_verdict::taken;
     if (verdict == budget_verdict::organisation_exhausted) {
         return give_up_reason::organisation_budget;
     }
@@ -77,6 +76,10 @@
         out.claim = request.work_.idempotency_key ? claim_action::store_answer : claim_action::none;
         return out;
     }
+    // A resume after new tokens continues admitted work in the same slot, and an attempt that was never started has
+    // loaded no backend server. Neither multiplies load; the number of attempts bounds them.
+    const bool progress = seen.kind == evidence_kind::broken_stream && seen.offset > request.offset_;
+    const bool budgeted = !progress && !proves_not_run(seen.kind);
     if (seen.kind == evidence_kind::broken_stream) {
         request.offset_ = std::max(request.offset_, seen.offset);
     }
@@ -84,7 +87,7 @@
     const auto ceiling = std::min(options_.longest_delay, options_.first_delay * (1U << doublings));
     const auto delay =
         base::duration{static_cast<base::duration::rep>(static_cast<double>(ceiling.count()) * random_())};
-    const auto reason = obstacle(request, delay, seen.kind != evidence_kind::never_sent);
+    const auto reason = obstacle(request, delay, budgeted);
     if (reason != give_up_reason::none) {
         return give_up(request, reason);
     }
--- a/src/retry/retry_policy.hpp
+++ b/src/retry/retry_policy.hpp
@@ -130,7 +130,7 @@
     [[nodiscard]] retry_decision decide(request_history &request, const evidence &seen);
 
 private:
-    [[nodiscard]] give_up_reason obstacle(const request_history &request, base::duration delay, bool sent);
+    [[nodiscard]] give_up_reason obstacle(const request_history &request, base::duration delay, bool budgeted);
     [[nodiscard]] static retry_decision give_up(request_history &request, give_up_reason reason) noexcept;
 
     const base::clock &clock_;
