--- /dev/null
+++ b/src/entry/billing_task.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "entry/lease_thread.hpp"
+#include "http/client.hpp"
+#include "usage/usage_reporter.hpp"
+#include "usage/usage_sealer.hpp"
+
+namespace dotterelstack::entry {
+
+/** @return Settings of the sealer from the entry's times. */
+[[nodiscard]] usage::sealer_settings sealer_settings_of(const settings::entry_timings &timings);
+
+/** @brief Seals and reports usage windows while this entry holds the lease `billing`. Two threads: lease and work. */
+class billing_task {
+public:
+    /** @brief Called with the number of sealed windows whenever it has grown. */
+    using sealed_sink = std::function<void(std::uint64_t count)>;
+
+    /** @brief Collaborators; all must outlive the task. */
+    struct dependencies {
+        const base::clock &time;
+        store::object_store &store;
+        base::id_source &ids;
+        http::client &client;
+        lease_thread::candidate_check candidate;
+        sealed_sink on_sealed;
+    };
+
+    /**
+     * @param incarnation Of this entry; holder of the lease and sender of the reports.
+     * @param platform Address that accepts usage reports.
+     */
+    billing_task(const settings::entry_timings &timings, std::string incarnation, std::string platform,
+                 dependencies with);
+    billing_task(const billing_task &) = delete;
+    billing_task &operator=(const billing_task &) = delete;
+    billing_task(billing_task &&) = delete;
+    billing_task &operator=(billing_task &&) = delete;
+    ~billing_task();
+
+    void start();
+
+    /** @brief Ends the work, then gives the lease up. */
+    void stop();
+
+private:
+    /** Work under one fence; a new acquisition starts from what the store holds. */
+    struct term {
+        term(const base::clock &clock, const usage::sealer_settings &values, std::uint64_t under)
+            : fence{under}, sealer{clock, values} {}
+
+        std::uint64_t fence;
+        usage::usage_sealer sealer;
+        std::unique_ptr<usage::usage_reporter> reporter{}; /**< Made once the sealer has read `usage/open`. */
+        std::uint64_t sealed{0};
+        std::uint64_t rejections{0};
+    };
+
+    void run(const std::stop_token &token);
+    [[nodiscard]] base::instant work(term &it, const lease::authority_check &authority);
+    [[nodiscard]] base::instant report(term &it, const lease::authority_check &authority);
+
+    const usage::sealer_settings settings_;
+    const usage::reporter_settings reporter_settings_;
+    const std::string platform_;
+    dependencies with_;
+    lease_thread lease_;
+    std::jthread thread_;
+};
+
+} // namespace dotterelstack::entry
--- a/src/entry/claim_link.cpp
+++ b/src/entry/claim_link.cpp
@@ -54,6 +54,13 @@
     put(not_run{std::string{request}});
 }
 
+void claim_link::on_sealed_windows(std::uint64_t count) noexcept {
+    // Only the highest number counts, so it needs no place in the ring.
+    auto known = sealed_windows_.load();
+    while (known < count && !sealed_windows_.compare_exchange_weak(known, count)) {
+    }
+}
+
 void claim_link::put(message it) {
     ring_.push(std::move(it));
 }
@@ -76,6 +83,7 @@
         } else if (ring_.closed()) {
             break;
         }
+        book_.on_sealed_windows(sealed_windows_);
         while (claim::drive_claims(book_, store_, ids_)) {
         }
         for (auto &decision : book_.take_decisions()) {
--- a/src/entry/claim_link.hpp
+++ b/src/entry/claim_link.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <thread>
 #include <variant>
 
@@ -37,6 +38,9 @@
     void finish_unknown(std::string_view request) override;
     void finish_not_run(std::string_view request) override;
 
+    /** @brief Passes the number of sealed usage windows on, by which claims age. Callable from any thread. */
+    void on_sealed_windows(std::uint64_t count) noexcept;
+
 private:
     struct finished {
         std::string request;
@@ -60,6 +64,7 @@
     event_ring &events_;
     claim::claim_book book_;
     base::bounded_ring<message> ring_;
+    std::atomic<std::uint64_t> sealed_windows_{0};
     std::thread thread_;
 };
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_daemon.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "log/event.hpp"
@@ -13,6 +14,8 @@
 constexpr std::size_t event_ring_limit = 16384;
 // The dispatcher's periodic work runs at least this often.
 constexpr auto tick_interval = std::chrono::milliseconds{50};
+// Entries that stand for each lease, so that it survives the loss of two failure domains.
+constexpr std::ptrdiff_t lease_candidates = 3;
 const http::field_list json_type{{"content-type", "application/json"}};
 
 /** The connection to a caller over libmicrohttpd. */
@@ -44,7 +47,27 @@
       incarnation_{ids.next()}, events_{internal::event_ring_limit}, h2_client_{loop_, time}, peer_server_{loop_, time},
       agents_{h2_client_, events_}, claims_{time,    store,        ids,
                                             events_, incarnation_, settings_.limits.concurrent_requests},
-      usage_{events_, settings_.limits.concurrent_requests} {
+      peer_calls_{h2_client_}, usage_{{.incarnation = incarnation_,
+                                       .failure_domain = settings_.failure_domain,
+                                       .requests = settings_.limits.concurrent_requests,
+                                       .flush_every = settings_.timings.usage_flush_interval,
+                                       .status_every = settings_.timings.heartbeat_interval},
+                                      {time, store, ids, events_, peer_calls_, [this] { return fleet_->entries(); },
+                                       [this](const usage::open_window &it) { claims_.on_sealed_windows(it.sealed); }}},
+      billing_{settings_.timings,
+               incarnation_,
+               settings_.platform,
+               {time, store, ids, client, [this] { return is_lease_candidate(); },
+                [this](std::uint64_t count) { claims_.on_sealed_windows(count); }}},
+      shares_{{.incarnation = incarnation_},
+              {time, store, events_, peer_calls_,
+               [this] { return fleet_ && fleet_->list_known() && fleet_->entries().empty(); },
+               [this] { return share_epochs_.authority(); }}},
+      share_epochs_{settings_.timings,
+                    {.incarnation = incarnation_, .host = settings_.name},
+                    {time, store, ids, peer_calls_, [this] { return is_lease_candidate(); },
+                     [this] { return fleet_->entries(); }, [this] { return shares_.epoch(); },
+                     [this](const epoch_object &it) { shares_.adopt(it); }}} {
     const auto engine = std::make_shared<std::mt19937_64>(std::random_device{}());
     dispatcher_ = std::make_unique<dispatcher>(
         dispatcher_settings{.failure_domain = settings_.failure_domain,
@@ -69,9 +92,13 @@
     config_ = std::make_unique<config_feed>(clock_, store_, h2_client_, events_, [this] { return fleet_->peers(); });
     dispatch_thread_ = std::thread{[this] { dispatch(); }};
     claims_.start();
-    usage_.start();
+    peers_address_ = peers;
+    usage_.start(peers);
     config_->start();
     fleet_->start();
+    billing_.start();
+    shares_.start();
+    share_epochs_.start(peers);
     http::server_limits limits;
     limits.body_bytes = settings_.limits.body_bytes;
     BOOST_OUTCOME_TRY(callers,
@@ -109,11 +136,20 @@
                     {"incarnation", incarnation_},
                     {"config_version", version_.load()},
                     {"withdrawn_keys", withdrawn_.load()},
+                    {"share_epoch", shares_.epoch()},
                     {"store_reachable", config_ && config_->store_reachable()},
                     {"active_requests", active_.load()}};
     return {200, internal::json_type, body.dump()};
 }
 
+bool entry_daemon::is_lease_candidate() const {
+    // A few candidates succeed each other fast enough; all 340 entries would read each lease 170 times per second.
+    const auto others = fleet_->entries();
+    return std::ranges::count_if(others, [this](const peer_entry &it) {
+               return it.live && it.address < peers_address_;
+           }) < internal::lease_candidates;
+}
+
 void entry_daemon::on_peer(const transport::h2_stream &stream) {
     const auto &message = stream.message();
     const auto path = message.path();
@@ -128,6 +164,18 @@
         }
         return stream.respond({200, internal::json_type, config_->answer_peer(version)});
     }
+    if (path == "/usage/hold" && message.method == "POST") {
+        return stream.respond(usage_.on_hold(message));
+    }
+    if (path == "/usage/release" && message.method == "POST") {
+        return stream.respond(usage_.on_release(message));
+    }
+    if (path == "/shares/demand" && message.method == "POST") {
+        return stream.respond(shares_.on_demand(message));
+    }
+    if (path == "/shares/epoch") {
+        return stream.respond(shares_.on_epoch_question());
+    }
     if (path == "/keys/withdrawn" && message.method == "POST") {
         const auto body = json::parse(message.body, nullptr, false);
         if (body.is_object() && body.contains("hashes") && body["hashes"].is_array()) {
@@ -148,12 +196,14 @@
     auto next_tick = clock_.now();
     while (true) {
         if (auto event = events_.pop_for(internal::tick_interval)) {
+            apply_shares();
             handle(*event);
         } else if (events_.closed()) {
             return;
         }
         if (clock_.now() >= next_tick) {
             next_tick = clock_.now() + internal::tick_interval;
+            apply_shares();
             dispatcher_->tick();
         }
         active_ = dispatcher_->active();
@@ -162,6 +212,26 @@
     }
 }
 
+void entry_daemon::take_config(config::state_ptr state) {
+    fleet_->set_config(state);
+    if (state->version() <= dispatcher_->config_version()) {
+        return;
+    }
+    // Rows that exist get their share before the new limits, rows that are new right after them.
+    shares_.set_config(*state);
+    apply_shares();
+    dispatcher_->on_config(state);
+    shares_.set_config(*state);
+    apply_shares();
+}
+
+void entry_daemon::apply_shares() {
+    shares_.tick([this](limits::row_key row) { return dispatcher_->admission().status(row); },
+                 [this](limits::row_key row, const limits::row_share &share) {
+                     dispatcher_->on_share(row.organisation, row.service, share);
+                 });
+}
+
 void entry_daemon::handle(entry_event &event) {
     auto &to = *dispatcher_;
     std::visit(internal::event_visitor{
@@ -172,14 +242,11 @@
                    [&to](cancel_event &it) { to.on_cancel_outcome(it.request, it.outcome); },
                    [&to](claim_event &it) { to.on_claim(it.decision); },
                    [&to](usage_held_event &it) { to.on_usage_held(it.request); },
-                   [this, &to](config_event &it) {
-                       fleet_->set_config(it.state);
-                       to.on_config(std::move(it.state));
-                   },
+                   [this](config_event &it) { take_config(std::move(it.state)); },
                    [&to](confirmed_event &it) { to.freshness().confirmed(it.when); },
                    [&to](outage_event &it) { to.freshness().outage_attested(it.when); },
                    [&to](withdrawn_event &it) { to.on_keys_withdrawn(it.hashes); },
-                   [&to](backends_event &it) { to.on_backends(it.all); },
+                   [&to](backends_event &it) { to.on_backends(it.all); }, [](share_event & /*it*/) {},
                    [&to](stop_event & /*it*/) { to.stop_accepting(); }},
                event);
 }
@@ -203,6 +270,9 @@
         return;
     }
     stopped_ = true;
+    billing_.stop();
+    share_epochs_.stop();
+    shares_.stop();
     if (config_) {
         config_->stop();
     }
--- a/src/entry/entry_daemon.hpp
+++ b/src/entry/entry_daemon.hpp
@@ -8,11 +8,15 @@
 #include "base/clock.hpp"
 #include "base/id.hpp"
 #include "entry/agent_link.hpp"
+#include "entry/billing_task.hpp"
 #include "entry/claim_link.hpp"
 #include "entry/config_feed.hpp"
 #include "entry/dispatcher.hpp"
 #include "entry/events.hpp"
 #include "entry/fleet_feed.hpp"
+#include "entry/peer_port.hpp"
+#include "entry/share_link.hpp"
+#include "entry/share_task.hpp"
 #include "entry/usage_link.hpp"
 #include "http/client.hpp"
 #include "http/server.hpp"
@@ -34,7 +38,8 @@
 /**
  * @brief An entry host's process: listeners, the dispatcher's thread and its feeds.
  *
- * Threads: callers (libmicrohttpd), event loop (agents and peers), dispatcher, configuration, fleet, claims, usage.
+ * Threads: callers (libmicrohttpd), event loop (agents and peers), dispatcher, configuration, fleet, claims, usage (2),
+ * billing (2), shares (3).
  */
 class entry_daemon {
 public:
@@ -54,8 +59,11 @@
 private:
     void on_call(const http::exchange &call);
     void on_peer(const transport::h2_stream &stream);
+    [[nodiscard]] bool is_lease_candidate() const;
     void dispatch();
     void handle(entry_event &event);
+    void take_config(config::state_ptr state);
+    void apply_shares();
     [[nodiscard]] http::response peer_status();
     void stop_threads();
 
@@ -72,8 +80,13 @@
     transport::h2_server peer_server_;
     agent_link agents_;
     claim_link claims_;
-    usage_link usage_;
+    h2_peer_port peer_calls_;
     std::unique_ptr<fleet_feed> fleet_;
+    usage_link usage_;
+    billing_task billing_;
+    share_link shares_;
+    share_task share_epochs_;
+    std::string peers_address_;
     std::unique_ptr<config_feed> config_;
     std::unique_ptr<dispatcher> dispatcher_;
     http::server caller_server_;
--- a/src/entry/events.hpp
+++ b/src/entry/events.hpp
@@ -58,11 +58,13 @@
 struct backends_event {
     std::vector<backend_status> all;
 };
+/** @brief Wakes the dispatcher's thread, because shares of limits have changed. */
+struct share_event {};
 struct stop_event {};
 
 using entry_event =
     std::variant<arrival_event, head_event, data_event, end_event, cancel_event, claim_event, usage_held_event,
-                 config_event, confirmed_event, outage_event, withdrawn_event, backends_event, stop_event>;
+                 config_event, confirmed_event, outage_event, withdrawn_event, backends_event, share_event, stop_event>;
 
 /**
  * @brief Ring in front of the dispatcher's thread. When it is full, an arrival is refused with 503 `overloaded`;
--- a/src/entry/fleet_feed.cpp
+++ b/src/entry/fleet_feed.cpp
@@ -92,6 +92,22 @@
     return out;
 }
 
+std::vector<peer_entry> fleet_feed::entries() const {
+    std::vector<peer_entry> out;
+    const std::scoped_lock lock{mutex_};
+    for (const auto &it : hosts_) {
+        if (it.role == "entry" && it.address != options_.self) {
+            out.push_back({it.host, it.address, it.failure_domain, !it.leaving});
+        }
+    }
+    for (const auto &address : options_.static_peers) {
+        if (std::ranges::find(out, address, &peer_entry::address) == out.end() && address != options_.self) {
+            out.push_back({{}, address, {}, false});
+        }
+    }
+    return out;
+}
+
 std::vector<listed_host> fleet_feed::hosts() const {
     const std::scoped_lock lock{mutex_};
     return hosts_;
@@ -134,6 +150,7 @@
     }
     const std::scoped_lock lock{mutex_};
     hosts_ = std::move(fresh);
+    list_known_ = true;
 }
 
 void fleet_feed::read_agents() {
--- a/src/entry/fleet_feed.hpp
+++ b/src/entry/fleet_feed.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <set>
@@ -10,6 +11,7 @@
 #include "base/clock.hpp"
 #include "config/config_state.hpp"
 #include "entry/events.hpp"
+#include "entry/peer_port.hpp"
 #include "http/client.hpp"
 #include "transport/h2_client.hpp"
 
@@ -48,6 +50,12 @@
     /** @return Addresses of the other entries. */
     [[nodiscard]] std::vector<std::string> peers() const;
 
+    /** @return The other entries with what is known about them. */
+    [[nodiscard]] std::vector<peer_entry> entries() const;
+
+    /** @return True once the host list has been read. */
+    [[nodiscard]] bool list_known() const noexcept { return list_known_; }
+
     /** @return Hosts of the last list that was read. */
     [[nodiscard]] std::vector<listed_host> hosts() const;
 
@@ -74,6 +82,7 @@
     event_ring &events_;
     mutable std::mutex mutex_;
     std::vector<listed_host> hosts_;
+    std::atomic<bool> list_known_{false};
     config::state_ptr config_;
     std::map<std::string, agent_view> views_; /**< By host. */
     std::jthread thread_;
--- /dev/null
+++ b/src/entry/lease_thread.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+#include "lease/lease_keeper.hpp"
+#include "settings/entry_settings.hpp"
+
+namespace dotterelstack::entry {
+
+/** @return Settings of a lease from the entry's times. */
+[[nodiscard]] lease::lease_settings lease_settings_of(const settings::entry_timings &timings, std::string name,
+                                                      std::string holder);
+
+/** @brief Keeps one lease on a thread of its own, so that slow work under the lease delays no renewal. */
+class lease_thread {
+public:
+    /** @brief Tells whether this entry stands for the lease. A holder keeps it in any case. */
+    using candidate_check = std::function<bool()>;
+
+    lease_thread(lease::lease_settings values, const base::clock &time, store::object_store &store,
+                 base::id_source &ids, candidate_check candidate);
+    lease_thread(const lease_thread &) = delete;
+    lease_thread &operator=(const lease_thread &) = delete;
+    lease_thread(lease_thread &&) = delete;
+    lease_thread &operator=(lease_thread &&) = delete;
+    ~lease_thread();
+
+    void start();
+
+    /** @brief Gives the lease up and ends the thread. */
+    void stop();
+
+    /** @return Check of the lease when it is held. Callable from any thread. */
+    [[nodiscard]] std::optional<lease::authority_check> authority() const;
+
+private:
+    void run(const std::stop_token &token);
+    void publish();
+
+    const std::string name_;
+    store::object_store &store_;
+    base::id_source &ids_;
+    const base::clock &clock_;
+    const candidate_check candidate_;
+    lease::lease_keeper keeper_;
+    bool was_held_{false};
+    mutable std::mutex mutex_;
+    std::optional<lease::authority_check> authority_;
+    std::jthread thread_;
+};
+
+} // namespace dotterelstack::entry
--- /dev/null
+++ b/src/entry/share_link.cpp
@@ -0,0 +1,355 @@
+#include "entry/share_link.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "log/event.hpp"
+
+namespace dotterelstack::entry {
+
+using nlohmann::json;
+
+namespace internal {
+
+http::response share_answer(int status, const json &body) {
+    return {status, {{"content-type", "application/json"}}, body.dump()};
+}
+
+bool any(const limits::share_amounts &amounts) noexcept {
+    return std::ranges::any_of(amounts, [](std::uint64_t it) { return it > 0; });
+}
+
+limits::row_key key_of(const limits::row_order::owned &row) noexcept {
+    return {row.first, row.second};
+}
+
+limits::share_amounts amounts_of_row(const config::row &row) {
+    limits::row_limits out;
+    out.max_concurrency = static_cast<std::uint32_t>(row.concurrency);
+    out.requests_per_second = row.requests_per_second;
+    out.prompt_tokens_per_second = row.prompt_tokens_per_second;
+    out.generated_tokens_per_second = row.generated_tokens_per_second;
+    return limits::amounts_of(out);
+}
+
+} // namespace internal
+
+share_link::share_link(share_link_options options, dependencies with)
+    : options_{std::move(options)}, with_{std::move(with)}, holder_{with_.time, options_.incarnation},
+      ledger_{with_.time} {}
+
+share_link::~share_link() {
+    stop();
+}
+
+void share_link::start() {
+    thread_ = std::jthread{[this](const std::stop_token &token) { run(token); }};
+}
+
+void share_link::stop() {
+    if (thread_.joinable()) {
+        thread_.request_stop();
+        thread_.join();
+    }
+}
+
+void share_link::set_config(const config::config_state &state) {
+    const std::scoped_lock lock{mutex_};
+    const auto &declared = state.values().rows;
+    for (auto it = rows_.begin(); it != rows_.end();) {
+        const auto &row = it->first;
+        if (declared.contains({row.first, row.second})) {
+            ++it;
+            continue;
+        }
+        holder_.remove_row(internal::key_of(row));
+        ledger_.remove_row(internal::key_of(row));
+        it = rows_.erase(it);
+    }
+    for (const auto &[name, row] : declared) {
+        const auto limit = internal::amounts_of_row(row);
+        auto &known = rows_[{row.organisation, row.service}];
+        known.applied.reset();
+        if (known.limit != limit) {
+            known.limit = limit;
+            holder_.set_limit({row.organisation, row.service}, limit);
+            ledger_.set_limit({row.organisation, row.service}, limit);
+        }
+    }
+    changed_ = true;
+}
+
+void share_link::tick(const load_source &load, const share_sink &apply) {
+    const auto now = with_.time.now();
+    const bool due = now >= demands_due_;
+    if (!due && now < expiry_ && !changed_) {
+        return;
+    }
+    std::vector<addressed_demand> demands;
+    if (due) {
+        demands_due_ = now + options_.demand_every;
+        demands = build_demands(load);
+    }
+    // A demand gives lent amounts back, so the smaller share is in force before the demand leaves.
+    apply_shares(apply);
+    send(std::move(demands));
+}
+
+std::optional<limits::row_use> share_link::take_use(row_state &row, const limits::row_status &status) const {
+    const auto now = with_.time.now();
+    const bool idle = status.running == 0 && status.waiting == 0 && status.admitted == row.seen.admitted;
+    const auto before = std::exchange(row.seen, status);
+    const auto since = std::exchange(row.seen_at, now);
+    if (idle && !row.active) {
+        return std::nullopt;
+    }
+    const auto elapsed = since == base::instant{} ? options_.demand_every : now - since;
+    return limits::use_of(before, status, elapsed);
+}
+
+std::vector<share_link::addressed_demand> share_link::build_demands(const load_source &load) {
+    std::vector<addressed_demand> out;
+    const std::scoped_lock lock{mutex_};
+    if (!epoch_) {
+        return out;
+    }
+    for (auto &[name, row] : rows_) {
+        const auto key = internal::key_of(name);
+        const auto use = internal::any(row.limit) ? take_use(row, load(key)) : std::nullopt;
+        if (!use) {
+            continue;
+        }
+        const auto before = with_.time.now();
+        const auto demand = holder_.demand(key, use->wanted, use->in_use);
+        if (!demand) {
+            continue;
+        }
+        row.active = internal::any(demand->wanted) || internal::any(demand->in_use);
+        row.sent[demand->sequence] = before;
+        std::erase_if(row.sent, [&](const auto &it) { return it.second + limits::grant_lifetime < before; });
+        out.push_back({std::string{limits::coordinator_of(epoch_->epoch, key)}, name, *demand});
+    }
+    return out;
+}
+
+bool share_link::owns_all() const {
+    // The first epoch has no predecessor whose grants could still be in use, and a later one cannot grant anything
+    // within the life of its confirmation, so its only member need not wait for the settling time.
+    return epoch_ && epoch_->epoch.number == 1 && epoch_->epoch.members.size() == 1 &&
+           epoch_->epoch.members.front().entry == options_.incarnation && epoch_->epoch.outstanding.empty() &&
+           with_.time.now() < confirmed_until_;
+}
+
+limits::share_amounts share_link::allowance_of(const limits::row_order::owned &key, const row_state &row) const {
+    if (owns_all() || (!epoch_ && epoch_absent_ && with_.alone())) {
+        return row.limit;
+    }
+    return epoch_ ? holder_.allowance(internal::key_of(key)) : limits::share_amounts{};
+}
+
+void share_link::apply_shares(const share_sink &apply) {
+    std::vector<std::pair<limits::row_order::owned, limits::row_share>> fresh;
+    {
+        const std::scoped_lock lock{mutex_};
+        changed_ = false;
+        const auto now = with_.time.now();
+        expiry_ = now < confirmed_until_ ? confirmed_until_ : base::instant::max();
+        for (auto &[name, row] : rows_) {
+            const auto allowance = allowance_of(name, row);
+            if (now < row.expires) {
+                expiry_ = std::min(expiry_, row.expires);
+            }
+            if (row.applied != allowance) {
+                row.applied = allowance;
+                fresh.emplace_back(name, limits::share_of(row.limit, allowance));
+            }
+        }
+        applied_epoch_ = holder_.epoch();
+    }
+    for (const auto &[name, share] : fresh) {
+        apply(internal::key_of(name), share);
+    }
+}
+
+void share_link::send(std::vector<addressed_demand> demands) {
+    std::map<std::string, json> bodies;
+    for (const auto &it : demands) {
+        if (it.coordinator == options_.incarnation) {
+            if (const auto grant = answer(it.row, it.demand)) {
+                take_grant(it.row, *grant);
+            }
+            continue;
+        }
+        auto &rows = bodies.try_emplace(it.coordinator, json::array()).first->second;
+        rows.push_back({{"organisation", it.row.first}, {"service", it.row.second}, {"demand", to_json(it.demand)}});
+    }
+    for (auto &[coordinator, rows] : bodies) {
+        std::string address;
+        {
+            const std::scoped_lock lock{mutex_};
+            const auto found = epoch_->places.find(coordinator);
+            address = found == epoch_->places.end() ? std::string{} : found->second.address;
+        }
+        if (address.empty()) {
+            continue;
+        }
+        const json body{{"rows", std::move(rows)}};
+        with_.calls.call(address, {"POST", "/shares/demand", {{"content-type", "application/json"}}, body.dump()},
+                         [this](const base::result<http::response> &got) {
+                             if (got && got.value().status == 200) {
+                                 take_grants(got.value().body);
+                             }
+                         });
+    }
+}
+
+std::optional<limits::share_grant> share_link::answer(const limits::row_order::owned &row,
+                                                      const limits::share_demand &demand) {
+    const std::scoped_lock lock{mutex_};
+    lends_ = true;
+    return ledger_.answer(internal::key_of(row), demand);
+}
+
+void share_link::take_grant(const limits::row_order::owned &row, const limits::share_grant &grant) {
+    const std::scoped_lock lock{mutex_};
+    const auto found = rows_.find(row);
+    if (found == rows_.end() || !holder_.apply(internal::key_of(row), grant)) {
+        return;
+    }
+    auto &sent = found->second.sent;
+    if (const auto at = sent.find(grant.sequence); at != sent.end()) {
+        found->second.expires = at->second + limits::grant_lifetime;
+        sent.erase(sent.begin(), std::next(at));
+    }
+    mark_changed();
+}
+
+void share_link::take_grants(std::string_view body) {
+    try {
+        const auto value = json::parse(body);
+        for (const auto &it : value.at("grants")) {
+            take_grant({it.at("organisation").get<std::string>(), it.at("service").get<std::string>()},
+                       grant_of(it.at("grant")));
+        }
+    } catch (const json::exception &) {
+        // As no answer: the grants in force expire.
+        return;
+    }
+}
+
+http::response share_link::on_demand(const http::request &message) {
+    auto grants = json::array();
+    try {
+        const auto value = json::parse(message.body);
+        for (const auto &it : value.at("rows")) {
+            const limits::row_order::owned row{it.at("organisation").get<std::string>(),
+                                               it.at("service").get<std::string>()};
+            if (const auto grant = answer(row, demand_of(it.at("demand")))) {
+                grants.push_back({{"organisation", row.first}, {"service", row.second}, {"grant", to_json(*grant)}});
+            }
+        }
+    } catch (const json::exception &) {
+        return internal::share_answer(400, {{"grants", json::array()}});
+    }
+    return internal::share_answer(200, {{"grants", std::move(grants)}});
+}
+
+http::response share_link::on_epoch_question() const {
+    std::uint64_t number = 0;
+    {
+        const std::scoped_lock lock{mutex_};
+        number = epoch_ ? epoch_->epoch.number : 0;
+    }
+    // Checked after the number was read: while the lease is held nobody else writes a later epoch.
+    const auto authority = with_.authority();
+    if (!authority || !(*authority)()) {
+        return internal::share_answer(503, {{"holder", false}});
+    }
+    return internal::share_answer(200, {{"number", number}});
+}
+
+void share_link::adopt(const epoch_object &found) {
+    const std::scoped_lock lock{mutex_};
+    if (epoch_ && (found.version <= epoch_->version || found.epoch.number < epoch_->epoch.number)) {
+        return;
+    }
+    if (!epoch_ || found.epoch.number > epoch_->epoch.number) {
+        holder_.set_epoch(found.epoch);
+        ledger_.set_epoch(found.epoch);
+        confirmed_until_ = {};
+        log::write("shares_epoch_adopted", {{"epoch", found.epoch.number}, {"members", found.epoch.members.size()}});
+    }
+    epoch_ = found;
+    mark_changed();
+}
+
+void share_link::mark_changed() {
+    changed_ = true;
+    // Only wakes the dispatcher's thread; when the ring is full it is awake.
+    (void)with_.events.try_push(share_event{});
+}
+
+void share_link::read_epoch() {
+    const auto found = with_.store.get(share_epoch_key);
+    if (!found) {
+        return;
+    }
+    if (!found.value()) {
+        const std::scoped_lock lock{mutex_};
+        epoch_absent_ = true;
+        return;
+    }
+    if (const auto parsed = parse_epoch(*found.value())) {
+        adopt(parsed.value());
+    }
+}
+
+void share_link::confirmed(std::uint64_t number, base::instant asked) {
+    const std::scoped_lock lock{mutex_};
+    ledger_.confirm(number, asked);
+    if (epoch_ && epoch_->epoch.number == number) {
+        confirmed_until_ = std::max(confirmed_until_, asked + limits::grant_lifetime);
+    }
+}
+
+void share_link::confirm_epoch() {
+    std::string confirmer;
+    {
+        const std::scoped_lock lock{mutex_};
+        if (!epoch_ || (!lends_ && epoch_->epoch.members.size() > 1)) {
+            return;
+        }
+        confirmer = epoch_->confirmer;
+    }
+    const auto asked = with_.time.now();
+    const auto take = [this, asked](const http::response &answer) {
+        const auto body = answer.status == 200 ? json::parse(answer.body, nullptr, false) : json{};
+        if (body.is_object()) {
+            confirmed(body.value("number", std::uint64_t{0}), asked);
+        }
+    };
+    if (const auto own = on_epoch_question(); own.status == 200) {
+        take(own);
+        return;
+    }
+    with_.calls.call(confirmer, {"GET", "/shares/epoch", {}, ""}, [take](const base::result<http::response> &answer) {
+        if (answer) {
+            take(answer.value());
+        }
+    });
+}
+
+void share_link::run(const std::stop_token &token) {
+    std::mutex mutex;
+    std::condition_variable_any wake;
+    while (!token.stop_requested()) {
+        read_epoch();
+        confirm_epoch();
+        // Floors that grow with time and a host list that has changed come into force here.
+        mark_changed();
+        std::unique_lock lock{mutex};
+        wake.wait_for(lock, token, options_.epoch_every, [] { return false; });
+    }
+}
+
+} // namespace dotterelstack::entry
--- /dev/null
+++ b/src/entry/share_link.hpp
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "config/config_state.hpp"
+#include "entry/events.hpp"
+#include "entry/peer_port.hpp"
+#include "entry/share_epoch_object.hpp"
+#include "lease/authority_check.hpp"
+#include "limits/share_holder.hpp"
+#include "limits/share_ledger.hpp"
+#include "limits/share_units.hpp"
+#include "store/object_store.hpp"
+
+namespace dotterelstack::entry {
+
+/** @brief Settings of a `share_link`. */
+struct share_link_options {
+    std::string incarnation;                                     /**< Member of the epoch. */
+    base::duration demand_every{std::chrono::milliseconds{250}}; /**< A grant lives 2 s: seven may be lost. */
+    base::duration epoch_every{std::chrono::seconds{1}};         /**< Reading `shares/epoch` and confirming it. */
+};
+
+/**
+ * @brief Connects the shared limits of an entry: its demands and grants, its part as a coordinator, the epoch in force.
+ *
+ * Demands are built and shares are applied on the dispatcher's thread, so that no request is admitted between a lent
+ * amount being given back and the message that says so. A thread of its own reads the epoch and confirms it.
+ */
+class share_link {
+public:
+    using load_source = std::function<limits::row_status(limits::row_key row)>;
+    using share_sink = std::function<void(limits::row_key row, const limits::row_share &share)>;
+    /** @brief Tells whether no other entry is known, from a host list that has been read. */
+    using alone_check = std::function<bool()>;
+    /** @brief Check of the lease `shares`, when this entry holds it and has written the epoch under it. */
+    using authority_source = std::function<std::optional<lease::authority_check>()>;
+
+    /** @brief Collaborators; all must outlive the link. */
+    struct dependencies {
+        const base::clock &time;
+        store::object_store &store;
+        event_ring &events;
+        peer_port &calls;
+        alone_check alone;
+        authority_source authority;
+    };
+
+    share_link(share_link_options options, dependencies with);
+    share_link(const share_link &) = delete;
+    share_link &operator=(const share_link &) = delete;
+    share_link(share_link &&) = delete;
+    share_link &operator=(share_link &&) = delete;
+    ~share_link();
+
+    void start();
+    void stop();
+
+    /** @brief Takes the limits of all rows over; `tick` must follow before a request is admitted. */
+    void set_config(const config::config_state &state);
+
+    /** @brief Applies what has changed and sends demands when they are due. Call before each event; returns at once. */
+    void tick(const load_source &load, const share_sink &apply);
+
+    /** @brief Applies an epoch read from the store; an older version is ignored. */
+    void adopt(const epoch_object &found);
+
+    /** @brief Answers `POST /shares/demand`. */
+    [[nodiscard]] http::response on_demand(const http::request &message);
+
+    /** @brief Answers `GET /shares/epoch`: whether this entry holds the lease and which epoch is current. */
+    [[nodiscard]] http::response on_epoch_question() const;
+
+    /** @return Number of the epoch whose shares the dispatcher applies, 0 before the first. */
+    [[nodiscard]] std::uint64_t epoch() const noexcept { return applied_epoch_; }
+
+private:
+    struct row_state {
+        limits::share_amounts limit{};
+        limits::row_status seen{};
+        base::instant seen_at{};
+        bool active{false};                             /**< The last demand asked for something. */
+        base::instant expires{};                        /**< End of the grant in force, or an earlier instant. */
+        std::map<std::uint64_t, base::instant> sent{};  /**< Demands without answer. */
+        std::optional<limits::share_amounts> applied{}; /**< Allowance that the dispatcher has. */
+    };
+
+    struct addressed_demand {
+        std::string coordinator;
+        limits::row_order::owned row;
+        limits::share_demand demand;
+    };
+
+    [[nodiscard]] std::vector<addressed_demand> build_demands(const load_source &load);
+    [[nodiscard]] std::optional<limits::row_use> take_use(row_state &row, const limits::row_status &status) const;
+    void apply_shares(const share_sink &apply);
+    [[nodiscard]] limits::share_amounts allowance_of(const limits::row_order::owned &key, const row_state &row) const;
+    void send(std::vector<addressed_demand> demands);
+    void take_grants(std::string_view body);
+    [[nodiscard]] std::optional<limits::share_grant> answer(const limits::row_order::owned &row,
+                                                            const limits::share_demand &demand);
+    void take_grant(const limits::row_order::owned &row, const limits::share_grant &grant);
+    [[nodiscard]] bool owns_all() const;
+    void read_epoch();
+    void confirm_epoch();
+    void confirmed(std::uint64_t number, base::instant asked);
+    void mark_changed();
+    void run(const std::stop_token &token);
+
+    const share_link_options options_;
+    dependencies with_;
+    std::atomic<bool> changed_{true};
+    std::atomic<std::uint64_t> applied_epoch_{0};
+
+    // Used by the dispatcher's thread only.
+    base::instant demands_due_{};
+    base::instant expiry_{base::instant::max()};
+
+    mutable std::mutex mutex_;
+    limits::share_holder holder_;
+    limits::share_ledger ledger_;
+    std::map<limits::row_order::owned, row_state, limits::row_order> rows_;
+    std::optional<epoch_object> epoch_;
+    bool epoch_absent_{false};        /**< The store was read and has no epoch. */
+    base::instant confirmed_until_{}; /**< No other epoch can have granted anything before it. */
+    bool lends_{false};               /**< A demand has reached this entry as a coordinator. */
+    std::jthread thread_;
+};
+
+} // namespace dotterelstack::entry
--- /dev/null
+++ b/src/entry/share_task.cpp
@@ -0,0 +1,230 @@
+#include "entry/share_task.hpp"
+
+#include <algorithm>
+#include <condition_variable>
+#include <nlohmann/json.hpp>
+
+#include "store/settled_write.hpp"
+
+namespace dotterelstack::entry {
+
+using nlohmann::json;
+
+namespace internal {
+
+std::set<std::string> names_of(const std::vector<limits::share_member> &members) {
+    std::set<std::string> out;
+    for (const auto &it : members) {
+        out.insert(it.entry);
+    }
+    return out;
+}
+
+std::uint64_t divisor_of(const limits::share_epoch &epoch) noexcept {
+    return epoch.members.empty() ? 0 : epoch.members.front().divisor;
+}
+
+} // namespace internal
+
+share_task::share_task(const settings::entry_timings &timings, share_task_options options, dependencies with)
+    : options_{std::move(options)}, with_{std::move(with)}, lease_{lease_settings_of(timings, "shares",
+                                                                                     options_.incarnation),
+                                                                   with_.time, with_.store, with_.ids,
+                                                                   with_.candidate} {}
+
+share_task::~share_task() {
+    stop();
+}
+
+void share_task::start(std::string address) {
+    address_ = std::move(address);
+    lease_.start();
+    thread_ = std::jthread{[this](const std::stop_token &token) { run(token); }};
+}
+
+void share_task::stop() {
+    if (thread_.joinable()) {
+        thread_.request_stop();
+        thread_.join();
+    }
+    lease_.stop();
+}
+
+std::optional<lease::authority_check> share_task::authority() const {
+    auto out = lease_.authority();
+    const std::scoped_lock lock{mutex_};
+    return out && established_ == out->fence() ? out : std::nullopt;
+}
+
+void share_task::run(const std::stop_token &token) {
+    std::mutex mutex;
+    std::condition_variable_any wake;
+    while (!token.stop_requested()) {
+        if (const auto authority = lease_.authority()) {
+            ask_entries();
+            work(*authority);
+        } else {
+            const std::scoped_lock lock{mutex_};
+            established_.reset();
+            term_started_ = {};
+        }
+        std::unique_lock lock{mutex};
+        wake.wait_for(lock, token, options_.interval, [] { return false; });
+    }
+}
+
+void share_task::ask_entries() {
+    const auto peers = with_.peers();
+    std::vector<std::string> to_ask;
+    {
+        const std::scoped_lock lock{mutex_};
+        for (const auto &it : peers) {
+            auto &view = views_[it.address];
+            view.leaving = !it.live && !it.host.empty();
+            if (!std::exchange(view.asked, true)) {
+                to_ask.push_back(it.address);
+            }
+        }
+    }
+    const auto asked = with_.time.now();
+    for (const auto &address : to_ask) {
+        with_.calls.call(
+            address, {"GET", "/status", {}, ""}, [this, address, asked](const base::result<http::response> &answer) {
+                const auto body =
+                    answer && answer.value().status == 200 ? json::parse(answer.value().body, nullptr, false) : json{};
+                const std::scoped_lock lock{mutex_};
+                auto &view = views_[address];
+                view.asked = false;
+                if (body.is_object()) {
+                    view.incarnation = body.value("incarnation", std::string{});
+                    view.host = body.value("name", std::string{});
+                    view.applied = body.value("share_epoch", std::uint64_t{0});
+                    view.answered = asked;
+                }
+            });
+    }
+}
+
+void share_task::work(const lease::authority_check &authority) {
+    const auto now = with_.time.now();
+    if (term_started_ == base::instant{}) {
+        term_started_ = now;
+        current_.reset();
+    }
+    if (!current_) {
+        const auto found = with_.store.get(share_epoch_key);
+        if (!found) {
+            return;
+        }
+        epoch_object read;
+        if (found.value()) {
+            const auto parsed = parse_epoch(*found.value());
+            if (!parsed) {
+                return;
+            }
+            read = parsed.value();
+        }
+        current_ = std::move(read);
+    }
+    bool established = false;
+    {
+        const std::scoped_lock lock{mutex_};
+        established = established_ == authority.fence();
+    }
+    const auto planned = plan(*current_);
+    if (needed(*current_, planned)) {
+        write(authority, planned);
+    } else if (!established) {
+        // Writing the same epoch shows that the read was not stale, and names the entry that confirms it.
+        auto same = *current_;
+        same.confirmer = address_;
+        write(authority, same);
+    }
+}
+
+epoch_object share_task::plan(const epoch_object &current) const {
+    const auto now = with_.time.now();
+    const auto members = internal::names_of(current.epoch.members);
+    epoch_object out;
+    out.confirmer = address_;
+    out.version = current.version;
+    std::set<std::string> entries{options_.incarnation};
+    std::set<std::string> applied;
+    std::map<std::string, std::string> present; // Incarnation by host.
+    out.places[options_.incarnation] = {options_.host, address_};
+    present[options_.host] = options_.incarnation;
+    if (with_.applied() >= current.epoch.number) {
+        applied.insert(options_.incarnation);
+    }
+    const std::scoped_lock lock{mutex_};
+    for (const auto &[address, it] : views_) {
+        if (it.incarnation.empty()) {
+            continue;
+        }
+        const auto age = now - it.answered;
+        const bool known = members.contains(it.incarnation);
+        if (age <= (known ? options_.silence : options_.fresh) && !(it.leaving && age > options_.fresh)) {
+            entries.insert(it.incarnation);
+            out.places[it.incarnation] = {it.host, address};
+            present[it.host] = it.incarnation;
+        }
+        if (it.applied >= current.epoch.number) {
+            applied.insert(it.incarnation);
+        }
+    }
+    std::vector<std::string> ended;
+    for (const auto &[entry, place] : current.places) {
+        const auto found = present.find(place.host);
+        const bool replaced = found != present.end() && found->second != entry;
+        if (replaced) {
+            ended.push_back(entry);
+        } else if (members.contains(entry) && now - term_started_ < options_.silence) {
+            // A new holder has not had the time to hear from every member.
+            entries.insert(entry);
+        }
+        out.places.try_emplace(entry, place);
+    }
+    const std::vector<std::string> entry_list{entries.begin(), entries.end()};
+    const std::vector<std::string> applied_list{applied.begin(), applied.end()};
+    out.epoch = limits::plan_epoch(current.epoch, entry_list, applied_list, ended);
+    auto listed = internal::names_of(out.epoch.members);
+    listed.merge(internal::names_of(out.epoch.outstanding));
+    std::erase_if(out.places, [&listed](const auto &it) { return !listed.contains(it.first); });
+    return out;
+}
+
+bool share_task::needed(const epoch_object &current, const epoch_object &planned) const {
+    if (internal::names_of(current.epoch.members) != internal::names_of(planned.epoch.members)) {
+        return true;
+    }
+    const auto before = internal::divisor_of(current.epoch);
+    const auto after = internal::divisor_of(planned.epoch);
+    const bool raises = after != 0 && (before == 0 || after < before);
+    return raises && with_.time.now() - epoch_written_ > options_.epoch_pause;
+}
+
+void share_task::write(const lease::authority_check &authority, const epoch_object &value) {
+    if (!authority()) {
+        return;
+    }
+    {
+        // Nothing is confirmed from before the write until its outcome is known: new coordinators count the settling
+        // time from their first sight of the new epoch.
+        const std::scoped_lock lock{mutex_};
+        established_.reset();
+    }
+    const auto written = store::settled_write(with_.store, with_.ids, share_epoch_key, to_json(value), value.version);
+    if (!written) {
+        // Another holder may have written: only what the store holds counts.
+        current_.reset();
+        return;
+    }
+    epoch_written_ = with_.time.now();
+    current_ = value;
+    current_->version = written.value();
+    with_.on_epoch(*current_);
+    const std::scoped_lock lock{mutex_};
+    established_ = authority.fence();
+}
+
+} // namespace dotterelstack::entry
--- a/src/entry/usage_link.cpp
+++ b/src/entry/usage_link.cpp
@@ -1,19 +1,77 @@
 #include "entry/usage_link.hpp"
 
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "log/event.hpp"
+
 namespace dotterelstack::entry {
 
-void usage_link::start() {
-    thread_ = std::thread{[this] {
-        while (auto it = ring_.pop()) {
-            events_.push(usage_held_event{it->request});
-        }
-    }};
+using nlohmann::json;
+
+namespace internal {
+
+// Longest sleep of both threads while nothing is due.
+constexpr auto usage_idle_wait = std::chrono::milliseconds{50};
+// A peer that did not answer in time is not chosen again for so long; its connection is replaced within 1.5 s.
+constexpr auto peer_pause = std::chrono::seconds{2};
+constexpr auto hold_retry_interval = std::chrono::seconds{1};
+constexpr auto unheld_report_interval = std::chrono::minutes{1};
+// Pause after a failed flush, and the longest wait for the responses to the last releases.
+constexpr auto flush_retry = std::chrono::seconds{2};
+constexpr auto release_wait = std::chrono::milliseconds{500};
+// Records of one `POST /usage/hold`; about 200 bytes each.
+constexpr std::size_t hold_batch = 1000;
+// Address of the owner in `POST /usage/hold`, by which its process is watched.
+constexpr std::string_view address_field = "ds-address";
+
+usage::recorder_settings recorder_settings_of(const usage_link_options &options) {
+    return {.owner = options.incarnation,
+            .flush_every = options.flush_every,
+            .retry_after = std::min<base::duration>(flush_retry, options.flush_every)};
+}
+
+http::response json_answer(int status, const json &body) {
+    return {status, {{"content-type", "application/json"}}, body.dump()};
+}
+
+http::request post(std::string target, const std::string &address, const json &body) {
+    return {"POST",
+            std::move(target),
+            {{"content-type", "application/json"}, {std::string{address_field}, address}},
+            body.dump()};
+}
+
+} // namespace internal
+
+usage_link::usage_link(usage_link_options options, dependencies with)
+    : options_{std::move(options)}, with_{std::move(with)}, ring_{options_.requests * 3},
+      recorder_{with_.time, internal::recorder_settings_of(options_)} {}
+
+usage_link::~usage_link() {
+    stop();
+}
+
+void usage_link::start(std::string address) {
+    address_ = std::move(address);
+    started_ = true;
+    hold_thread_ = std::thread{[this] { run_holds(); }};
+    flush_thread_ = std::thread{[this] { run_flushes(); }};
 }
 
 void usage_link::stop() {
     ring_.close();
-    if (thread_.joinable()) {
-        thread_.join();
+    if (hold_thread_.joinable()) {
+        hold_thread_.join();
+    }
+    {
+        const std::scoped_lock lock{mutex_};
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    if (flush_thread_.joinable()) {
+        flush_thread_.join();
     }
 }
 
@@ -21,4 +79,400 @@
     ring_.push(std::move(used));
 }
 
+std::size_t usage_link::waiting() const {
+    const std::scoped_lock lock{mutex_};
+    return recorder_.waiting();
+}
+
+std::size_t usage_link::held() const {
+    const std::scoped_lock lock{mutex_};
+    return holder_.held();
+}
+
+http::response usage_link::on_hold(const http::request &message) {
+    const auto records = usage::parse_hold_body(message.body);
+    const auto address = http::find_field(message.fields, internal::address_field);
+    if (!records || !address) {
+        return internal::json_answer(400, {{"held", false}});
+    }
+    const std::scoped_lock lock{mutex_};
+    if (stopping_ || !started_) {
+        return internal::json_answer(503, {{"held", false}});
+    }
+    holder_.hold(records.value());
+    for (const auto &it : records.value()) {
+        owner_addresses_[it.owner] = *address;
+    }
+    // The owner was alive when it sent this.
+    auto &view = views_[std::string{*address}];
+    view.answered = with_.time.now();
+    if (!view.incarnation.empty() && !records.value().empty()) {
+        view.incarnation = records.value().front().owner;
+    }
+    return internal::json_answer(200, {{"held", true}});
+}
+
+http::response usage_link::on_release(const http::request &message) {
+    const auto body = json::parse(message.body, nullptr, false);
+    try {
+        const auto owner = body.at("owner").get<std::string>();
+        const auto sequences = body.at("sequences").get<std::vector<std::uint64_t>>();
+        const std::scoped_lock lock{mutex_};
+        holder_.release(owner, sequences);
+    } catch (const json::exception &) {
+        return internal::json_answer(400, {{"released", false}});
+    }
+    return internal::json_answer(200, {{"released", true}});
+}
+
+void usage_link::take(ring_item it, std::vector<usage::usage_record> &fresh) {
+    if (auto *used = std::get_if<served_usage>(&it)) {
+        const std::scoped_lock lock{mutex_};
+        fresh.push_back(recorder_.record(std::move(used->request), std::move(used->organisation),
+                                         std::move(used->service), used->prompt_tokens, used->generated_tokens));
+        return;
+    }
+    const auto &outcome = std::get<hold_outcome>(it);
+    const auto found = calls_.find(outcome.call);
+    if (found == calls_.end()) {
+        return;
+    }
+    auto call = std::move(found->second);
+    calls_.erase(found);
+    if (outcome.held) {
+        {
+            const std::scoped_lock lock{mutex_};
+            for (const auto &record : call.records) {
+                (void)recorder_.on_held(record.sequence, call.peer);
+            }
+        }
+        release_responses(call);
+        return;
+    }
+    const auto now = with_.time.now();
+    failed_[call.peer] = now + internal::peer_pause;
+    if (call.responses_wait && now < call.deadline) {
+        hold(std::move(call.records), true, call.deadline);
+    }
+}
+
+void usage_link::run_holds() {
+    while (true) {
+        std::vector<usage::usage_record> fresh;
+        if (auto it = ring_.pop_for(calls_.empty() ? internal::usage_idle_wait : std::chrono::milliseconds{10})) {
+            take(std::move(*it), fresh);
+            while (fresh.size() < internal::hold_batch) {
+                auto more = ring_.pop_for(base::duration{0});
+                if (!more) {
+                    break;
+                }
+                take(std::move(*more), fresh);
+            }
+        } else if (ring_.closed()) {
+            break;
+        }
+        if (!fresh.empty()) {
+            hold(std::move(fresh), true, with_.time.now() + options_.hold_deadline);
+        }
+        expire_holds();
+        retry_holds();
+    }
+    for (auto &[id, call] : calls_) {
+        release_responses(call);
+    }
+    calls_.clear();
+}
+
+std::string usage_link::choose_peer() const {
+    const auto now = with_.time.now();
+    std::string best;
+    std::pair<int, std::size_t> best_rank{};
+    for (const auto &it : with_.peers()) {
+        const auto failed = failed_.find(it.address);
+        if (it.address == address_ || (failed != failed_.end() && now < failed->second)) {
+            continue;
+        }
+        // Another failure domain first, then a listed host; among equals the hash spreads owners over peers.
+        const int other = !it.failure_domain.empty() && it.failure_domain != options_.failure_domain ? 2 : 0;
+        const std::pair rank{other + (it.live ? 1 : 0), std::hash<std::string>{}(options_.incarnation + it.address)};
+        if (best.empty() || rank > best_rank) {
+            best = it.address;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+void usage_link::hold(std::vector<usage::usage_record> records, bool responses_wait, base::instant deadline) {
+    hold_call call{choose_peer(), std::move(records), responses_wait, deadline};
+    if (call.peer.empty()) {
+        report_unheld();
+        release_responses(call);
+        return;
+    }
+    const auto id = next_call_++;
+    const auto &sent = calls_[id] = std::move(call);
+    with_.calls.call(sent.peer, internal::post("/usage/hold", address_, usage::hold_body(sent.records)),
+                     [this, id](const base::result<http::response> &answer) {
+                         // A dropped outcome counts as no answer; the loop's thread must not wait for the ring.
+                         (void)ring_.try_push(hold_outcome{id, answer && answer.value().status == 200});
+                     });
+}
+
+void usage_link::expire_holds() {
+    const auto now = with_.time.now();
+    for (auto &[id, call] : calls_) {
+        if (call.responses_wait && now >= call.deadline) {
+            // The call stays known, as a late answer still shows that the peer holds the records.
+            failed_[call.peer] = now + internal::peer_pause;
+            report_unheld();
+            release_responses(call);
+        }
+    }
+    std::erase_if(calls_, [&](const auto &it) { return now > it.second.deadline + internal::peer_pause; });
+}
+
+void usage_link::retry_holds() {
+    const auto now = with_.time.now();
+    if (now < retry_due_) {
+        return;
+    }
+    retry_due_ = now + internal::hold_retry_interval;
+    std::set<std::uint64_t> on_the_way;
+    for (const auto &[id, call] : calls_) {
+        for (const auto &it : call.records) {
+            on_the_way.insert(it.sequence);
+        }
+    }
+    std::vector<usage::usage_record> records;
+    {
+        const std::scoped_lock lock{mutex_};
+        records = recorder_.not_held();
+    }
+    std::erase_if(records, [&](const auto &it) { return on_the_way.contains(it.sequence); });
+    records.resize(std::min(records.size(), internal::hold_batch));
+    if (!records.empty()) {
+        hold(std::move(records), false, now);
+    }
+}
+
+void usage_link::release_responses(hold_call &call) {
+    if (std::exchange(call.responses_wait, false)) {
+        for (const auto &it : call.records) {
+            with_.events.push(usage_held_event{it.request});
+        }
+    }
+}
+
+void usage_link::report_unheld() {
+    const auto now = with_.time.now();
+    if (now >= report_due_) {
+        report_due_ = now + internal::unheld_report_interval;
+        log::write("usage_hold_failed", {{"waiting", waiting()}});
+    }
+}
+
+void usage_link::run_flushes() {
+    while (true) {
+        {
+            std::unique_lock lock{mutex_};
+            if (wake_.wait_for(lock, internal::usage_idle_wait, [this] { return stopping_; })) {
+                break;
+            }
+        }
+        read_open_window();
+        while (flush_own()) {
+        }
+        watch_peers();
+        if (with_.time.now() >= held_flush_due_) {
+            while (flush_held()) {
+            }
+        }
+    }
+    flush_until(with_.time.now() + options_.stop_limit);
+}
+
+void usage_link::flush_until(base::instant limit) {
+    {
+        const std::scoped_lock lock{mutex_};
+        // Owners may lose their only other copy with this process, and storing a record twice does no harm.
+        for (const auto &[owner, address] : owner_addresses_) {
+            holder_.on_owner_gone(owner);
+        }
+    }
+    while ((waiting() > 0 || held() > 0) && with_.time.now() < limit) {
+        {
+            const std::scoped_lock lock{mutex_};
+            recorder_.flush_now();
+        }
+        const bool own = flush_own();
+        const bool others = flush_held();
+        if (!own && !others) {
+            std::this_thread::sleep_for(internal::usage_idle_wait);
+        }
+    }
+    std::unique_lock lock{mutex_};
+    wake_.wait_for(lock, internal::release_wait, [this] { return releases_ == 0; });
+}
+
+void usage_link::read_open_window() {
+    const auto now = with_.time.now();
+    if (now < open_due_) {
+        return;
+    }
+    open_due_ = now + options_.flush_every;
+    const auto found = with_.store.get(usage::open_window_key);
+    if (!found || !found.value()) {
+        open_due_ = now + std::min<base::duration>(options_.flush_every, internal::flush_retry);
+        return;
+    }
+    const auto open = usage::parse_open(*found.value());
+    if (!open) {
+        return;
+    }
+    {
+        const std::scoped_lock lock{mutex_};
+        recorder_.on_open_window(open.value().window);
+    }
+    if (with_.on_open) {
+        with_.on_open(open.value());
+    }
+}
+
+bool usage_link::flush_own() {
+    std::optional<usage::usage_batch> batch;
+    {
+        const std::scoped_lock lock{mutex_};
+        batch = recorder_.next_batch();
+    }
+    if (!batch) {
+        return false;
+    }
+    const auto stored = usage::store_batch(with_.store, with_.ids, *batch);
+    std::vector<usage::hold_release> releases;
+    {
+        const std::scoped_lock lock{mutex_};
+        releases = recorder_.on_flushed(*batch, stored);
+    }
+    if (!stored) {
+        return false;
+    }
+    log::write("usage_batch_written", {{"records", batch->records.size()}, {"window", batch->window}});
+    release_at_peers(releases);
+    return true;
+}
+
+void usage_link::release_at_peers(const std::vector<usage::hold_release> &releases) {
+    for (const auto &it : releases) {
+        {
+            const std::scoped_lock lock{mutex_};
+            ++releases_;
+        }
+        with_.calls.call(it.peer,
+                         internal::post("/usage/release", address_, {{"owner", it.owner}, {"sequences", it.sequences}}),
+                         [this](const base::result<http::response> & /*answer*/) {
+                             // A lost release costs memory until the owner is gone, and no double billing.
+                             const std::scoped_lock lock{mutex_};
+                             --releases_;
+                             wake_.notify_all();
+                         });
+    }
+}
+
+bool usage_link::flush_held() {
+    std::optional<usage::usage_batch> batch;
+    {
+        const std::scoped_lock lock{mutex_};
+        batch = holder_.next_batch();
+    }
+    if (!batch) {
+        return false;
+    }
+    const auto stored = usage::store_batch(with_.store, with_.ids, *batch);
+    {
+        const std::scoped_lock lock{mutex_};
+        holder_.on_flushed(*batch, stored);
+    }
+    if (!stored) {
+        held_flush_due_ = with_.time.now() + internal::flush_retry;
+        return false;
+    }
+    log::write("usage_batch_written",
+               {{"records", batch->records.size()}, {"window", batch->window}, {"owner", batch->owner}});
+    return true;
+}
+
+bool usage_link::gone(const peer_view &view, bool listed) const {
+    const auto silent = with_.time.now() - view.answered;
+    return silent > options_.listed_silence || (silent > options_.silence && !listed);
+}
+
+void usage_link::watch_peers() {
+    const auto now = with_.time.now();
+    if (now < watch_due_) {
+        return;
+    }
+    watch_due_ = now + options_.status_every;
+    std::set<std::string> live;
+    std::set<std::string> watched;
+    for (const auto &it : with_.peers()) {
+        if (it.live) {
+            live.insert(it.address);
+        }
+    }
+    {
+        const std::scoped_lock lock{mutex_};
+        const auto owners = holder_.owners();
+        std::erase_if(owner_addresses_, [&](const auto &it) { return !owners.contains(it.first); });
+        for (const auto &[owner, address] : owner_addresses_) {
+            watched.insert(address);
+            auto &view = views_.try_emplace(address, peer_view{{}, now}).first->second;
+            const bool replaced = !view.incarnation.empty() && view.incarnation != owner;
+            if (replaced || gone(view, live.contains(address))) {
+                holder_.on_owner_gone(owner);
+            }
+        }
+        for (const auto &address : recorder_.peers()) {
+            watched.insert(address);
+            auto &view = views_.try_emplace(address, peer_view{{}, now}).first->second;
+            if (gone(view, live.contains(address))) {
+                // The hold thread has them held elsewhere.
+                (void)recorder_.on_peer_gone(address);
+            }
+        }
+        std::erase_if(views_, [&](const auto &it) { return !it.second.asked && !watched.contains(it.first); });
+    }
+    for (const auto &address : watched) {
+        ask_status(address);
+    }
+}
+
+void usage_link::ask_status(const std::string &address) {
+    {
+        const std::scoped_lock lock{mutex_};
+        auto &view = views_[address];
+        if (std::exchange(view.asked, true)) {
+            return;
+        }
+    }
+    const auto asked = with_.time.now();
+    with_.calls.call(address, {"GET", "/status", {}, ""}, [this, address, asked](base::result<http::response> answer) {
+        const auto body =
+            answer && answer.value().status == 200 ? json::parse(answer.value().body, nullptr, false) : json{};
+        const std::scoped_lock lock{mutex_};
+        auto &view = views_[address];
+        view.asked = false;
+        if (!body.is_object()) {
+            return;
+        }
+        const auto incarnation = body.value("incarnation", std::string{});
+        if (!view.incarnation.empty() && view.incarnation != incarnation) {
+            // The process that held records has been replaced, and its memory is lost.
+            (void)recorder_.on_peer_gone(address);
+        }
+        view.incarnation = incarnation;
+        view.answered = std::max(view.answered, asked);
+    });
+}
+
 } // namespace dotterelstack::entry
--- a/src/entry/usage_link.hpp
+++ b/src/entry/usage_link.hpp
@@ -1,32 +1,157 @@
 #pragma once
 
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
 #include <thread>
+#include <variant>
+#include <vector>
 
+#include "base/id.hpp"
 #include "base/ring.hpp"
 #include "entry/events.hpp"
+#include "entry/peer_port.hpp"
 #include "entry/ports.hpp"
+#include "store/object_store.hpp"
+#include "usage/sealed_window.hpp"
+#include "usage/usage_holder.hpp"
+#include "usage/usage_recorder.hpp"
 
 namespace dotterelstack::entry {
 
-/** @brief `usage_port` that passes records on by a thread of its own. */
+/** @brief Settings of a `usage_link`. */
+struct usage_link_options {
+    std::string incarnation; /**< Owner of this entry's records. */
+    std::string failure_domain;
+    std::size_t requests{1000}; /**< Largest number of concurrent requests. */
+    base::duration flush_every{std::chrono::seconds{30}};
+    base::duration hold_deadline{std::chrono::milliseconds{200}}; /**< Longest wait of a response for the peer. */
+    base::duration status_every{std::chrono::milliseconds{500}};
+    base::duration silence{std::chrono::seconds{5}};         /**< An unlisted peer is gone after it. */
+    base::duration listed_silence{std::chrono::seconds{30}}; /**< A peer that is still listed is gone after it. */
+    base::duration stop_limit{std::chrono::seconds{5}};      /**< Longest flush of a graceful stop. */
+};
+
+/**
+ * @brief `usage_port` that has each record held by a peer and flushes records to the store.
+ *
+ * Two threads: one numbers records and has them held, the other calls the store and watches the peers that hold
+ * records or whose records are held here.
+ */
 class usage_link final : public usage_port {
 public:
-    /** @param requests Largest number of concurrent requests; the ring is never full with it. */
-    usage_link(event_ring &events, std::size_t requests) : events_{events}, ring_{requests} {}
+    using peer_source = std::function<std::vector<peer_entry>()>;
+    using open_sink = std::function<void(const usage::open_window &)>;
+
+    /** @brief Collaborators; all must outlive the link. `on_open` is called whenever `usage/open` has been read. */
+    struct dependencies {
+        const base::clock &time;
+        store::object_store &store;
+        base::id_source &ids;
+        event_ring &events;
+        peer_port &calls;
+        peer_source peers;
+        open_sink on_open;
+    };
+
+    usage_link(usage_link_options options, dependencies with);
     usage_link(const usage_link &) = delete;
     usage_link &operator=(const usage_link &) = delete;
     usage_link(usage_link &&) = delete;
     usage_link &operator=(usage_link &&) = delete;
-    ~usage_link() override { stop(); }
+    ~usage_link() override;
+
+    /** @param address Own address for peers. */
+    void start(std::string address);
 
-    void start();
+    /** @brief Flushes what is left, own records and held ones, and ends the threads. */
     void stop();
+
     void record(served_usage used) override;
 
+    /** @brief Answers `POST /usage/hold` of a peer. */
+    [[nodiscard]] http::response on_hold(const http::request &message);
+
+    /** @brief Answers `POST /usage/release` of a peer. */
+    [[nodiscard]] http::response on_release(const http::request &message);
+
+    /** @return Own records that are not in the store yet. */
+    [[nodiscard]] std::size_t waiting() const;
+
+    /** @return Records held for peers. */
+    [[nodiscard]] std::size_t held() const;
+
 private:
-    event_ring &events_;
-    base::bounded_ring<served_usage> ring_;
-    std::thread thread_;
+    struct hold_outcome {
+        std::uint64_t call{0};
+        bool held{false};
+    };
+    using ring_item = std::variant<served_usage, hold_outcome>;
+
+    /** One `POST /usage/hold` on its way. */
+    struct hold_call {
+        std::string peer;
+        std::vector<usage::usage_record> records;
+        bool responses_wait{false};
+        base::instant deadline{}; /**< Of the responses that wait. */
+    };
+
+    /** What is known about the process behind an address. */
+    struct peer_view {
+        std::string incarnation;
+        base::instant answered{};
+        bool asked{false};
+    };
+
+    void run_holds();
+    void run_flushes();
+    void take(ring_item it, std::vector<usage::usage_record> &fresh);
+    void hold(std::vector<usage::usage_record> records, bool responses_wait, base::instant deadline);
+    void expire_holds();
+    void retry_holds();
+    void release_responses(hold_call &call);
+    void report_unheld();
+    [[nodiscard]] std::string choose_peer() const;
+    void read_open_window();
+    bool flush_own();
+    bool flush_held();
+    void watch_peers();
+    void ask_status(const std::string &address);
+    [[nodiscard]] bool gone(const peer_view &view, bool listed) const;
+    void release_at_peers(const std::vector<usage::hold_release> &releases);
+    void flush_until(base::instant limit);
+
+    const usage_link_options options_;
+    dependencies with_;
+    std::string address_;
+    base::bounded_ring<ring_item> ring_;
+    std::thread hold_thread_;
+    std::thread flush_thread_;
+    std::atomic<bool> started_{false};
+
+    // Used by the hold thread only.
+    std::uint64_t next_call_{1};
+    std::map<std::uint64_t, hold_call> calls_;
+    std::map<std::string, base::instant, std::less<>> failed_; /**< Peers not to be chosen before the instant. */
+    base::instant retry_due_{};
+    base::instant report_due_{};
+
+    // Used by the flush thread only.
+    base::instant open_due_{};
+    base::instant watch_due_{};
+    base::instant held_flush_due_{};
+
+    mutable std::mutex mutex_;
+    std::condition_variable wake_;
+    bool stopping_{false};
+    usage::usage_recorder recorder_;
+    usage::usage_holder holder_;
+    std::map<std::string, std::string> owner_addresses_;
+    std::map<std::string, peer_view> views_;
+    std::size_t releases_{0}; /**< `POST /usage/release` on their way. */
 };
 
 } // namespace dotterelstack::entry
--- a/src/usage/usage_holder.cpp
+++ b/src/usage/usage_holder.cpp
@@ -56,6 +56,14 @@
     release(batch.owner, sequences);
 }
 
+std::set<std::string, std::less<>> usage_holder::owners() const {
+    std::set<std::string, std::less<>> out;
+    for (const auto &[owner, records] : records_) {
+        out.insert(owner);
+    }
+    return out;
+}
+
 std::size_t usage_holder::held() const noexcept {
     std::size_t out = 0;
     for (const auto &[owner, records] : records_) {
--- a/src/usage/usage_holder.hpp
+++ b/src/usage/usage_holder.hpp
@@ -34,6 +34,9 @@
     /** @brief Outcome of `store_batch`; after a failure `next_batch` returns the records again. */
     void on_flushed(const usage_batch &batch, const base::result<void> &stored);
 
+    /** @return Owners of the records held. */
+    [[nodiscard]] std::set<std::string, std::less<>> owners() const;
+
     /** @return Number of records held. */
     [[nodiscard]] std::size_t held() const noexcept;
 
--- a/src/usage/usage_recorder.cpp
+++ b/src/usage/usage_recorder.cpp
@@ -49,6 +49,16 @@
     return out;
 }
 
+std::set<std::string, std::less<>> usage_recorder::peers() const {
+    std::set<std::string, std::less<>> out;
+    for (const auto &[sequence, it] : records_) {
+        if (!it.peer.empty()) {
+            out.insert(it.peer);
+        }
+    }
+    return out;
+}
+
 void usage_recorder::flush_now() noexcept {
     flush_due_ = clock_.now();
 }
--- a/src/usage/usage_recorder.hpp
+++ b/src/usage/usage_recorder.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,9 @@
     /** @return Records that no peer holds yet. */
     [[nodiscard]] std::vector<usage_record> not_held() const;
 
+    /** @return Peers that hold records. */
+    [[nodiscard]] std::set<std::string, std::less<>> peers() const;
+
     /** @brief Makes the next flush due at once, for a graceful stop. */
     void flush_now() noexcept;
 
