Make the entry's connections lint clean

Cause: clang-tidy found parameters that are only read, and its parser needs deduction guides for the visitors of claim_link and entry_daemon. The C library declares a global structure named entry, which clashes with the namespace in tests that use the namespace dotterelstack.

Change: const references, deduction guides, tests inside the namespace.

--- a/src/entry/billing_task.cpp
+++ b/src/entry/billing_task.cpp
@@ -28,7 +28,7 @@
     return out;
 }
 
-billing_task::billing_task(const settings::entry_timings &timings, std::string incarnation, std::string platform,
+billing_task::billing_task(const settings::entry_timings &timings, const std::string &incarnation, std::string platform,
                            dependencies with)
     : settings_{sealer_settings_of(timings)}, reporter_settings_{internal::reporter_settings_of(timings, incarnation)},
       platform_{std::move(platform)}, with_{std::move(with)}, lease_{lease_settings_of(timings, "billing", incarnation),
--- a/src/entry/billing_task.hpp
+++ b/src/entry/billing_task.hpp
@@ -35,7 +35,7 @@
      * @param incarnation Of this entry; holder of the lease and sender of the reports.
      * @param platform Address that accepts usage reports.
      */
-    billing_task(const settings::entry_timings &timings, std::string incarnation, std::string platform,
+    billing_task(const settings::entry_timings &timings, const std::string &incarnation, std::string platform,
                  dependencies with);
     billing_task(const billing_task &) = delete;
     billing_task &operator=(const billing_task &) = delete;
--- a/src/entry/claim_link.cpp
+++ b/src/entry/claim_link.cpp
@@ -16,6 +16,9 @@
     using Functions::operator()...;
 };
 
+template<typename... Functions>
+claim_visitor(Functions...) -> claim_visitor<Functions...>;
+
 } // namespace internal
 
 claim_link::claim_link(const base::clock &time, store::object_store &store, base::id_source &ids, event_ring &events,
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -39,6 +39,9 @@
     using Functions::operator()...;
 };
 
+template<typename... Functions>
+event_visitor(Functions...) -> event_visitor<Functions...>;
+
 } // namespace internal
 
 entry_daemon::entry_daemon(settings::entry_settings values, const base::clock &time, base::id_source &ids,
@@ -212,7 +215,7 @@
     }
 }
 
-void entry_daemon::take_config(config::state_ptr state) {
+void entry_daemon::take_config(const config::state_ptr &state) {
     fleet_->set_config(state);
     if (state->version() <= dispatcher_->config_version()) {
         return;
@@ -242,7 +245,7 @@
                    [&to](cancel_event &it) { to.on_cancel_outcome(it.request, it.outcome); },
                    [&to](claim_event &it) { to.on_claim(it.decision); },
                    [&to](usage_held_event &it) { to.on_usage_held(it.request); },
-                   [this](config_event &it) { take_config(std::move(it.state)); },
+                   [this](config_event &it) { take_config(it.state); },
                    [&to](confirmed_event &it) { to.freshness().confirmed(it.when); },
                    [&to](outage_event &it) { to.freshness().outage_attested(it.when); },
                    [&to](withdrawn_event &it) { to.on_keys_withdrawn(it.hashes); },
--- a/src/entry/entry_daemon.hpp
+++ b/src/entry/entry_daemon.hpp
@@ -62,7 +62,7 @@
     [[nodiscard]] bool is_lease_candidate() const;
     void dispatch();
     void handle(entry_event &event);
-    void take_config(config::state_ptr state);
+    void take_config(const config::state_ptr &state);
     void apply_shares();
     [[nodiscard]] http::response peer_status();
     void stop_threads();
--- a/src/entry/lease_thread.cpp
+++ b/src/entry/lease_thread.cpp
@@ -25,7 +25,7 @@
     return out;
 }
 
-lease_thread::lease_thread(lease::lease_settings values, const base::clock &time, store::object_store &store,
+lease_thread::lease_thread(const lease::lease_settings &values, const base::clock &time, store::object_store &store,
                            base::id_source &ids, candidate_check candidate)
     : name_{values.name}, store_{store}, ids_{ids}, clock_{time}, candidate_{std::move(candidate)}, keeper_{time,
                                                                                                             values} {}
--- a/src/entry/lease_thread.hpp
+++ b/src/entry/lease_thread.hpp
@@ -20,7 +20,7 @@
     /** @brief Tells whether this entry stands for the lease. A holder keeps it in any case. */
     using candidate_check = std::function<bool()>;
 
-    lease_thread(lease::lease_settings values, const base::clock &time, store::object_store &store,
+    lease_thread(const lease::lease_settings &values, const base::clock &time, store::object_store &store,
                  base::id_source &ids, candidate_check candidate);
     lease_thread(const lease_thread &) = delete;
     lease_thread &operator=(const lease_thread &) = delete;
--- a/src/entry/share_link.cpp
+++ b/src/entry/share_link.cpp
@@ -92,7 +92,7 @@
     }
     // A demand gives lent amounts back, so the smaller share is in force before the demand leaves.
     apply_shares(apply);
-    send(std::move(demands));
+    send(demands);
 }
 
 std::optional<limits::row_use> share_link::take_use(row_state &row, const limits::row_status &status) const {
@@ -171,7 +171,7 @@
     }
 }
 
-void share_link::send(std::vector<addressed_demand> demands) {
+void share_link::send(const std::vector<addressed_demand> &demands) {
     std::map<std::string, json> bodies;
     for (const auto &it : demands) {
         if (it.coordinator == options_.incarnation) {
--- a/src/entry/share_link.hpp
+++ b/src/entry/share_link.hpp
@@ -104,7 +104,7 @@
     [[nodiscard]] std::optional<limits::row_use> take_use(row_state &row, const limits::row_status &status) const;
     void apply_shares(const share_sink &apply);
     [[nodiscard]] limits::share_amounts allowance_of(const limits::row_order::owned &key, const row_state &row) const;
-    void send(std::vector<addressed_demand> demands);
+    void send(const std::vector<addressed_demand> &demands);
     void take_grants(std::string_view body);
     [[nodiscard]] std::optional<limits::share_grant> answer(const limits::row_order::owned &row,
                                                             const limits::share_demand &demand);
--- a/test/entry/limit_processes.cpp
+++ b/test/entry/limit_processes.cpp
@@ -24,6 +24,7 @@
     std::atomic<int> served{0};
     std::atomic<int> open{callers};
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int n = 0; n < callers; ++n) {
         threads.emplace_back([&, n] {
             for (int call = 0; call < calls_each; ++call) {
--- a/test/entry/share_link.cpp
+++ b/test/entry/share_link.cpp
@@ -9,7 +9,9 @@
 #include "limits/admission.hpp"
 #include "store/memory_store.hpp"
 
-using namespace dotterelstack;
+// Inside the namespace, as the C library declares a structure `entry` in the global one.
+namespace dotterelstack {
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -32,7 +34,7 @@
     std::string name;
     entry::event_ring events{100};
     limits::admission admission;
-    std::unique_ptr<entry::share_link> link;
+    std::unique_ptr<entry::share_link> link{};
     std::set<std::string> running;
     int submitted{0};
 
@@ -299,3 +301,5 @@
     task.stop();
     CHECK_FALSE(task.authority());
 }
+
+} // namespace dotterelstack
--- a/test/entry/usage_link.cpp
+++ b/test/entry/usage_link.cpp
@@ -7,7 +7,9 @@
 #include "entry/fake_peers.hpp"
 #include "store/memory_store.hpp"
 
-using namespace dotterelstack;
+// Inside the namespace, as the C library declares a structure `entry` in the global one.
+namespace dotterelstack {
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -20,8 +22,8 @@
     test::fake_peers calls;
     entry::event_ring events{1000};
     std::mutex mutex;
-    std::vector<entry::peer_entry> peers;
-    std::map<std::string, std::unique_ptr<entry::usage_link>> links;
+    std::vector<entry::peer_entry> peers{};
+    std::map<std::string, std::unique_ptr<entry::usage_link>> links{};
 
     fixture() = default;
     fixture(const fixture &) = delete;
@@ -208,3 +210,5 @@
     CHECK(it.stored()["b-1"] == 1);
     CHECK(own.waiting() == 1);
 }
+
+} // namespace dotterelstack
