Confirm a new share epoch within 100 ms

Cause: after the only entry had written the first epoch, its limits were not confirmed before the next round of its thread.

Change: while the epoch is not confirmed the question is repeated every 100 ms, and a first confirmation wakes the dispatcher.

Ruled out: confirming at the moment of adoption. The lease holder adopts before it may confirm, because nothing is confirmed while a write is in doubt.

--- a/src/entry/share_link.cpp
+++ b/src/entry/share_link.cpp
@@ -11,6 +11,10 @@
 
 namespace internal {
 
+// Pause between questions while the epoch is not confirmed: a new epoch is confirmed soon after it was written, as
+// nothing is lent before that.
+constexpr auto confirm_retry = std::chrono::milliseconds{100};
+
 http::response share_answer(int status, const json &body) {
     return {status, {{"content-type", "application/json"}}, body.dump()};
 }
@@ -308,10 +312,18 @@
     const std::scoped_lock lock{mutex_};
     ledger_.confirm(number, asked);
     if (epoch_ && epoch_->epoch.number == number) {
+        if (with_.time.now() >= confirmed_until_) {
+            mark_changed();
+        }
         confirmed_until_ = std::max(confirmed_until_, asked + limits::grant_lifetime);
     }
 }
 
+bool share_link::is_confirmed() const {
+    const std::scoped_lock lock{mutex_};
+    return with_.time.now() < confirmed_until_;
+}
+
 void share_link::confirm_epoch() {
     std::string confirmer;
     {
@@ -342,13 +354,23 @@
 void share_link::run(const std::stop_token &token) {
     std::mutex mutex;
     std::condition_variable_any wake;
+    base::instant read_due{};
+    base::instant confirm_due{};
     while (!token.stop_requested()) {
-        read_epoch();
-        confirm_epoch();
-        // Floors that grow with time and a host list that has changed come into force here.
-        mark_changed();
+        const auto now = with_.time.now();
+        if (now >= read_due) {
+            read_due = now + options_.epoch_every;
+            read_epoch();
+            // Floors that grow with time and a host list that has changed come into force here.
+            mark_changed();
+        }
+        if (now >= confirm_due || !is_confirmed()) {
+            confirm_due = now + options_.epoch_every;
+            confirm_epoch();
+        }
         std::unique_lock lock{mutex};
-        wake.wait_for(lock, token, options_.epoch_every, [] { return false; });
+        wake.wait_for(lock, token, std::min<base::duration>(options_.epoch_every, internal::confirm_retry),
+                      [] { return false; });
     }
 }
 
--- a/src/entry/share_link.hpp
+++ b/src/entry/share_link.hpp
@@ -111,6 +111,7 @@
     void take_grant(const limits::row_order::owned &row, const limits::share_grant &grant);
     [[nodiscard]] bool owns_all() const;
     void read_epoch();
+    [[nodiscard]] bool is_confirmed() const;
     void confirm_epoch();
     void confirmed(std::uint64_t number, base::instant asked);
     void mark_changed();
