--- a/src/entry/config_feed.cpp
+++ b/src/entry/config_feed.cpp
@@ -3,6 +3,7 @@
 #include <condition_variable>
 #include <nlohmann/json.hpp>
 
+#include "base/overloaded.hpp"
 #include "config/config_log.hpp"
 #include "log/event.hpp"
 
@@ -15,11 +16,6 @@
 constexpr auto peer_timeout = std::chrono::seconds{1};
 constexpr auto retry_delay = std::chrono::milliseconds{250};
 
-template<typename... Functions>
-struct overloaded : Functions... {
-    using Functions::operator()...;
-};
-
 } // namespace internal
 
 config_feed::config_feed(const base::clock &time, store::object_store &store, transport::h2_client &client,
@@ -134,7 +130,7 @@
 void config_feed::handle(const config::tracker_actions &actions) {
     for (const auto &action : actions) {
         std::visit(
-            internal::overloaded{
+            base::overloaded{
                 [this](const config::fetch_snapshot &it) { fetch(it); },
                 [this](const config::adopted &it) {
                     log::write("config_adopted", {{"version", it.state->version()}, {"from_peer", it.from_peer}});
--- a/src/entry/dispatcher.hpp
+++ b/src/entry/dispatcher.hpp
@@ -103,6 +103,8 @@
     /** @return Ids of the keys that peers have reported as withdrawn. */
     [[nodiscard]] std::vector<std::string> withdrawn_key_ids() const;
 
+    [[nodiscard]] const limits::admission &admission() const noexcept { return admission_; }
+
     /** @return Load of each row that has requests here. */
     [[nodiscard]] std::map<config::row_name, limits::row_status> active_rows() const;
 
--- a/src/entry/dispatcher_attempt.cpp
+++ b/src/entry/dispatcher_attempt.cpp
@@ -352,10 +352,13 @@
 }
 
 void dispatcher::erase(const std::string &id) {
-    const std::string copy = id;
-    (void)admission_.cancel(copy);
-    probes_.erase(copy);
-    flows_.erase(copy);
+    // The id may belong to the flow that is erased.
+    auto node = flows_.extract(id);
+    if (node.empty()) {
+        return;
+    }
+    (void)admission_.cancel(node.key());
+    probes_.erase(node.key());
 }
 
 } // namespace dotterelstack::entry
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -1,7 +1,9 @@
 #include "entry/entry_daemon.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/overloaded.hpp"
 #include "log/event.hpp"
 
 namespace dotterelstack::entry {
@@ -15,6 +17,8 @@
 constexpr auto tick_interval = std::chrono::milliseconds{50};
 // Age of the figures that peers and operators read.
 constexpr auto status_interval = std::chrono::milliseconds{200};
+// Entries that stand for each lease, so that it survives the loss of two failure domains.
+constexpr std::ptrdiff_t lease_candidates = 3;
 const http::field_list json_type{{"content-type", "application/json"}};
 
 /** The connection to a caller over libmicrohttpd. */
@@ -33,11 +37,6 @@
     const http::exchange call_;
 };
 
-template<typename... Functions>
-struct event_visitor : Functions... {
-    using Functions::operator()...;
-};
-
 } // namespace internal
 
 entry_daemon::entry_daemon(settings::entry_settings values, const base::clock &time, base::id_source &ids,
@@ -46,7 +45,27 @@
       incarnation_{ids.next()}, events_{internal::event_ring_limit}, h2_client_{loop_, time}, peer_server_{loop_, time},
       agents_{h2_client_, events_}, claims_{time,    store,        ids,
                                             events_, incarnation_, settings_.limits.concurrent_requests},
-      usage_{events_, settings_.limits.concurrent_requests} {
+      peer_calls_{h2_client_}, usage_{{.incarnation = incarnation_,
+                                       .failure_domain = settings_.failure_domain,
+                                       .requests = settings_.limits.concurrent_requests,
+                                       .flush_every = settings_.timings.usage_flush_interval,
+                                       .status_every = settings_.timings.heartbeat_interval},
+                                      {time, store, ids, events_, peer_calls_, [this] { return fleet_->entries(); },
+                                       [this](const usage::open_window &it) { claims_.on_sealed_windows(it.sealed); }}},
+      billing_{settings_.timings,
+               incarnation_,
+               settings_.platform,
+               {time, store, ids, client, [this] { return is_lease_candidate(); },
+                [this](std::uint64_t count) { claims_.on_sealed_windows(count); }}},
+      shares_{{.incarnation = incarnation_},
+              {time, store, events_, peer_calls_,
+               [this] { return fleet_ && fleet_->list_known() && fleet_->entries().empty(); },
+               [this] { return share_epochs_.authority(); }}},
+      share_epochs_{settings_.timings,
+                    {.incarnation = incarnation_, .host = settings_.name},
+                    {time, store, ids, peer_calls_, [this] { return is_lease_candidate(); },
+                     [this] { return fleet_->entries(); }, [this] { return shares_.epoch(); },
+                     [this](const epoch_object &it) { shares_.adopt(it); }}} {
     const auto engine = std::make_shared<std::mt19937_64>(std::random_device{}());
     dispatcher_ = std::make_unique<dispatcher>(
         dispatcher_settings{.failure_domain = settings_.failure_domain,
@@ -69,17 +88,20 @@
                                                               .interval = settings_.timings.host_list_interval},
                                           clock_, client_, h2_client_, events_);
     config_ = std::make_unique<config_feed>(clock_, store_, h2_client_, events_, [this] { return fleet_->peers(); });
-    planner_ = std::make_unique<planner_task>(planner_task::options{.holder = incarnation_,
-                                                                    .platform = settings_.platform,
-                                                                    .lease_term = settings_.timings.lease_term,
-                                                                    .lease_margin = settings_.timings.lease_margin},
-                                              clock_, ids_, store_, client_, h2_client_, *fleet_);
+    planner_ = std::make_unique<planner_task>(
+        planner_task::options{.platform = settings_.platform,
+                              .lease = lease_settings_of(settings_.timings, "planner", incarnation_)},
+        clock_, ids_, store_, client_, h2_client_, *fleet_, [this] { return is_lease_candidate(); });
     dispatch_thread_ = std::thread{[this] { dispatch(); }};
     claims_.start();
-    usage_.start();
+    peers_address_ = peers;
+    usage_.start(peers);
     config_->start();
     fleet_->start();
     planner_->start();
+    billing_.start();
+    shares_.start();
+    share_epochs_.start(peers);
     http::server_limits limits;
     limits.body_bytes = settings_.limits.body_bytes;
     BOOST_OUTCOME_TRY(callers,
@@ -122,6 +144,7 @@
               {"incarnation", incarnation_},
               {"config_version", dispatcher_->config_version()},
               {"withdrawn_keys", dispatcher_->withdrawn_key_ids()},
+              {"share_epoch", shares_.epoch()},
               {"store_reachable", config_->store_reachable()},
               {"active_requests", dispatcher_->active()},
               {"peers", fleet_->peers()},
@@ -154,6 +177,14 @@
     status_ = body.dump();
 }
 
+bool entry_daemon::is_lease_candidate() const {
+    // A few candidates succeed each other fast enough; all 340 entries would read each lease 170 times per second.
+    const auto others = fleet_->entries();
+    return std::ranges::count_if(others, [this](const peer_entry &it) {
+               return it.live && it.address < peers_address_;
+           }) < internal::lease_candidates;
+}
+
 void entry_daemon::on_peer(const transport::h2_stream &stream) {
     const auto &message = stream.message();
     const auto path = message.path();
@@ -168,6 +199,18 @@
         }
         return stream.respond({200, internal::json_type, config_->answer_peer(version)});
     }
+    if (path == "/usage/hold" && message.method == "POST") {
+        return stream.respond(usage_.on_hold(message));
+    }
+    if (path == "/usage/release" && message.method == "POST") {
+        return stream.respond(usage_.on_release(message));
+    }
+    if (path == "/shares/demand" && message.method == "POST") {
+        return stream.respond(shares_.on_demand(message));
+    }
+    if (path == "/shares/epoch") {
+        return stream.respond(shares_.on_epoch_question());
+    }
     if (path == "/keys/withdrawn" && message.method == "POST") {
         const auto body = json::parse(message.body, nullptr, false);
         if (body.is_object() && body.contains("hashes") && body["hashes"].is_array()) {
@@ -188,12 +231,14 @@
     auto next_tick = clock_.now();
     while (true) {
         if (auto event = events_.pop_for(internal::tick_interval)) {
+            apply_shares();
             handle(*event);
         } else if (events_.closed()) {
             return;
         }
         if (clock_.now() >= next_tick) {
             next_tick = clock_.now() + internal::tick_interval;
+            apply_shares();
             dispatcher_->tick();
         }
         active_ = dispatcher_->active();
@@ -204,27 +249,44 @@
     }
 }
 
+void entry_daemon::take_config(const config::state_ptr &state) {
+    fleet_->set_config(state);
+    planner_->set_config(state);
+    if (state->version() <= dispatcher_->config_version()) {
+        return;
+    }
+    // Rows that exist get their share before the new limits, rows that are new right after them.
+    shares_.set_config(*state);
+    apply_shares();
+    dispatcher_->on_config(state);
+    shares_.set_config(*state);
+    apply_shares();
+}
+
+void entry_daemon::apply_shares() {
+    shares_.tick([this](limits::row_key row) { return dispatcher_->admission().status(row); },
+                 [this](limits::row_key row, const limits::row_share &share) {
+                     dispatcher_->on_share(row.organisation, row.service, share);
+                 });
+}
+
 void entry_daemon::handle(entry_event &event) {
     auto &to = *dispatcher_;
-    std::visit(internal::event_visitor{
-                   [&to](arrival_event &it) { to.on_arrival(std::move(it.caller), std::move(it.request)); },
-                   [&to](head_event &it) { to.on_head(it.call, it.status, it.fields); },
-                   [&to](data_event &it) { to.on_data(it.call, it.part); },
-                   [&to](end_event &it) { to.on_end(it.call, it.how); },
-                   [&to](cancel_event &it) { to.on_cancel_outcome(it.request, it.outcome); },
-                   [&to](claim_event &it) { to.on_claim(it.decision); },
-                   [&to](usage_held_event &it) { to.on_usage_held(it.request); },
-                   [this, &to](config_event &it) {
-                       fleet_->set_config(it.state);
-                       planner_->set_config(it.state);
-                       to.on_config(std::move(it.state));
-                   },
-                   [&to](confirmed_event &it) { to.freshness().confirmed(it.when); },
-                   [&to](outage_event &it) { to.freshness().outage_attested(it.when); },
-                   [&to](withdrawn_event &it) { to.on_keys_withdrawn(it.hashes); },
-                   [&to](backends_event &it) { to.on_backends(it.all); },
-                   [&to](stop_event & /*it*/) { to.stop_accepting(); }},
-               event);
+    std::visit(
+        base::overloaded{[&to](arrival_event &it) { to.on_arrival(std::move(it.caller), std::move(it.request)); },
+                         [&to](head_event &it) { to.on_head(it.call, it.status, it.fields); },
+                         [&to](data_event &it) { to.on_data(it.call, it.part); },
+                         [&to](end_event &it) { to.on_end(it.call, it.how); },
+                         [&to](cancel_event &it) { to.on_cancel_outcome(it.request, it.outcome); },
+                         [&to](claim_event &it) { to.on_claim(it.decision); },
+                         [&to](usage_held_event &it) { to.on_usage_held(it.request); },
+                         [this](config_event &it) { take_config(it.state); },
+                         [&to](confirmed_event &it) { to.freshness().confirmed(it.when); },
+                         [&to](outage_event &it) { to.freshness().outage_attested(it.when); },
+                         [&to](withdrawn_event &it) { to.on_keys_withdrawn(it.hashes); },
+                         [&to](backends_event &it) { to.on_backends(it.all); }, [](share_event & /*it*/) {},
+                         [&to](stop_event & /*it*/) { to.stop_accepting(); }},
+        event);
 }
 
 void entry_daemon::drain_and_stop() {
@@ -249,6 +311,9 @@
     if (planner_) {
         planner_->stop();
     }
+    billing_.stop();
+    share_epochs_.stop();
+    shares_.stop();
     if (config_) {
         config_->stop();
     }
--- a/src/entry/planner_task.cpp
+++ b/src/entry/planner_task.cpp
@@ -40,13 +40,10 @@
 }
 
 planner_task::planner_task(options values, const base::clock &time, base::id_source &ids, store::object_store &store,
-                           http::client &platform, transport::h2_client &agents, fleet_feed &fleet)
+                           http::client &platform, transport::h2_client &agents, fleet_feed &fleet,
+                           lease_thread::candidate_check candidate)
     : options_{std::move(values)}, clock_{time}, ids_{ids}, store_{store}, platform_{platform}, agents_{agents},
-      fleet_{fleet}, keeper_{time,
-                             {.name = "planner",
-                              .holder = options_.holder,
-                              .term = options_.lease_term,
-                              .margin = options_.lease_margin}},
+      fleet_{fleet}, lease_{options_.lease, time, store, ids, std::move(candidate)},
       repository_{store, ids, config::default_repository_options()} {}
 
 planner_task::~planner_task() {
@@ -54,6 +51,7 @@
 }
 
 void planner_task::start() {
+    lease_.start();
     thread_ = std::jthread{[this](const std::stop_token &token) { run(token); }};
 }
 
@@ -62,6 +60,7 @@
         thread_.request_stop();
         thread_.join();
     }
+    lease_.stop();
 }
 
 void planner_task::set_config(config::state_ptr state) {
@@ -72,13 +71,13 @@
 void planner_task::run(const std::stop_token &token) {
     std::mutex mutex;
     std::condition_variable_any wake;
-    bool held = false;
+    std::optional<std::uint64_t> fence;
     while (!token.stop_requested()) {
-        while (lease::drive_lease(keeper_, store_, ids_).step != lease::lease_step::wait) {
-        }
-        if (keeper_.held() != held) {
-            held = keeper_.held();
-            log::write(held ? log::event{"lease_acquired"} : log::event{"lease_lost"}, {{"lease", "planner"}});
+        const auto authority = lease_.authority();
+        const auto now = authority ? std::optional{authority->fence()} : std::nullopt;
+        if (now != fence) {
+            // Another term of the lease starts from what store and engines say, not from what was known before.
+            fence = now;
             progress_.clear();
             orders_.clear();
         }
@@ -87,11 +86,11 @@
             const std::scoped_lock lock{mutex_};
             state = config_;
         }
-        if (held && state) {
+        if (fence && state) {
             for (const auto &[id, change] : state->values().planned) {
                 const bool open =
                     change.state == config::planned_state::requested || change.state == config::planned_state::running;
-                if (open && keeper_.held()) {
+                if (open && lease_.authority()) {
                     carry_out(change, state);
                 }
             }
@@ -99,8 +98,6 @@
         std::unique_lock lock{mutex};
         wake.wait_for(lock, token, internal::planner_round, [] { return false; });
     }
-    keeper_.release();
-    (void)lease::drive_lease(keeper_, store_, ids_);
 }
 
 std::vector<planned_backend> planner_task::backends_of(const config::planned_change &change) const {
@@ -173,7 +170,7 @@
         it = orders_.emplace(id, open_order{std::move(gate), order::order_journal{clock_, key}}).first;
     }
     auto &open = it->second;
-    const auto authority = keeper_.authority();
+    const auto authority = lease_.authority();
     open.journal.on_authority(authority ? std::optional{authority->fence()} : std::nullopt);
     if (!open.begun) {
         auto item = role ? order::order{id, backend.name, "set_role", change.argument, "planned"}
@@ -182,7 +179,7 @@
         open.begun = open.journal.begin(std::move(item)).has_value();
     }
     for (auto step = order::journal_step::read;
-         step != order::journal_step::wait && step != order::journal_step::idle && keeper_.held();) {
+         step != order::journal_step::wait && step != order::journal_step::idle && lease_.authority();) {
         step = order::drive_journal(open.journal, store_, ids_, *open.gate, authority).step;
     }
     for (const auto &result : open.journal.take_results()) {
--- a/src/entry/planner_task.hpp
+++ b/src/entry/planner_task.hpp
@@ -10,8 +10,8 @@
 #include "config/config_state.hpp"
 #include "config/repository.hpp"
 #include "entry/fleet_feed.hpp"
+#include "entry/lease_thread.hpp"
 #include "http/client.hpp"
-#include "lease/lease_keeper.hpp"
 #include "order/order_gate.hpp"
 #include "order/order_journal.hpp"
 #include "store/object_store.hpp"
@@ -62,15 +62,14 @@
 class planner_task {
 public:
     struct options {
-        std::string holder;   /**< Incarnation of this entry. */
         std::string platform; /**< Address of the ordering interface. */
-        base::duration lease_term{std::chrono::seconds{5}};
-        base::duration lease_margin{std::chrono::milliseconds{500}};
+        lease::lease_settings lease;
         base::duration spread_limit{std::chrono::seconds{6}}; /**< After it, entries without the change refuse. */
     };
 
     planner_task(options values, const base::clock &time, base::id_source &ids, store::object_store &store,
-                 http::client &platform, transport::h2_client &agents, fleet_feed &fleet);
+                 http::client &platform, transport::h2_client &agents, fleet_feed &fleet,
+                 lease_thread::candidate_check candidate);
     planner_task(const planner_task &) = delete;
     planner_task &operator=(const planner_task &) = delete;
     planner_task(planner_task &&) = delete;
@@ -105,7 +104,7 @@
     http::client &platform_;
     transport::h2_call_client agents_;
     fleet_feed &fleet_;
-    lease::lease_keeper keeper_;
+    lease_thread lease_;
     config::repository repository_;
     std::mutex mutex_;
     config::state_ptr config_;
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -133,17 +133,20 @@
     it->message = std::move(message);
     it->options = options;
     it->handlers = std::move(handlers);
+    const auto on_end = it->handlers.on_end;
     std::uint64_t id = 0;
+    bool stopping = false;
     {
         const std::scoped_lock lock{state_->mutex};
         id = state_->next_id++;
         it->id = id;
-        if (!state_->stopping) {
+        stopping = state_->stopping;
+        if (!stopping) {
             state_->starting.push_back(std::move(it));
         }
     }
-    if (it) {
-        it->handlers.on_end(base::fail(base::error_kind::unavailable, "stopping", "the client is stopping"));
+    if (stopping) {
+        on_end(base::fail(base::error_kind::unavailable, "stopping", "the client is stopping"));
     }
     curl_multi_wakeup(state_->multi.get());
     return id;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -59,13 +59,13 @@
     if (!values) {
         return report(values.error());
     }
-    const base::boottime_clock clock;
+    base::boottime_clock clock;
     base::id_source ids;
     http::curl_client client;
     store::http_store_options options;
     options.timeout = values.value().timings.store_timeout;
     store::http_store store{client, values.value().store, options};
-    entry::entry_daemon daemon{values.value(), clock, ids, client, store};
+    dotterelstack::entry::entry_daemon daemon{values.value(), clock, ids, client, store};
     const auto addresses = daemon.start();
     if (!addresses) {
         return report(addresses.error());
@@ -101,7 +101,7 @@
     if (!values) {
         return report(values.error());
     }
-    const base::boottime_clock clock;
+    base::boottime_clock clock;
     base::id_source ids;
     http::curl_client client;
     store::http_store_options limits;
@@ -155,7 +155,7 @@
     }
 
 private:
-    const base::boottime_clock clock_;
+    base::boottime_clock clock_;
     transport::event_loop loop_;
     transport::h2_client client_{loop_, clock_};
 };
--- a/src/transport/h2_server.cpp
+++ b/src/transport/h2_server.cpp
@@ -71,6 +71,8 @@
           timings_{timings} {}
     h2_acceptor(const h2_acceptor &) = delete;
     h2_acceptor &operator=(const h2_acceptor &) = delete;
+    h2_acceptor(h2_acceptor &&) = delete;
+    h2_acceptor &operator=(h2_acceptor &&) = delete;
     ~h2_acceptor() override { acceptor_.close(); }
 
     bool open(std::string_view address, std::string &bound) {
