--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -14,6 +14,9 @@
 constexpr std::uint32_t slots_per_backend = 32;
 // Wait suggested when there is no better estimate: the time in which membership changes are seen.
 constexpr auto membership_delay = std::chrono::seconds{2};
+// Open requests outlive the isolation limit by this much, so that an entry that was only slow or paused for a moment
+// can read the configuration before it ends them. With the limit of 5 s it stays within the 6 s of section 1.3.
+constexpr auto isolation_grace = std::chrono::milliseconds{500};
 
 std::int64_t wall_clock_seconds() {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
@@ -279,6 +282,13 @@
         }
     }
     const auto now = with_.time.now();
+    if (freshness_.serves()) {
+        isolated_since_.reset();
+    } else if (config_ && !isolated_since_) {
+        isolated_since_ = now;
+        log::write("key_table_stale", {{"active", flows_.size()}});
+    }
+    const bool isolated = isolated_since_ && now - *isolated_since_ >= internal::isolation_grace;
     const bool check_keys = now >= next_key_check_;
     if (check_keys) {
         next_key_check_ = now + settings_.key_check_interval;
@@ -296,6 +306,9 @@
             log::write("stream_ended_key_withdrawn", {{"request", it->id}, {"organisation", it->organisation}});
             give_up(*it, {401, "key_withdrawn", "the key was withdrawn; use a valid one",
                           it->may_have_run ? ran_claim::unknown : ran_claim::no});
+        } else if (isolated && !it->key_hash.empty()) {
+            give_up(*it, {503, "isolated", "this entry cannot confirm its key table any more; send to another one",
+                          it->may_have_run ? ran_claim::unknown : ran_claim::no, internal::membership_delay});
         } else if (now >= it->deadline && it->stage != flow_stage::probing) {
             give_up(*it, {504, "deadline", "the request took too long; ask for less or retry later",
                           it->may_have_run ? ran_claim::unknown : ran_claim::no, internal::membership_delay});
--- a/src/entry/dispatcher.hpp
+++ b/src/entry/dispatcher.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -152,6 +153,7 @@
     std::map<std::string, base::instant, std::less<>> probes_;
     call_id next_call_{1};
     base::instant next_key_check_{};
+    std::optional<base::instant> isolated_since_; /**< Since when requests are refused. */
     bool stopping_{false};
 };
 
--- a/test/entry/dispatcher.cpp
+++ b/test/entry/dispatcher.cpp
@@ -130,6 +130,7 @@
         dispatcher.on_config(
             std::make_shared<const config::config_state>(++version, "change", values, config::origin_map{}));
         dispatcher.freshness().confirmed(clock.now());
+        dispatcher.tick();
     }
 
     void withdraw() {
@@ -341,6 +342,25 @@
     }
 }
 
+// Guards against open streams that go on while a withdrawal cannot be seen, and against streams that are cut when the
+// confirmation is only a moment late.
+TEST_CASE("an isolated entry ends open streams after its limit, and not when a confirmation is late") {
+    fixture it;
+    const auto late = it.stream();
+    it.clock.advance(5100ms);
+    it.dispatcher.tick();
+    CHECK_FALSE(late->ended());
+    it.advance(100ms);
+    it.clock.advance(5100ms);
+    it.dispatcher.tick();
+    CHECK_FALSE(late->ended());
+    it.clock.advance(600ms);
+    it.dispatcher.tick();
+    REQUIRE(late->answers.size() == 1);
+    CHECK(late->answers[0].status == 503);
+    CHECK(late->ran() == "unknown");
+}
+
 // Guards against a booking that is sent a second time because its answer was lost.
 TEST_CASE("a call that must not be repeated is probed after a lost answer and never sent again") {
     for (const std::string outcome : {"started", "finished", "other_incarnation", ""}) {
--- a/test/support/child_process.cpp
+++ b/test/support/child_process.cpp
@@ -16,6 +16,9 @@
 
 namespace internal {
 
+// Longest wait for the end of the output of a process that has ended.
+constexpr auto drain_limit = std::chrono::seconds{10};
+
 struct pipe_ends {
     int read{-1};
     int write{-1};
@@ -105,6 +108,9 @@
         int status = 0;
         if (::waitpid(pid_, &status, WNOHANG) == pid_) {
             status_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+            // What the process wrote last may still be in the pipes.
+            std::unique_lock lock{mutex_};
+            changed_.wait_for(lock, internal::drain_limit, [&] { return ended_; });
         } else if (std::chrono::steady_clock::now() >= until) {
             return std::nullopt;
         } else {
--- a/test/support/site.cpp
+++ b/test/support/site.cpp
@@ -306,7 +306,12 @@
     return eventually([&] {
         const bool booking =
             options_.services == 0 || call(entry, "GET", "/services/booking/availability").status == 200;
-        return booking && (options_.engines == 0 || complete(entry, "ready", 1).status == 200);
+        if (!booking || (options_.engines > 0 && complete(entry, "ready", 1).status != 200)) {
+            return false;
+        }
+        // Operator commands go by the status, which lags a little.
+        const auto status = entry_status(entry);
+        return status.is_object() && status.contains("backends") && status["backends"].size() == hosts_.size();
     });
 }
 
