Let a stopping agent wait until its responses have been sent

Cause: a stopping agent ended as soon as its backend servers had answered, while entries had not yet read the responses; the flow control window is 1 MB. Change: after the last request the agent waits, at most 30 s, until its connections have gone; after GOAWAY each one closes when its last stream is sent. Lint findings in tests are corrected. Ruled out: counting a request as running until its stream is closed; the table that answers cancels would then call finished requests started.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -16,6 +16,8 @@
 
 // Orders are rare; a full ring means that the planner repeats itself, and it is refused.
 constexpr std::size_t order_ring_limit = 16;
+// Longest time that a graceful stop waits for entries to take responses that are complete.
+constexpr auto send_limit = std::chrono::seconds{30};
 
 const http::field_list json_type{{"content-type", "application/json"}};
 
@@ -140,6 +142,11 @@
     while (running() > 0) {
         std::this_thread::sleep_for(std::chrono::milliseconds{20});
     }
+    // Responses that are complete here may still be on their way to entries that read slowly.
+    const auto limit = clock_.now() + internal::send_limit;
+    while (server_.connections() > 0 && clock_.now() < limit) {
+        std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    }
 }
 
 std::size_t agent_daemon::running() const {
--- a/src/transport/h2_server.cpp
+++ b/src/transport/h2_server.cpp
@@ -269,6 +269,14 @@
     }
 }
 
+std::size_t h2_server::connections() {
+    std::size_t out = 0;
+    if (acceptor_) {
+        loop_.run_and_wait([this, &out] { out = acceptor_->connections.size(); });
+    }
+    return out;
+}
+
 void h2_server::stop() {
     if (acceptor_) {
         loop_.run_and_wait([this] { acceptor_->stop(); });
--- a/src/transport/h2_server.hpp
+++ b/src/transport/h2_server.hpp
@@ -62,6 +62,9 @@
     /** @brief Stops accepting connections and streams; open streams go on. */
     void quiesce();
 
+    /** @return Number of connections; after `quiesce` each goes when its last stream has been sent. */
+    [[nodiscard]] std::size_t connections();
+
     /** @brief Closes everything. */
     void stop();
 
--- /dev/null
+++ b/test/agent/agent_daemon.cpp
@@ -0,0 +1,94 @@
+#include "agent/agent_daemon.hpp"
+
+#include <condition_variable>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <optional>
+
+#include "http/client.hpp"
+#include "http/server.hpp"
+#include "transport/h2_client.hpp"
+
+using namespace dotterelstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+class no_orders final : public agent::order_handler {
+public:
+    [[nodiscard]] http::response handle(const http::request & /*order*/) override { return {503, {}, ""}; }
+};
+
+} // namespace
+
+// Guards against an agent that ends while a response is larger than what the connection takes at once: the service has
+// answered, so that the agent counts nothing as running any more, and the rest of the response was lost.
+TEST_CASE("a stopping agent delivers a large response to its last byte") {
+    const std::string large(6'000'000, 'x');
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool asked = false;
+    bool stopping = false;
+    http::server service;
+    const auto bound = service.start("127.0.0.1:0",
+                                     [&](const http::exchange &call) {
+                                         // The agent also asks for the service's state.
+                                         if (call.message().path() != "/large") {
+                                             return call.respond({200, {}, "{}"});
+                                         }
+                                         std::unique_lock lock{mutex};
+                                         asked = true;
+                                         changed.notify_all();
+                                         (void)changed.wait_for(lock, 30s, [&] { return stopping; });
+                                         call.respond({200, {{"Content-Type", "text/plain"}}, large});
+                                     },
+                                     {});
+    REQUIRE(bound);
+    const base::boottime_clock clock;
+    http::curl_client client;
+    no_orders orders;
+    agent::agent_options options;
+    options.host = "host";
+    options.listen = "127.0.0.1:0";
+    options.load_poll = 1h;
+    options.backends.push_back({"b", "booking", agent::backend_kind::plain, bound.value(), {}, false});
+    auto daemon = std::make_unique<agent::agent_daemon>(options, clock, "i", client, orders);
+    const auto address = daemon->start();
+    REQUIRE(address);
+
+    transport::event_loop loop;
+    transport::h2_client entry{loop, clock};
+    std::string body;
+    std::optional<transport::h2_outcome> outcome;
+    transport::h2_handlers handlers;
+    handlers.on_head = [](int /*status*/, const http::field_list & /*fields*/) {};
+    handlers.on_data = [&](std::string_view part) { body.append(part); };
+    handlers.on_end = [&](transport::h2_outcome how) {
+        const std::scoped_lock lock{mutex};
+        outcome = how;
+        changed.notify_all();
+    };
+    entry.send(address.value(),
+               {"POST",
+                "/run",
+                {{"ds-request", "r"},
+                 {"ds-attempt", "1"},
+                 {"ds-incarnation", "i"},
+                 {"ds-backend", "b"},
+                 {"ds-kind", "call"},
+                 {"ds-method", "GET"},
+                 {"ds-path", "/large"}},
+                ""},
+               std::move(handlers));
+    std::unique_lock lock{mutex};
+    REQUIRE(changed.wait_for(lock, 30s, [&] { return asked; }));
+    stopping = true;
+    changed.notify_all();
+    lock.unlock();
+    daemon->drain_and_stop();
+    daemon.reset();
+    lock.lock();
+    REQUIRE(changed.wait_for(lock, 30s, [&] { return outcome.has_value(); }));
+    CHECK(outcome == transport::h2_outcome::complete);
+    CHECK(body.size() == large.size());
+}
--- a/test/promise/promise_05_key_hidden.cpp
+++ b/test/promise/promise_05_key_hidden.cpp
@@ -130,7 +130,7 @@
                    .services = 1,
                    .engine_arguments = {{"--refuse-key-text", "dsk_"}},
                    .service_arguments = {"--refuse-key-text", "dsk_"}}};
-    const auto other = it.key(1);
+    const auto &other = it.key(1);
     CHECK(it.call(0, "GET", "/services/booking/availability?k=" + other).status == 200);
     CHECK(it.call(0, "GET", "/services/booking/availability", "", {{"Cookie", other}}).status == 200);
     CHECK(it.book(0, other).code() == "key_in_request");
--- a/test/promise/promise_09_whole_answer.cpp
+++ b/test/promise/promise_09_whole_answer.cpp
@@ -5,7 +5,6 @@
 #include "support/stream_set.hpp"
 
 using namespace dotterelstack;
-using test::eventually;
 using test::stream_set;
 
 namespace {
--- a/test/promise/promise_10_truthful_refusal.cpp
+++ b/test/promise/promise_10_truthful_refusal.cpp
@@ -30,6 +30,8 @@
         : name_{std::move(name)}, thread_{[this, &at] { got_ = at.book(0, name_); }} {}
     running_booking(const running_booking &) = delete;
     running_booking &operator=(const running_booking &) = delete;
+    running_booking(running_booking &&) = delete;
+    running_booking &operator=(running_booking &&) = delete;
     ~running_booking() { finish(); }
 
     const reply &finish() {
@@ -152,6 +154,7 @@
     constexpr int calls = 15;
     std::vector<std::vector<reply>> got(callers);
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     const auto name_of = [](int caller, int n) { return "b-" + std::to_string(caller) + "-" + std::to_string(n); };
     for (int caller = 0; caller < callers; ++caller) {
         threads.emplace_back([&, caller] {
--- a/test/promise/promise_11_booking_processes.cpp
+++ b/test/promise/promise_11_booking_processes.cpp
@@ -15,6 +15,7 @@
 std::vector<reply> book_at_once(const test::site &it, std::size_t entries, const std::string &name, std::size_t count) {
     std::vector<reply> out(count);
     std::vector<std::thread> threads;
+    threads.reserve(count);
     for (std::size_t n = 0; n < count; ++n) {
         threads.emplace_back([&, n] { out[n] = it.book(n % entries, name, "key-" + name); });
     }
--- a/test/support/site.hpp
+++ b/test/support/site.hpp
@@ -57,6 +57,8 @@
     caller_stream(std::string address, const std::string &key, std::string prompt, std::size_t tokens);
     caller_stream(const caller_stream &) = delete;
     caller_stream &operator=(const caller_stream &) = delete;
+    caller_stream(caller_stream &&) = delete;
+    caller_stream &operator=(caller_stream &&) = delete;
     ~caller_stream();
 
     /** @return Tokens received so far. */
@@ -129,6 +131,8 @@
     explicit site(site_options options = {});
     site(const site &) = delete;
     site &operator=(const site &) = delete;
+    site(site &&) = delete;
+    site &operator=(site &&) = delete;
     ~site();
 
     /** @brief Starts another entry without waiting for it. @return Its number. */
