--- a/src/entry/config_feed.cpp
+++ b/src/entry/config_feed.cpp
@@ -1,6 +1,8 @@
 #include "entry/config_feed.hpp"
 
+#include <algorithm>
 #include <condition_variable>
+#include <map>
 #include <nlohmann/json.hpp>
 
 #include "base/overloaded.hpp"
@@ -103,28 +105,41 @@
 }
 
 void config_feed::ask_peers() {
-    for (const auto &address : peers_()) {
-        const auto started = clock_.now();
-        const auto status = client_.call(address, {"GET", "/status", {}, ""}, internal::peer_timeout);
-        if (!status || status.value().status != 200) {
-            continue;
-        }
-        const auto body = nlohmann::json::parse(status.value().body, nullptr, false);
-        if (body.is_object() && !body.value("store_reachable", true)) {
-            events_.push(outage_event{started});
+    const auto started = clock_.now();
+    std::map<std::string, bool> attested; // By failure domain.
+    for (const auto &it : peers_()) {
+        const bool sees_outage = ask_peer(it.address);
+        if (it.live) {
+            auto &domain = attested[it.failure_domain];
+            domain = domain || sees_outage;
         }
-        const auto since = version();
-        const std::string target = "/config" + (since == 0 ? "" : "?since=" + std::to_string(since));
-        const auto answer = client_.call(address, {"GET", target, {}, ""}, internal::peer_timeout);
-        if (answer && answer.value().status == 200) {
-            config::tracker_actions actions;
-            {
-                const std::scoped_lock lock{mutex_};
-                actions = tracker_.on_peer(answer.value().body, started);
-            }
-            handle(actions);
+    }
+    // A failure domain that does not answer may still reach the store and withdraw keys there; only an outage that
+    // entries of all of them see shows that nothing can be withdrawn.
+    if (!attested.empty() && std::ranges::all_of(attested, [](const auto &it) { return it.second; })) {
+        events_.push(outage_event{started});
+    }
+}
+
+bool config_feed::ask_peer(const std::string &address) {
+    const auto started = clock_.now();
+    const auto status = client_.call(address, {"GET", "/status", {}, ""}, internal::peer_timeout);
+    if (!status || status.value().status != 200) {
+        return false;
+    }
+    const auto since = version();
+    const std::string target = "/config" + (since == 0 ? "" : "?since=" + std::to_string(since));
+    const auto answer = client_.call(address, {"GET", target, {}, ""}, internal::peer_timeout);
+    if (answer && answer.value().status == 200) {
+        config::tracker_actions actions;
+        {
+            const std::scoped_lock lock{mutex_};
+            actions = tracker_.on_peer(answer.value().body, started);
         }
+        handle(actions);
     }
+    const auto body = nlohmann::json::parse(status.value().body, nullptr, false);
+    return body.is_object() && !body.value("store_reachable", true);
 }
 
 void config_feed::handle(const config::tracker_actions &actions) {
@@ -191,12 +206,12 @@
     message.method = "POST";
     message.target = "/keys/withdrawn";
     message.body = nlohmann::json{{"hashes", fresh}}.dump();
-    for (const auto &address : peers_()) {
+    for (const auto &it : peers_()) {
         transport::h2_handlers handlers;
         handlers.on_head = [](int /*status*/, const http::field_list & /*fields*/) {};
         handlers.on_data = [](std::string_view /*part*/) {};
         handlers.on_end = [](transport::h2_outcome /*outcome*/) {};
-        client_.send(address, message, std::move(handlers));
+        client_.send(it.address, message, std::move(handlers));
     }
 }
 
--- a/src/entry/config_feed.hpp
+++ b/src/entry/config_feed.hpp
@@ -12,6 +12,7 @@
 #include "base/clock.hpp"
 #include "config/config_tracker.hpp"
 #include "entry/events.hpp"
+#include "entry/peer_port.hpp"
 #include "store/object_store.hpp"
 #include "transport/h2_client.hpp"
 
@@ -20,8 +21,8 @@
 /** @brief Follows the configuration in the store, and at peers while the store does not answer. One thread. */
 class config_feed {
 public:
-    /** @brief Addresses of the other entries known now. */
-    using peer_source = std::function<std::vector<std::string>()>;
+    /** @brief The other entries known now. */
+    using peer_source = std::function<std::vector<peer_entry>()>;
 
     config_feed(const base::clock &time, store::object_store &store, transport::h2_client &client, event_ring &events,
                 peer_source peers);
@@ -50,6 +51,7 @@
     void run(const std::stop_token &token);
     [[nodiscard]] bool follow_store();
     void ask_peers();
+    [[nodiscard]] bool ask_peer(const std::string &address);
     void handle(const config::tracker_actions &actions);
     void fetch(const config::fetch_snapshot &wanted);
     void publish_age();
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -87,7 +87,7 @@
                                                               .static_peers = settings_.peers,
                                                               .interval = settings_.timings.host_list_interval},
                                           clock_, client_, h2_client_, events_);
-    config_ = std::make_unique<config_feed>(clock_, store_, h2_client_, events_, [this] { return fleet_->peers(); });
+    config_ = std::make_unique<config_feed>(clock_, store_, h2_client_, events_, [this] { return fleet_->entries(); });
     planner_ = std::make_unique<planner_task>(
         planner_task::options{.platform = settings_.platform,
                               .lease = lease_settings_of(settings_.timings, "planner", incarnation_)},
--- a/test/support/site.cpp
+++ b/test/support/site.cpp
@@ -306,7 +306,12 @@
     return eventually([&] {
         const bool booking =
             options_.services == 0 || call(entry, "GET", "/services/booking/availability").status == 200;
-        return booking && (options_.engines == 0 || complete(entry, "ready", 1).status == 200);
+        if (!booking || (options_.engines > 0 && complete(entry, "ready", 1).status != 200)) {
+            return false;
+        }
+        // Operator commands go by the status, which lags a little.
+        const auto status = entry_status(entry);
+        return status.is_object() && status.contains("backends") && status["backends"].size() == hosts_.size();
     });
 }
 
@@ -359,8 +364,12 @@
 }
 
 command_result site::command(std::vector<std::string> arguments) {
-    arguments.insert(arguments.end(),
-                     {"--store", store_address_, "--platform", platform_address_, "--author", "operator"});
+    // Commands that change nothing know no author.
+    const bool changes = arguments.front() != "status";
+    arguments.insert(arguments.end(), {"--store", store_address_, "--platform", platform_address_});
+    if (changes) {
+        arguments.insert(arguments.end(), {"--author", "operator"});
+    }
     child_process it{"dotterelstack", arguments};
     const auto code = it.wait(eventually_limit);
     return {code, it.output(), it.errors()};
