--- a/src/entry/claim_link.cpp
+++ b/src/entry/claim_link.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/overloaded.hpp"
+
 namespace dotterelstack::entry {
 
 namespace internal {
@@ -11,11 +13,6 @@
 // Longest time that a graceful stop waits for outcomes to be committed.
 constexpr auto claim_stop_limit = std::chrono::seconds{5};
 
-template<typename... Functions>
-struct claim_visitor : Functions... {
-    using Functions::operator()...;
-};
-
 } // namespace internal
 
 claim_link::claim_link(const base::clock &time, store::object_store &store, base::id_source &ids, event_ring &events,
@@ -54,15 +51,22 @@
     put(not_run{std::string{request}});
 }
 
+void claim_link::on_sealed_windows(std::uint64_t count) noexcept {
+    // Only the highest number counts, so it needs no place in the ring.
+    auto known = sealed_windows_.load();
+    while (known < count && !sealed_windows_.compare_exchange_weak(known, count)) {
+    }
+}
+
 void claim_link::put(message it) {
     ring_.push(std::move(it));
 }
 
 void claim_link::take(message it) {
-    std::visit(internal::claim_visitor{[this](claim::claim_request &each) { book_.submit(std::move(each)); },
-                                       [this](finished &each) { book_.finish(each.request, std::move(each.answer)); },
-                                       [this](unknown &each) { book_.finish_unknown(each.request); },
-                                       [this](not_run &each) { book_.finish_not_run(each.request); }},
+    std::visit(base::overloaded{[this](claim::claim_request &each) { book_.submit(std::move(each)); },
+                                [this](finished &each) { book_.finish(each.request, std::move(each.answer)); },
+                                [this](unknown &each) { book_.finish_unknown(each.request); },
+                                [this](not_run &each) { book_.finish_not_run(each.request); }},
                it);
 }
 
@@ -76,6 +80,7 @@
         } else if (ring_.closed()) {
             break;
         }
+        book_.on_sealed_windows(sealed_windows_);
         while (claim::drive_claims(book_, store_, ids_)) {
         }
         for (auto &decision : book_.take_decisions()) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "agent/agent_daemon.hpp"
+#include "agent/order_desk.hpp"
 #include "base/clock.hpp"
 #include "base/id.hpp"
 #include "cli/run.hpp"
@@ -58,13 +59,13 @@
     if (!values) {
         return report(values.error());
     }
-    const base::boottime_clock clock;
+    base::boottime_clock clock;
     base::id_source ids;
     http::curl_client client;
     store::http_store_options options;
     options.timeout = values.value().timings.store_timeout;
     store::http_store store{client, values.value().store, options};
-    entry::entry_daemon daemon{values.value(), clock, ids, client, store};
+    dotterelstack::entry::entry_daemon daemon{values.value(), clock, ids, client, store};
     const auto addresses = daemon.start();
     if (!addresses) {
         return report(addresses.error());
@@ -79,14 +80,6 @@
     return exit_success;
 }
 
-/** Refuses orders until an executor is connected. */
-class no_orders final : public agent::order_handler {
-public:
-    [[nodiscard]] http::response handle(const http::request & /*order*/) override {
-        return {503, {{"ds-ran", "no"}}, R"({"error":{"code":"no_orders","message":"orders are off","ran":"no"}})"};
-    }
-};
-
 agent::agent_options to_options(const settings::agent_settings &values) {
     agent::agent_options out;
     out.host = values.host;
@@ -108,11 +101,15 @@
     if (!values) {
         return report(values.error());
     }
-    const base::boottime_clock clock;
+    base::boottime_clock clock;
     base::id_source ids;
     http::curl_client client;
-    no_orders orders;
-    agent::agent_daemon daemon{to_options(values.value()), clock, ids.next(), client, orders};
+    store::http_store_options limits;
+    limits.timeout = values.value().timings.store_timeout;
+    store::http_store store{client, values.value().store, limits};
+    const auto options = to_options(values.value());
+    agent::order_desk orders{options, clock, store, client};
+    agent::agent_daemon daemon{options, clock, ids.next(), client, orders};
     const auto address = daemon.start();
     if (!address) {
         return report(address.error());
@@ -158,7 +155,7 @@
     }
 
 private:
-    const base::boottime_clock clock_;
+    base::boottime_clock clock_;
     transport::event_loop loop_;
     transport::h2_client client_{loop_, clock_};
 };
--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -59,7 +59,8 @@
         const int index = static_cast<int>(n);
         total += static_cast<double>(it.values.at(index));
         const auto bound = it.values.axis(0).bin(index).upper();
-        out += full + "_bucket{" + labels + ",le=\"" + to_text(bound) + "\"} " + to_text(total) + "\n";
+        out.append(full).append("_bucket{").append(labels).append(",le=\"").append(to_text(bound));
+        out.append("\"} ").append(to_text(total)).append("\n");
     }
     total += static_cast<double>(it.values.at(static_cast<int>(bucket_count)));
     out += full + "_bucket{" + labels + ",le=\"+Inf\"} " + to_text(total) + "\n";
