--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -19,6 +19,8 @@
 #include "config/item.hpp"
 #include "limits/admission.hpp"
 #include "limits/share_ledger.hpp"
+#include "membership/host_table.hpp"
+#include "membership/subset.hpp"
 #include "routing/router.hpp"
 #include "spread/poll_server.hpp"
 #include "spread/poller.hpp"
@@ -325,6 +327,37 @@
     }
 }
 
+void membership_tables() {
+    for (const std::size_t count : {std::size_t{50}, std::size_t{500}, std::size_t{5000}, std::size_t{7940}}) {
+        const base::boottime_clock clock;
+        std::vector<membership::listed_host> list;
+        for (std::size_t n = 0; n < count; ++n) {
+            const auto name = "host-" + std::to_string(n);
+            list.push_back({name, "agent", "10.0." + std::to_string(n) + ":4000", "domain-" + std::to_string(n % 5)});
+        }
+        const auto before = heap_bytes();
+        membership::host_table table{clock};
+        (void)table.on_list(list);
+        const auto bytes = heap_bytes() - before;
+        line("host_table hosts; on_heartbeat", count, bytes,
+             time_of(50000, [&](std::size_t n) { (void)table.on_heartbeat(list[n % count].host, false); }));
+        line("host_table hosts; on_time", count, bytes, time_of(20, [&](std::size_t) { (void)table.on_time(); }));
+        line("host_table hosts; on_list", count, bytes, time_of(20, [&](std::size_t) { (void)table.on_list(list); }));
+    }
+    for (const std::size_t count : {std::size_t{54}, std::size_t{540}, std::size_t{5400}}) {
+        std::vector<std::string> names;
+        for (std::size_t n = 0; n < entries; ++n) {
+            names.push_back("10.0.0." + std::to_string(n) + ":4000");
+        }
+        membership::service_agents service{"s", {}};
+        for (std::size_t n = 0; n < count; ++n) {
+            service.agents.push_back("host-" + std::to_string(n));
+        }
+        line("choose_subset among 340 entries, agents of a service", count, 0,
+             time_of(3, [&](std::size_t n) { (void)membership::choose_subset(names[n], names, service, 4); }));
+    }
+}
+
 void messages() {
     std::puts("\n| message | bytes |\n|---|---|");
     const auto state = state_of(rows_of(services));
@@ -361,6 +394,7 @@
     routing_tables();
     request_memory();
     spread_tables();
+    membership_tables();
     messages();
     return 0;
 }
--- a/src/spread/message.hpp
+++ b/src/spread/message.hpp
@@ -29,8 +29,10 @@
 /** @brief Reply to a poll. The changes themselves are added by `config_tracker::answer_peer`. */
 struct reply {
     std::uint64_t version{0};
-    base::duration age{0}; /**< How old this knowledge may be, from the store to the sender. */
-    bool busy{false};      /**< The sender waits for too many already; ask another source. */
+    base::duration age{0}; /**< How old this knowledge may be, from the store to the sender, when the reply is sent. */
+    base::duration held{
+        0};           /**< How long the poll was held. The receiver counts the age from so long after its start. */
+    bool busy{false}; /**< The sender waits for too many already; ask another source. */
     cursor withdrawals;
     std::vector<std::string> withdrawn; /**< SHA-256 hashes of keys. */
 };
--- a/src/spread/poll_server.cpp
+++ b/src/spread/poll_server.cpp
@@ -11,21 +11,23 @@
     return (asked.full && version_ > asked.since) || withdrawn;
 }
 
-send_reply poll_server::make(std::uint64_t number, const poll &asked) const {
-    return {number,
-            asked.full && version_ > asked.since,
-            asked.since,
-            {version_, clock_.now() - confirmed_, false, withdrawals_.end(), withdrawals_.since(asked.withdrawals)}};
+send_reply poll_server::make(std::uint64_t number, const poll &asked, base::instant since) const {
+    const auto now = clock_.now();
+    return {
+        number,
+        asked.full && version_ > asked.since,
+        asked.since,
+        {version_, now - confirmed_, now - since, false, withdrawals_.end(), withdrawals_.since(asked.withdrawals)}};
 }
 
 std::vector<send_reply> poll_server::on_poll(std::uint64_t number, const poll &asked) {
     const bool busy = waiting_.size() >= (asked.full ? max_waiting : busy_waiting);
     if (asked.wait <= base::duration{0} || has_news(asked) || busy) {
-        auto out = make(number, asked);
+        auto out = make(number, asked, clock_.now());
         out.body.busy = busy;
         return {std::move(out)};
     }
-    waiting_.insert_or_assign(number, held{asked, clock_.now() + std::min(asked.wait, max_wait)});
+    waiting_.insert_or_assign(number, held{asked, clock_.now(), clock_.now() + std::min(asked.wait, max_wait)});
     return {};
 }
 
@@ -46,7 +48,7 @@
     std::erase_if(waiting_, [&](const auto &it) {
         const bool ready = has_news(it.second.asked);
         if (ready) {
-            out.push_back(make(it.first, it.second.asked));
+            out.push_back(make(it.first, it.second.asked, it.second.since));
         }
         return ready;
     });
@@ -59,7 +61,7 @@
     std::erase_if(waiting_, [&](const auto &it) {
         const bool due = it.second.until <= now;
         if (due) {
-            out.push_back(make(it.first, it.second.asked));
+            out.push_back(make(it.first, it.second.asked, it.second.since));
         }
         return due;
     });
--- a/src/spread/poll_server.hpp
+++ b/src/spread/poll_server.hpp
@@ -61,11 +61,12 @@
 private:
     struct held {
         poll asked;
+        base::instant since;
         base::instant until;
     };
 
     [[nodiscard]] bool has_news(const poll &asked) const noexcept;
-    [[nodiscard]] send_reply make(std::uint64_t number, const poll &asked) const;
+    [[nodiscard]] send_reply make(std::uint64_t number, const poll &asked, base::instant since) const;
     [[nodiscard]] std::vector<send_reply> answer_ready();
 
     const base::clock &clock_;
--- a/src/spread/poller.cpp
+++ b/src/spread/poller.cpp
@@ -112,7 +112,8 @@
         out.emplace_back(adopt_version{body.version});
     }
     if (body.version >= version_) {
-        confirmed_ = std::max(confirmed_, it->started - body.age);
+        const auto held = std::clamp(body.held, base::duration{0}, clock_.now() - it->started);
+        confirmed_ = std::max(confirmed_, it->started + held - body.age);
     }
     if (body.age > options_.stale_after || body.busy) {
         fail(index, out);
--- a/src/spread/poller.hpp
+++ b/src/spread/poller.hpp
@@ -50,10 +50,10 @@
     /** Time left to the first source to deliver a version that another source has announced. */
     base::duration grace{std::chrono::milliseconds{100}};
     /** A source that failed is avoided for this time while others are left. */
-    base::duration penalty{std::chrono::seconds{10}};
-    /** A source whose own knowledge is older is replaced: relays repeat their watch every second, entries poll
-     * every 2 s, so that 3 s are normal. */
-    base::duration stale_after{std::chrono::seconds{4}};
+    base::duration penalty{std::chrono::seconds{30}};
+    /** A source whose own knowledge is older is replaced. Relays repeat their watch every second and entries poll every
+     * 2 s, so that up to 4 s are normal. */
+    base::duration stale_after{std::chrono::seconds{5}};
     /** Pause after all sources have failed in turn; half of it is random. */
     base::duration retry{std::chrono::milliseconds{500}};
 };
