--- a/bench/spread.cpp
+++ b/bench/spread.cpp
@@ -177,6 +177,8 @@
     scheme() = default;
     scheme(const scheme &) = delete;
     scheme &operator=(const scheme &) = delete;
+    scheme(scheme &&) = delete;
+    scheme &operator=(scheme &&) = delete;
     virtual ~scheme() = default;
     virtual void start() = 0;
     /** @brief The process starts again with nothing in memory. */
--- a/test/membership/membership.cpp
+++ b/test/membership/membership.cpp
@@ -120,6 +120,7 @@
 TEST_CASE("subsets at the design scale are bounded, cover all agents and serve every service") {
     const auto entries = names("entry-", 340);
     std::vector<membership::service_agents> services;
+    services.reserve(14);
     for (int n = 0; n < 14; ++n) {
         services.push_back({std::to_string(n), names("agent-" + std::to_string(n) + "-", n == 0 ? 580 : 540)});
     }
