--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -19,6 +19,7 @@
 #include "config/config_tracker.hpp"
 #include "config/item.hpp"
 #include "limits/admission.hpp"
+#include "limits/share_holder.hpp"
 #include "limits/share_ledger.hpp"
 #include "membership/host_table.hpp"
 #include "membership/subset.hpp"
@@ -128,6 +129,15 @@
         std::printf("| snapshot JSON of %zu rows | %zu | %zu | %.0f | |\n", count, count, snapshot_bytes(*state),
                     static_cast<double>(snapshot_bytes(*state)) / static_cast<double>(count));
     }
+    for (const auto count : sizes) {
+        const auto before = heap_bytes();
+        const auto state =
+            std::make_shared<const config::config_state>(1, id_of(1), rows_of(count), config::origin_map{});
+        const auto bytes = heap_bytes() - before;
+        const auto change = weight_change(state);
+        line("config_state rows without origins; apply_change", count, bytes,
+             time_of(20, [&](std::size_t) { (void)config::apply_change(state, change); }));
+    }
     for (const auto count : sizes) {
         auto values = rows_of(services);
         for (std::size_t n = 0; n < count; ++n) {
@@ -175,6 +185,22 @@
                  (void)subject.poll();
              }));
     }
+    for (const auto count : sizes) {
+        const base::boottime_clock clock;
+        const auto before = heap_bytes();
+        limits::share_holder holder{clock, id_of(1)};
+        holder.set_epoch({1, {{id_of(1), 2 * entries}}, {}});
+        for (std::size_t n = 0; n < count; ++n) {
+            holder.set_limit({organisation_of(n), service_of(n)}, {1000, 1000000, 100000000, 100000000});
+        }
+        line("share_holder rows without demands", count, heap_bytes() - before, 0);
+        const auto time = time_of(count, [&](std::size_t n) {
+            const auto organisation = organisation_of(n);
+            const auto service = service_of(n);
+            (void)holder.demand({organisation, service}, {9, 9, 9, 9}, {1, 1, 1, 1});
+        });
+        line("share_holder rows, each with a demand; demand", count, heap_bytes() - before, time);
+    }
     for (const std::size_t members : {std::size_t{50}, std::size_t{500}, std::size_t{5000}, entries}) {
         constexpr std::size_t rows = 39; // 13,160 rows divided among 340 coordinators.
         const base::boottime_clock clock;
