--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -295,6 +295,10 @@
     admission_.set_share({organisation, service}, share);
 }
 
+bool dispatcher::handed_over(const flow &it) noexcept {
+    return it.stage == flow_stage::running || it.stage == flow_stage::probing;
+}
+
 void dispatcher::tick() {
     for (const auto &answer : admission_.poll()) {
         if (auto *it = find_flow(answer.request); it != nullptr && it->stage == flow_stage::queued) {
@@ -342,7 +346,7 @@
                           internal::membership_delay});
         } else if (it->stage == flow_stage::delayed && now >= it->retry_at) {
             start_attempt(*it);
-        } else if (it->request.kind != request_kind::call && it->caller->gone()) {
+        } else if (it->caller->gone() && (it->request.kind != request_kind::call || !handed_over(*it))) {
             give_up(*it, {499, "caller_gone", "the caller closed the connection", ran_claim::unknown});
         }
     }
--- a/src/entry/dispatcher.hpp
+++ b/src/entry/dispatcher.hpp
@@ -133,6 +133,8 @@
     void after_call(flow &it);
     void probe(flow &it);
     void retry_or_give_up(flow &it, retry::evidence_kind seen);
+    /** @return True while an attempt may be at a backend server; a call is then left to finish. */
+    [[nodiscard]] static bool handed_over(const flow &it) noexcept;
     [[nodiscard]] static ran_claim claim_of(const flow &it) noexcept;
     void end_attempt(flow &it, routing::outcome how);
 
