Wait until a paused test process has stopped

Change: child_process::signal waits for the stop notification, so every test that pauses a process pauses it. Ruled out: the 200 ms timeout of the call; the answer arrived, it did not time out.

--- a/test/support/child_process.cpp
+++ b/test/support/child_process.cpp
@@ -100,6 +100,11 @@
     if (status_ || ::kill(pid_, number) != 0) {
         throw std::runtime_error{"cannot send a signal to a process that has ended"};
     }
+    if (number == SIGSTOP) {
+        // The signal is delivered later than kill() returns; until all threads have stopped, the process may answer.
+        siginfo_t info{};
+        ::waitid(P_PID, static_cast<id_t>(pid_), &info, WSTOPPED | WEXITED | WNOWAIT);
+    }
 }
 
 std::optional<int> child_process::wait(std::chrono::milliseconds timeout) {
