Let a finished drain be ended

Change: cancelling a finished drain is valid and brings its backend servers back; the risk report counts a finished drain as taken out of service. Ruled out: ending a drain automatically; the operator says when the server is wanted again.

--- a/src/cli/drain.cpp
+++ b/src/cli/drain.cpp
@@ -18,8 +18,8 @@
     options.add_options()("backend", "backend server to drain", cxxopts::value<std::string>())(
         "host", "host whose backend servers to drain",
         cxxopts::value<std::string>())("replace", "have the backend server replaced after the drain")(
-        "set-role", "have the engine take this role after the drain",
-        cxxopts::value<std::string>())("cancel", "cancel a requested change by its id", cxxopts::value<std::string>());
+        "set-role", "have the engine take this role after the drain", cxxopts::value<std::string>())(
+        "cancel", "cancel a requested change, or end a finished drain, by its id", cxxopts::value<std::string>());
 }
 
 base::result<std::vector<config::item_change>> cancel_item(const config::config_state &current, const std::string &id) {
--- a/src/config/risk.cpp
+++ b/src/config/risk.cpp
@@ -95,7 +95,8 @@
 
 bool takes_out(const planned_change &plan, const backend_fact &backend) {
     const bool open = plan.state == planned_state::requested || plan.state == planned_state::running;
-    return open && (plan.host.empty() ? plan.backend == backend.name : plan.host == backend.host);
+    const bool drained = plan.kind == planned_kind::drain && plan.state == planned_state::done;
+    return (open || drained) && (plan.host.empty() ? plan.backend == backend.name : plan.host == backend.host);
 }
 
 bool out_of_service(const declarations &value, const backend_fact &backend) {
--- a/src/config/validation.cpp
+++ b/src/config/validation.cpp
@@ -122,7 +122,10 @@
         after->argument != before.argument) {
         problems.add({item, "another kind or target", "those it was requested with", "request a new change"});
     }
-    if (finished(before.state) && after->state != before.state) {
+    // Cancelling a finished drain is how its backend servers come back into service.
+    const bool drain_ended = before.kind == planned_kind::drain && before.state == planned_state::done &&
+                             after->state == planned_state::cancelled;
+    if (finished(before.state) && after->state != before.state && !drain_ended) {
         problems.add({item + " state", std::string{to_text(after->state)}, "a finished change stays finished",
                       "request a new change"});
     }
--- a/test/config/validation.cpp
+++ b/test/config/validation.cpp
@@ -63,6 +63,10 @@
     after = before;
     after.planned["p"].state = config::planned_state::requested;
     CHECK(has(problems_of_step(before, after), "a finished change stays finished"));
+    after.planned["p"].state = config::planned_state::cancelled;
+    CHECK(problems_of_step(before, after).empty());
+    before.planned["p"].kind = after.planned["p"].kind = config::planned_kind::replace;
+    CHECK(has(problems_of_step(before, after), "a finished change stays finished"));
     after.planned.clear();
     CHECK(problems_of_step(before, after).empty());
     before.planned["p"].state = config::planned_state::running;
