--- a/test/promise/promise_02_planned_change.cpp
+++ b/test/promise/promise_02_planned_change.cpp
@@ -1,4 +1,6 @@
+#include <csignal>
 #include <doctest/doctest.h>
+#include <set>
 
 #include "support/site.hpp"
 #include "support/stream_set.hpp"
@@ -78,3 +80,51 @@
     CHECK(eventually([&] { return taken_by_first(it, 10) > 0; }));
     CHECK(streams.count_whole() == stream_count);
 }
+
+// Guards against an order that reaches an engine while it works, or twice: the planner drains first, then orders once.
+TEST_CASE("promise 2: a planned role change waits for the streams and is ordered once") {
+    std::vector<std::string> arguments = slow_engine;
+    arguments.insert(arguments.end(), {"--role-change-ms", "200"});
+    test::site it{{.engines = 2, .services = 0, .entries = 2, .engine_arguments = {arguments}}};
+    const stream_set streams{it.callers(), it.key(), "role", stream_count, tokens};
+    REQUIRE(busy(it, 0));
+    const auto asked = it.command({"drain", "--backend", "backend-" + it.host_name(0), "--set-role", "prefill"});
+    CAPTURE(asked.errors);
+    REQUIRE(asked.code == 0);
+    CHECK(eventually([&] { return it.command({"status"}).output.find(" done by ") != std::string::npos; }));
+    CHECK(streams.count_whole() == stream_count);
+    const auto state = it.backend_get(0, "/v1/state");
+    CHECK(state.at("interrupted") == 0);
+    CHECK(state.at("role") == "prefill");
+    // Both entries are candidates for the planner's lease; only one of them gives the order, under its fence.
+    const auto orders = it.backend_get(0, "/v1/orders").at("orders");
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].at("fence").get<std::uint64_t>() > 0);
+}
+
+// Guards against a change that is forgotten, or ordered again, when the planner is killed in the middle of it.
+TEST_CASE("promise 1: a role change goes on under the next planner when entries are killed") {
+    std::vector<std::string> arguments = slow_engine;
+    arguments.insert(arguments.end(), {"--role-change-ms", "200"});
+    test::site it{{.engines = 2,
+                   .services = 0,
+                   .entries = 2,
+                   .engine_arguments = {arguments},
+                   .entry_overrides = {"timings.lease_term_ms=2000", "timings.lease_margin_ms=500"}}};
+    const auto asked = it.command({"drain", "--backend", "backend-" + it.host_name(0), "--set-role", "prefill"});
+    CAPTURE(asked.errors);
+    REQUIRE(asked.code == 0);
+    // Whichever entry holds the lease, it is killed in one of the two rounds.
+    it.entry(0).signal(SIGKILL);
+    const auto fresh = it.start_entry();
+    CHECK(eventually([&] { return it.version_of(fresh) >= 2; }));
+    it.entry(1).signal(SIGKILL);
+    CHECK(eventually([&] { return it.backend_get(0, "/v1/state").at("role") == "prefill"; }));
+    CHECK(eventually([&] { return it.command({"status"}).output.find(" done by ") != std::string::npos; }));
+    std::set<std::string> ids;
+    const auto orders = it.backend_get(0, "/v1/orders").at("orders");
+    for (const auto &order : orders) {
+        ids.insert(order.at("order_id").get<std::string>());
+    }
+    CHECK(ids.size() == 1);
+}
