Split the wait estimates from admission and release the lock before queueing an answer

Change: admission_estimate.cpp holds the estimates; queue_answer runs without the state lock, since an answer that is set no longer changes. Ruled out: a deadlock in practice, both stacks are on the one server thread. Measured: test_limits and test_http pass; test_transport and test_agent have no ThreadSanitizer report.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -143,10 +143,14 @@
         owner.handler(exchange{*held});
         return MHD_YES;
     }
-    const std::scoped_lock lock{it.mutex};
-    if (it.aborted && !it.answered) {
-        return MHD_NO;
+    {
+        const std::scoped_lock lock{it.mutex};
+        if (it.aborted && !it.answered) {
+            return MHD_NO;
+        }
     }
+    // Status, fields and a whole body no longer change once the answer is set; libmicrohttpd's own locks are taken
+    // without ours, because it holds them when it calls read_stream.
     return queue_answer(*held, connection);
 }
 
--- a/src/limits/admission.cpp
+++ b/src/limits/admission.cpp
@@ -7,23 +7,13 @@
 
 namespace {
 
-/** @brief Generated tokens assumed for a row's first request. */
-constexpr double initial_generated = 64.0;
 /** @brief Weight of a new sample in the running means. */
 constexpr double sample_weight = 0.125;
 /** @brief Floor of a weight; a weight of 0 would never be served. */
 constexpr double smallest_weight = 1e-3;
 /** @brief How often the requests of a waiting row are checked against their deadlines. */
 constexpr base::duration sweep_interval = std::chrono::milliseconds{250};
-/** @brief `retry_after` while no request has finished yet or a share is 0; grants change within 2 s. */
-constexpr base::duration default_retry = std::chrono::seconds{1};
 constexpr base::duration shortest_retry = std::chrono::milliseconds{1};
-constexpr base::duration longest_retry = std::chrono::hours{1};
-
-base::duration from_seconds(double seconds) noexcept {
-    const double most = std::chrono::duration<double>(longest_retry).count();
-    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(std::clamp(seconds, 0.0, most)));
-}
 
 void move_mean(double &mean, double sample) noexcept {
     mean = mean == 0.0 ? sample : mean + sample_weight * (sample - mean);
@@ -146,72 +136,6 @@
     services_[intern_service(service)].slots = slots;
 }
 
-double admission::expected_generated(const row_state &row, double max_generated) const noexcept {
-    return std::min(max_generated, row.mean_generated > 0 ? row.mean_generated : initial_generated);
-}
-
-admission::estimate admission::blocked_now(const row_state &row, const request_state &it) const {
-    if (row.concurrency && row.running >= *row.concurrency) {
-        return {refusal::concurrency, {}, false};
-    }
-    estimate worst;
-    const auto consider = [&worst](refusal reason, std::optional<base::duration> wait) {
-        if (!wait) {
-            worst = {reason, default_retry, false};
-        } else if (*wait > worst.wait) {
-            worst = {reason, *wait, worst.certain};
-        }
-    };
-    consider(refusal::rate, row.requests.wait(1, 0, now_));
-    consider(refusal::prompt_tokens, row.prompt.wait(it.prompt, 0, now_));
-    consider(refusal::generated_tokens, row.generated.wait(it.generated, 0, now_));
-    return worst;
-}
-
-admission::estimate admission::expected_wait(const row_state &row, const request_state &it, const backlog &ahead,
-                                             turn counted) const {
-    const auto &service = services_[row.service];
-    const double own_turn = counted == turn::included ? 1 : 0;
-    // Without a sample a request must not be refused for a guess; only retry_after assumes one.
-    const double assumed_run = own_turn * std::chrono::duration<double>(default_retry).count();
-    const double mean_run = service.mean_run > 0 ? service.mean_run : assumed_run;
-    estimate worst;
-    const auto consider = [&worst](refusal reason, std::optional<base::duration> wait) {
-        const auto known = wait.value_or(default_retry);
-        if (worst.reason == refusal::none ? known > base::duration::zero() : known > worst.wait) {
-            worst.reason = reason;
-            worst.wait = known;
-        }
-        worst.certain = worst.certain && wait.has_value();
-    };
-    consider(refusal::rate, row.requests.wait(1, ahead.requests, now_));
-    consider(refusal::prompt_tokens, row.prompt.wait(it.prompt, ahead.prompt, now_));
-    consider(refusal::generated_tokens, row.generated.wait(it.generated, ahead.generated, now_));
-    if (row.concurrency) {
-        if (*row.concurrency == 0) {
-            consider(refusal::concurrency, std::nullopt);
-        } else if (row.running + ahead.requests >= *row.concurrency) {
-            const double turns = row.running + ahead.requests - *row.concurrency + own_turn;
-            consider(refusal::concurrency, from_seconds(turns * mean_run / *row.concurrency));
-        }
-    }
-    if (service.slots == 0) {
-        consider(refusal::capacity, std::nullopt);
-    } else if (service.running >= service.slots || ahead.requests > 0) {
-        // The row's part of the service's token rate, in proportion to the weights of the waiting rows.
-        const double weights = std::max(service.waiting_weight, row.limits.weight);
-        const double cost_ahead = (ahead.prompt + ahead.generated) * weights / row.limits.weight;
-        const double requests_ahead = service.mean_cost > 0 ? cost_ahead / service.mean_cost : 0.0;
-        consider(refusal::capacity, from_seconds((requests_ahead + own_turn) * mean_run / service.slots));
-    }
-    return worst;
-}
-
-base::duration admission::retry_after(const row_state &row, const request_state &it, const backlog &ahead) const {
-    const auto wait = expected_wait(row, it, ahead, turn::included).wait;
-    return wait > base::duration::zero() ? std::max(wait, shortest_retry) : default_retry;
-}
-
 void admission::charge(row_id id, double prompt, double generated) {
     auto &row = rows_[id];
     auto &service = services_[row.service];
