Tell the balancer whether an entry accepts requests

Cause: /healthz answered 200 although an entry without a confirmed configuration refuses every request; peers could be answered before all parts of the entry existed. Change: /healthz follows dispatcher::accepts; peers get 503 until the entry has started. Measured: test_entry passes with a case for accepts.

--- a/src/entry/dispatcher.hpp
+++ b/src/entry/dispatcher.hpp
@@ -97,6 +97,9 @@
     /** @brief Refuses new requests from now on. */
     void stop_accepting() noexcept { stopping_ = true; }
 
+    /** @return True while new requests are accepted: configured, not isolated, not stopping. */
+    [[nodiscard]] bool accepts() const noexcept { return !stopping_ && config_ && freshness_.serves(); }
+
     [[nodiscard]] freshness_guard &freshness() noexcept { return freshness_; }
     [[nodiscard]] std::size_t active() const noexcept { return flows_.size(); }
     [[nodiscard]] std::uint64_t config_version() const noexcept { return config_ ? config_->version() : 0; }
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -107,6 +107,7 @@
     BOOST_OUTCOME_TRY(callers,
                       caller_server_.start(
                           settings_.listen.callers, [this](const http::exchange &call) { on_call(call); }, limits));
+    started_ = true;
     return entry_addresses{callers, peers};
 }
 
@@ -116,7 +117,8 @@
         return call.respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text()});
     }
     if (message.method == "GET" && message.path() == "/healthz") {
-        return call.respond({200, internal::json_type, R"({"status":"ok"})"});
+        return serving_ ? call.respond({200, internal::json_type, R"({"status":"ok"})"})
+                        : call.respond({503, internal::json_type, R"({"status":"not serving"})"});
     }
     auto request = parse_caller_request(message, {.header_bytes = settings_.limits.header_bytes});
     if (!request) {
@@ -188,10 +190,13 @@
 void entry_daemon::on_peer(const transport::h2_stream &stream) {
     const auto &message = stream.message();
     const auto path = message.path();
+    if (!started_) {
+        return stream.respond({503, internal::json_type, R"({"error":{"code":"starting","message":"repeat later"}})"});
+    }
     if (path == "/status") {
         return stream.respond(peer_status());
     }
-    if (path == "/config" && config_) {
+    if (path == "/config") {
         const auto since = message.query_value("since");
         std::optional<std::uint64_t> version;
         if (since) {
@@ -242,6 +247,7 @@
             dispatcher_->tick();
         }
         active_ = dispatcher_->active();
+        serving_ = dispatcher_->accepts();
         if (clock_.now() >= status_due_) {
             status_due_ = clock_.now() + internal::status_interval;
             update_status();
--- a/src/entry/entry_daemon.hpp
+++ b/src/entry/entry_daemon.hpp
@@ -96,6 +96,8 @@
     http::server caller_server_;
     std::thread dispatch_thread_;
     std::atomic<std::size_t> active_{0};
+    std::atomic<bool> started_{false}; /**< All parts exist; peers are answered from then on. */
+    std::atomic<bool> serving_{false}; /**< Requests are accepted; what the balancer asks for. */
     std::mutex status_mutex_;
     std::string status_; /**< Body of `GET /status`, made by the dispatcher's thread. */
     base::instant status_due_{};
--- a/test/entry/dispatcher.cpp
+++ b/test/entry/dispatcher.cpp
@@ -610,3 +610,15 @@
     CHECK(histories > 10000);
     CHECK(wrong.empty());
 }
+
+// Guards against a balancer that sends requests to an entry that would refuse them all.
+TEST_CASE("requests are accepted only while the configuration is confirmed and no stop has begun") {
+    fixture it;
+    CHECK(it.dispatcher.accepts());
+    it.clock.advance(6s);
+    CHECK_FALSE(it.dispatcher.accepts());
+    it.dispatcher.freshness().confirmed(it.clock.now());
+    CHECK(it.dispatcher.accepts());
+    it.dispatcher.stop_accepting();
+    CHECK_FALSE(it.dispatcher.accepts());
+}
