Share the interruptible wait and derive peers from entries

Cause: six threads had the same mutex, condition variable and wait for a stop; fleet_feed::peers repeated the loop of entries(). Change: base::wait_unless_stopped serves the six threads; peers() takes the addresses of entries(). Two differences: an own address among the static peers is left out, as entries() does, and static peers now come last.

--- a/src/agent/load_poller.cpp
+++ b/src/agent/load_poller.cpp
@@ -1,8 +1,9 @@
 #include "agent/load_poller.hpp"
 
-#include <condition_variable>
 #include <nlohmann/json.hpp>
 
+#include "base/interruptible_wait.hpp"
+
 namespace dotterelstack::agent {
 
 namespace internal {
@@ -29,13 +30,10 @@
 void load_poller::start(std::function<void()> on_round) {
     poll_all();
     thread_ = std::jthread{[this, on_round = std::move(on_round)](const std::stop_token &token) {
-        std::mutex mutex;
-        std::condition_variable_any wake;
         while (!token.stop_requested()) {
             poll_all();
             on_round();
-            std::unique_lock lock{mutex};
-            wake.wait_for(lock, token, options_.load_poll, [] { return false; });
+            base::wait_unless_stopped(token, options_.load_poll);
         }
     }};
 }
--- a/src/entry/config_feed.cpp
+++ b/src/entry/config_feed.cpp
@@ -1,10 +1,10 @@
 #include "entry/config_feed.hpp"
 
 #include <algorithm>
-#include <condition_variable>
 #include <map>
 #include <nlohmann/json.hpp>
 
+#include "base/interruptible_wait.hpp"
 #include "base/overloaded.hpp"
 #include "config/config_log.hpp"
 #include "log/event.hpp"
@@ -50,8 +50,6 @@
 }
 
 void config_feed::run(const std::stop_token &token) {
-    std::mutex mutex;
-    std::condition_variable_any wake;
     while (!token.stop_requested()) {
         const bool ok = follow_store();
         if (ok != store_reachable_) {
@@ -60,8 +58,7 @@
         }
         if (!ok) {
             ask_peers();
-            std::unique_lock lock{mutex};
-            wake.wait_for(lock, token, internal::retry_delay, [] { return false; });
+            base::wait_unless_stopped(token, internal::retry_delay);
         }
         publish_age();
     }
--- a/src/entry/fleet_feed.cpp
+++ b/src/entry/fleet_feed.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "base/interruptible_wait.hpp"
 #include "log/event.hpp"
 
 namespace dotterelstack::entry {
@@ -84,12 +85,9 @@
 }
 
 std::vector<std::string> fleet_feed::peers() const {
-    const std::scoped_lock lock{mutex_};
-    std::vector<std::string> out = options_.static_peers;
-    for (const auto &it : hosts_) {
-        if (it.role == "entry" && it.address != options_.self && std::ranges::find(out, it.address) == out.end()) {
-            out.push_back(it.address);
-        }
+    std::vector<std::string> out;
+    for (const auto &it : entries()) {
+        out.push_back(it.address);
     }
     return out;
 }
@@ -128,14 +126,11 @@
 }
 
 void fleet_feed::run(const std::stop_token &token) {
-    std::mutex mutex;
-    std::condition_variable_any wake;
     while (!token.stop_requested()) {
         read_hosts();
         read_agents();
         publish();
-        std::unique_lock lock{mutex};
-        wake.wait_for(lock, token, options_.interval, [] { return false; });
+        base::wait_unless_stopped(token, options_.interval);
     }
 }
 
--- a/src/entry/planner_task.cpp
+++ b/src/entry/planner_task.cpp
@@ -1,9 +1,9 @@
 #include "entry/planner_task.hpp"
 
 #include <algorithm>
-#include <condition_variable>
 #include <nlohmann/json.hpp>
 
+#include "base/interruptible_wait.hpp"
 #include "config/item.hpp"
 #include "log/event.hpp"
 #include "order/backend_ordering.hpp"
@@ -69,8 +69,6 @@
 }
 
 void planner_task::run(const std::stop_token &token) {
-    std::mutex mutex;
-    std::condition_variable_any wake;
     std::optional<std::uint64_t> fence;
     while (!token.stop_requested()) {
         const auto authority = lease_.authority();
@@ -95,8 +93,7 @@
                 }
             }
         }
-        std::unique_lock lock{mutex};
-        wake.wait_for(lock, token, internal::planner_round, [] { return false; });
+        base::wait_unless_stopped(token, internal::planner_round);
     }
 }
 
--- a/src/entry/share_link.cpp
+++ b/src/entry/share_link.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/interruptible_wait.hpp"
 #include "log/event.hpp"
 
 namespace dotterelstack::entry {
@@ -352,8 +353,6 @@
 }
 
 void share_link::run(const std::stop_token &token) {
-    std::mutex mutex;
-    std::condition_variable_any wake;
     base::instant read_due{};
     base::instant confirm_due{};
     while (!token.stop_requested()) {
@@ -368,9 +367,7 @@
             confirm_due = now + options_.epoch_every;
             confirm_epoch();
         }
-        std::unique_lock lock{mutex};
-        wake.wait_for(lock, token, std::min<base::duration>(options_.epoch_every, internal::confirm_retry),
-                      [] { return false; });
+        base::wait_unless_stopped(token, std::min<base::duration>(options_.epoch_every, internal::confirm_retry));
     }
 }
 
--- a/src/entry/share_task.cpp
+++ b/src/entry/share_task.cpp
@@ -1,9 +1,9 @@
 #include "entry/share_task.hpp"
 
 #include <algorithm>
-#include <condition_variable>
 #include <nlohmann/json.hpp>
 
+#include "base/interruptible_wait.hpp"
 #include "store/settled_write.hpp"
 
 namespace dotterelstack::entry {
@@ -57,8 +57,6 @@
 }
 
 void share_task::run(const std::stop_token &token) {
-    std::mutex mutex;
-    std::condition_variable_any wake;
     while (!token.stop_requested()) {
         if (const auto authority = lease_.authority()) {
             ask_entries();
@@ -68,8 +66,7 @@
             established_.reset();
             term_started_ = {};
         }
-        std::unique_lock lock{mutex};
-        wake.wait_for(lock, token, options_.interval, [] { return false; });
+        base::wait_unless_stopped(token, options_.interval);
     }
 }
 
