--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 
 namespace dotterelstack::base {
 
@@ -17,6 +18,11 @@
 using duration = boot_time::duration;
 using instant = boot_time::time_point;
 
+/** @return Whole milliseconds, rounded towards zero. */
+[[nodiscard]] constexpr std::int64_t to_milliseconds(duration value) noexcept {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
 /** @brief Source of the current instant. Instants of different hosts are never compared. */
 class clock {
 public:
--- a/src/cli/check_settings.cpp
+++ b/src/cli/check_settings.cpp
@@ -4,6 +4,7 @@
 #include "config/files.hpp"
 #include "settings/agent_settings.hpp"
 #include "settings/entry_settings.hpp"
+#include "settings/gateway_settings.hpp"
 
 namespace dotterelstack::cli::internal {
 
@@ -17,7 +18,8 @@
 base::result<exit_code> run_check(call &with) {
     const auto arguments = positional(with);
     if (arguments.size() != 2) {
-        return boost::outcome_v2::failure(usage_error("name the kind (entry, agent or declarations) and one file"));
+        return boost::outcome_v2::failure(
+            usage_error("name the kind (entry, agent, gateway or declarations) and one file"));
     }
     const auto &file = arguments[1];
     const auto set = values_of(with, "set");
@@ -26,10 +28,12 @@
         BOOST_OUTCOME_TRYV(settings::load_entry_settings(file, overrides));
     } else if (arguments[0] == "agent") {
         BOOST_OUTCOME_TRYV(settings::load_agent_settings(file, overrides));
+    } else if (arguments[0] == "gateway") {
+        BOOST_OUTCOME_TRYV(settings::load_gateway_settings(file, overrides));
     } else if (arguments[0] == "declarations") {
         BOOST_OUTCOME_TRYV(config::load_files(file));
     } else {
-        return boost::outcome_v2::failure(usage_error("the kind is entry, agent or declarations"));
+        return boost::outcome_v2::failure(usage_error("the kind is entry, agent, gateway or declarations"));
     }
     with.with.out << file << ": no problems\n";
     return exit_code::success;
@@ -39,7 +43,7 @@
 
 const command check_settings_command{"check-settings",
                                      "check a settings file or a directory of declarations",
-                                     "entry FILE | agent FILE | declarations DIRECTORY",
+                                     "entry FILE | agent FILE | gateway FILE | declarations DIRECTORY",
                                      false,
                                      &declare_check,
                                      &run_check};
--- a/src/entry/billing_task.hpp
+++ b/src/entry/billing_task.hpp
@@ -5,8 +5,9 @@
 #include <string>
 #include <thread>
 
-#include "entry/lease_thread.hpp"
+#include "entry/lease_timings.hpp"
 #include "http/client.hpp"
+#include "lease/lease_thread.hpp"
 #include "usage/usage_reporter.hpp"
 #include "usage/usage_sealer.hpp"
 
@@ -27,7 +28,7 @@
         store::object_store &store;
         base::id_source &ids;
         http::client &client;
-        lease_thread::candidate_check candidate;
+        lease::lease_thread::candidate_check candidate;
         sealed_sink on_sealed;
     };
 
@@ -69,7 +70,7 @@
     const usage::reporter_settings reporter_settings_;
     const std::string platform_;
     dependencies with_;
-    lease_thread lease_;
+    lease::lease_thread lease_;
     std::jthread thread_;
 };
 
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/overloaded.hpp"
+#include "http/exchange_caller.hpp"
 #include "log/event.hpp"
 
 namespace dotterelstack::entry {
@@ -21,22 +22,6 @@
 constexpr std::ptrdiff_t lease_candidates = 3;
 const http::field_list json_type{{"content-type", "application/json"}};
 
-/** The connection to a caller over libmicrohttpd. */
-class http_caller final : public caller_port {
-public:
-    explicit http_caller(http::exchange call) : call_{std::move(call)} {}
-
-    void respond(const http::response &answer) override { call_.respond(answer); }
-    void start(int status, const http::field_list &fields) override { call_.start(status, fields); }
-    [[nodiscard]] bool write(std::string_view part) override { return call_.write(part); }
-    void finish() override { call_.finish(); }
-    void abort() override { call_.abort(); }
-    [[nodiscard]] bool gone() const override { return call_.caller_gone(); }
-
-private:
-    const http::exchange call_;
-};
-
 } // namespace internal
 
 entry_daemon::entry_daemon(settings::entry_settings values, const base::clock &time, base::id_source &ids,
@@ -125,7 +110,7 @@
         metrics_.count("refusals_total", "reason=\"" + request.error().code + "\",service=\"\"");
         return call.respond(to_response(request.error()));
     }
-    const auto caller = std::make_shared<internal::http_caller>(call);
+    const auto caller = std::make_shared<http::exchange_caller>(call);
     const bool room = active_ < settings_.limits.concurrent_requests;
     if (!room || !events_.try_push(arrival_event{caller, std::move(request.value())})) {
         log::write("overloaded", {{"active", active_.load()}});
--- /dev/null
+++ b/src/entry/lease_timings.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+#include "lease/lease_keeper.hpp"
+#include "settings/entry_settings.hpp"
+
+namespace dotterelstack::entry {
+
+/** @return Settings of a lease from the entry's times. */
+[[nodiscard]] lease::lease_settings lease_settings_of(const settings::entry_timings &timings, std::string name,
+                                                      std::string holder);
+
+} // namespace dotterelstack::entry
--- a/src/entry/planner_task.cpp
+++ b/src/entry/planner_task.cpp
@@ -41,7 +41,7 @@
 
 planner_task::planner_task(options values, const base::clock &time, base::id_source &ids, store::object_store &store,
                            http::client &platform, transport::h2_client &agents, fleet_feed &fleet,
-                           lease_thread::candidate_check candidate)
+                           lease::lease_thread::candidate_check candidate)
     : options_{std::move(values)}, clock_{time}, ids_{ids}, store_{store}, platform_{platform}, agents_{agents},
       fleet_{fleet}, lease_{options_.lease, time, store, ids, std::move(candidate)},
       repository_{store, ids, config::default_repository_options()} {}
--- a/src/entry/planner_task.hpp
+++ b/src/entry/planner_task.hpp
@@ -10,8 +10,9 @@
 #include "config/config_state.hpp"
 #include "config/repository.hpp"
 #include "entry/fleet_feed.hpp"
-#include "entry/lease_thread.hpp"
+#include "entry/lease_timings.hpp"
 #include "http/client.hpp"
+#include "lease/lease_thread.hpp"
 #include "order/order_gate.hpp"
 #include "order/order_journal.hpp"
 #include "store/object_store.hpp"
@@ -69,7 +70,7 @@
 
     planner_task(options values, const base::clock &time, base::id_source &ids, store::object_store &store,
                  http::client &platform, transport::h2_client &agents, fleet_feed &fleet,
-                 lease_thread::candidate_check candidate);
+                 lease::lease_thread::candidate_check candidate);
     planner_task(const planner_task &) = delete;
     planner_task &operator=(const planner_task &) = delete;
     planner_task(planner_task &&) = delete;
@@ -104,7 +105,7 @@
     http::client &platform_;
     transport::h2_call_client agents_;
     fleet_feed &fleet_;
-    lease_thread lease_;
+    lease::lease_thread lease_;
     config::repository repository_;
     std::mutex mutex_;
     config::state_ptr config_;
--- a/src/entry/ports.hpp
+++ b/src/entry/ports.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "claim/claim_book.hpp"
+#include "http/caller_port.hpp"
 #include "http/message.hpp"
 
 namespace dotterelstack::entry {
@@ -12,25 +13,7 @@
 /** @brief Number of one call to an agent, unique in this process. */
 using call_id = std::uint64_t;
 
-/** @brief The connection to one caller. Calls return at once. */
-class caller_port {
-public:
-    caller_port() = default;
-    caller_port(const caller_port &) = delete;
-    caller_port &operator=(const caller_port &) = delete;
-    virtual ~caller_port() = default;
-
-    virtual void respond(const http::response &answer) = 0;
-    virtual void start(int status, const http::field_list &fields) = 0;
-
-    /** @return False when the caller has gone or reads too slowly. */
-    [[nodiscard]] virtual bool write(std::string_view part) = 0;
-    virtual void finish() = 0;
-
-    /** @brief Breaks the connection, so that the response is seen to be incomplete. */
-    virtual void abort() = 0;
-    [[nodiscard]] virtual bool gone() const = 0;
-};
+using http::caller_port;
 
 /** @brief How a call to an agent ended. */
 enum class call_end {
--- a/src/entry/share_task.hpp
+++ b/src/entry/share_task.hpp
@@ -9,9 +9,10 @@
 #include <thread>
 #include <vector>
 
-#include "entry/lease_thread.hpp"
+#include "entry/lease_timings.hpp"
 #include "entry/peer_port.hpp"
 #include "entry/share_epoch_object.hpp"
+#include "lease/lease_thread.hpp"
 
 namespace dotterelstack::entry {
 
@@ -39,7 +40,7 @@
         store::object_store &store;
         base::id_source &ids;
         peer_port &calls;
-        lease_thread::candidate_check candidate;
+        lease::lease_thread::candidate_check candidate;
         peer_source peers;
         applied_source applied; /**< Epoch that this entry applies. */
         epoch_sink on_epoch;    /**< An epoch was written. */
@@ -79,7 +80,7 @@
     const share_task_options options_;
     dependencies with_;
     std::string address_;
-    lease_thread lease_;
+    lease::lease_thread lease_;
     base::instant term_started_{};
     base::instant epoch_written_{};
     std::optional<epoch_object> current_; /**< As written by this holder. */
--- /dev/null
+++ b/src/gateway/backend_link.cpp
@@ -0,0 +1,66 @@
+#include "gateway/backend_link.hpp"
+
+namespace dotterelstack::gateway {
+
+namespace internal {
+
+// Longest call whose answer is of no interest.
+constexpr auto post_timeout = std::chrono::seconds{1};
+
+call_end to_call_end(const base::error &ec) {
+    if (ec.kind == base::error_kind::unavailable) {
+        return call_end::not_sent;
+    }
+    return ec.code == "cancelled" ? call_end::cancelled : call_end::broken;
+}
+
+} // namespace internal
+
+backend_link::backend_link(http::async_client &client, event_ring &events, base::duration connect_timeout)
+    : client_{client}, events_{events}, connect_timeout_{connect_timeout} {}
+
+void backend_link::send(call_id call, std::string_view address, http::request message, base::duration timeout) {
+    http::call_options options;
+    options.connect_timeout = connect_timeout_;
+    options.timeout = timeout;
+    // A connection that was used before may have been closed by the other side while the request was written, or hold
+    // bytes of an earlier answer; both cost more than a new connection.
+    options.fresh_connection = true;
+    http::async_handlers handlers;
+    handlers.on_head = [this, call](int status, const http::field_list &fields) {
+        events_.push(head_event{call, status, fields});
+    };
+    handlers.on_data = [this, call](std::string_view part) {
+        return events_.push(data_event{call, std::string{part}});
+    };
+    handlers.on_end = [this, call](base::result<http::response> answer) {
+        {
+            const std::scoped_lock lock{mutex_};
+            transfers_.erase(call);
+        }
+        if (answer) {
+            events_.push(end_event{call, call_end::complete, std::move(answer.value())});
+        } else {
+            events_.push(end_event{call, internal::to_call_end(answer.error()), {}});
+        }
+    };
+    const std::scoped_lock lock{mutex_};
+    transfers_[call] = client_.send(address, std::move(message), options, std::move(handlers));
+}
+
+void backend_link::cancel(call_id call) {
+    const std::scoped_lock lock{mutex_};
+    if (const auto it = transfers_.find(call); it != transfers_.end()) {
+        client_.cancel(it->second);
+    }
+}
+
+void backend_link::post(std::string_view address, http::request message) {
+    http::call_options options;
+    options.connect_timeout = connect_timeout_;
+    options.timeout = internal::post_timeout;
+    options.fresh_connection = true;
+    client_.send(address, std::move(message), options, {{}, [](const base::result<http::response> &) {}, {}});
+}
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/backend_link.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <map>
+#include <mutex>
+
+#include "gateway/backend_port.hpp"
+#include "gateway/events.hpp"
+#include "http/async_client.hpp"
+
+namespace dotterelstack::gateway {
+
+/** @brief `backend_port` over HTTP/1.1, each call on a connection of its own; outcomes go into the event ring. */
+class backend_link final : public backend_port {
+public:
+    backend_link(http::async_client &client, event_ring &events, base::duration connect_timeout);
+
+    void send(call_id call, std::string_view address, http::request message, base::duration timeout) override;
+    void cancel(call_id call) override;
+    void post(std::string_view address, http::request message) override;
+
+private:
+    http::async_client &client_;
+    event_ring &events_;
+    const base::duration connect_timeout_;
+    std::mutex mutex_;
+    std::map<call_id, std::uint64_t> transfers_;
+};
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/backend_protocol.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "base/error.hpp"
+#include "gateway/request_facts.hpp"
+#include "http/message.hpp"
+
+namespace dotterelstack::gateway {
+
+/** @brief Translates messages of a platform's callers and backend servers. Stateless and thread-safe. */
+class backend_protocol {
+public:
+    backend_protocol() = default;
+    backend_protocol(const backend_protocol &) = delete;
+    backend_protocol &operator=(const backend_protocol &) = delete;
+    virtual ~backend_protocol() = default;
+
+    /** @return The request, or `invalid_argument` when its form cannot be accepted. */
+    [[nodiscard]] virtual base::result<exchange_request> decode_request(const http::request &message) const = 0;
+
+    /** @return The message for one attempt. */
+    [[nodiscard]] virtual http::request encode_attempt(const exchange_request &request,
+                                                       const attempt_facts &attempt) const = 0;
+
+    /** @param sent Id of the request that was sent. */
+    [[nodiscard]] virtual answer_head decode_head(int status, const http::field_list &fields,
+                                                  std::string_view sent) const = 0;
+
+    /** @return Handle of the prefilled state in the body of a prefill answer. */
+    [[nodiscard]] virtual base::result<std::string> decode_handle(std::string_view body) const = 0;
+
+    /** @return Value of `attempt_facts::state_source`. */
+    [[nodiscard]] virtual std::string state_source(std::string_view address, std::string_view handle) const = 0;
+
+    /** @return Message that frees prefilled state which is not used. */
+    [[nodiscard]] virtual http::request release_handle(std::string_view handle) const = 0;
+};
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/backend_table.cpp
@@ -0,0 +1,152 @@
+#include "gateway/backend_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace dotterelstack::gateway {
+
+namespace internal {
+
+// Attempts assumed to have succeeded besides the recent ones, so that one failure alone does not condemn.
+constexpr double assumed_successes = 2;
+
+} // namespace internal
+
+backend_table::backend_table(const base::clock &time, health_settings settings) : time_{time}, settings_{settings} {}
+
+void backend_table::update(const std::vector<backend_server> &all) {
+    std::set<std::string_view> seen;
+    for (const auto &it : all) {
+        seen.insert(it.id);
+        auto &state = states_[it.id];
+        if (state.facts.born != it.born || state.facts.address != it.address) {
+            state = {};
+        }
+        state.facts = it;
+    }
+    std::erase_if(states_, [&seen](const auto &it) { return !seen.contains(it.first); });
+}
+
+const backend_state *backend_table::find(std::string_view id) const {
+    const auto it = states_.find(id);
+    return it == states_.end() ? nullptr : &it->second;
+}
+
+backend_state *backend_table::find_mutable(std::string_view id) {
+    const auto it = states_.find(id);
+    return it == states_.end() ? nullptr : &it->second;
+}
+
+std::vector<const backend_state *> backend_table::open(std::string_view service) const {
+    const auto now = time_.now();
+    std::vector<const backend_state *> out;
+    for (const auto &[id, it] : states_) {
+        const bool paused = it.paused_until && (now < *it.paused_until || it.trial);
+        if (it.facts.service == service && !it.facts.draining && !paused) {
+            out.push_back(&it);
+        }
+    }
+    return out;
+}
+
+std::vector<const backend_state *> backend_table::all(std::string_view service) const {
+    std::vector<const backend_state *> out;
+    for (const auto &[id, it] : states_) {
+        if (it.facts.service == service) {
+            out.push_back(&it);
+        }
+    }
+    return out;
+}
+
+bool backend_table::any_live() const noexcept {
+    return std::ranges::any_of(states_, [](const auto &it) { return !it.second.facts.draining; });
+}
+
+void backend_table::started(std::string_view id, double prefill_tokens) {
+    if (auto *it = find_mutable(id)) {
+        ++it->own;
+        ++it->change;
+        it->own_prefill_tokens += prefill_tokens;
+        it->trial = it->paused_until.has_value();
+    }
+}
+
+void backend_table::prompt_read(std::string_view id, double prefill_tokens) {
+    if (auto *it = find_mutable(id)) {
+        it->own_prefill_tokens = std::max(0.0, it->own_prefill_tokens - prefill_tokens);
+    }
+}
+
+void backend_table::reported(std::string_view id, const reported_load &load) {
+    if (auto *it = find_mutable(id)) {
+        it->report = load;
+        it->reported_at = time_.now();
+        it->change = 0;
+    }
+}
+
+double backend_table::decay(const backend_state &it) const {
+    const std::chrono::duration<double> passed = time_.now() - it.decayed_at;
+    const std::chrono::duration<double> half_life = settings_.failure_half_life;
+    return std::exp2(-passed.count() / half_life.count());
+}
+
+void backend_table::note(backend_state &it, double failure) {
+    const double kept = decay(it);
+    it.failures = it.failures * kept + failure;
+    it.attempts = it.attempts * kept + 1;
+    it.decayed_at = time_.now();
+}
+
+void backend_table::pause(backend_state &it) {
+    it.pause = std::clamp(it.pause * 2, settings_.first_pause, settings_.longest_pause);
+    it.paused_until = time_.now() + it.pause;
+    it.trial = false;
+}
+
+void backend_table::ended(std::string_view id, attempt_outcome how) {
+    auto *it = find_mutable(id);
+    if (it == nullptr) {
+        return;
+    }
+    it->own -= it->own > 0 ? 1 : 0;
+    --it->change;
+    switch (how) {
+    case attempt_outcome::answered:
+        note(*it, 0);
+        it->pause = {};
+        it->paused_until.reset();
+        break;
+    case attempt_outcome::server_error:
+    case attempt_outcome::broken:
+    case attempt_outcome::silent:
+        note(*it, 1);
+        break;
+    case attempt_outcome::misdirected:
+    case attempt_outcome::unreachable:
+        note(*it, 1);
+        pause(*it);
+        break;
+    case attempt_outcome::full:
+    case attempt_outcome::cancelled:
+        break;
+    }
+    it->trial = false;
+}
+
+double backend_table::outstanding(const backend_state &it) const {
+    if (!it.reported_at || time_.now() - *it.reported_at > settings_.report_life) {
+        return it.own;
+    }
+    const auto reported = static_cast<double>(it.report.running + it.report.waiting) + static_cast<double>(it.change);
+    return std::max(static_cast<double>(it.own), reported);
+}
+
+double backend_table::failure_rate(const backend_state &it) const {
+    const double kept = decay(it);
+    return it.failures * kept / (it.attempts * kept + internal::assumed_successes);
+}
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/backend_table.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "gateway/backend_server.hpp"
+#include "gateway/request_facts.hpp"
+
+namespace dotterelstack::gateway {
+
+/** @brief How an attempt at a backend server ended. */
+enum class attempt_outcome : std::uint8_t {
+    answered,     /**< A whole answer that is no server error. */
+    server_error, /**< A whole answer with status 5xx that the backend server stands for. */
+    full,         /**< Rejected before it ran. */
+    misdirected,  /**< Another incarnation has the address. */
+    unreachable,  /**< No connection. */
+    broken,       /**< The connection broke, or the answer was not genuine. */
+    silent,       /**< No answer in time. */
+    cancelled     /**< Ended from here; says nothing about the backend server. */
+};
+
+/** @brief Times and weights of the belief about backend servers. */
+struct health_settings {
+    base::duration first_pause{std::chrono::milliseconds{300}}; /**< After a failed connection; doubled each time. */
+    base::duration longest_pause{std::chrono::seconds{3}};
+    base::duration failure_half_life{std::chrono::seconds{3}};
+    base::duration report_life{std::chrono::milliseconds{1000}}; /**< Then only own requests are counted. */
+};
+
+/** @brief Belief about one backend server: facts, load and health. */
+struct backend_state {
+    backend_server facts;
+    std::uint32_t own{0};         /**< Attempts of this gateway that have not ended. */
+    double own_prefill_tokens{0}; /**< Of attempts that have had no event yet. */
+    reported_load report;
+    std::optional<base::instant> reported_at;
+    std::int64_t change{0}; /**< Own attempts started less those ended since the report. */
+    double failures{0};     /**< Recent failures, decaying. */
+    double attempts{0};     /**< Recent attempts, decaying alike. */
+    base::instant decayed_at{};
+    base::duration pause{0}; /**< Length of the last pause. */
+    std::optional<base::instant> paused_until;
+    bool trial{false}; /**< The one attempt after a pause is under way. */
+};
+
+/**
+ * @brief All backend servers known, with the load and health that answers to real requests show. Not thread-safe.
+ */
+class backend_table {
+public:
+    /** @param time Clock; must outlive this object. */
+    explicit backend_table(const base::clock &time, health_settings settings = {});
+
+    /** @brief Replaces the set; state of incarnations that stay is kept. */
+    void update(const std::vector<backend_server> &all);
+
+    /** @return The state of a backend server, or null. */
+    [[nodiscard]] const backend_state *find(std::string_view id) const;
+
+    /** @return Backend servers of a service that take new requests now: not draining, not paused. */
+    [[nodiscard]] std::vector<const backend_state *> open(std::string_view service) const;
+
+    /** @return Backend servers of a service, whatever their state. */
+    [[nodiscard]] std::vector<const backend_state *> all(std::string_view service) const;
+
+    /** @return True when some backend server is not draining. */
+    [[nodiscard]] bool any_live() const noexcept;
+
+    /** @param prefill_tokens Tokens of the prompt that are probably not cached. */
+    void started(std::string_view id, double prefill_tokens);
+
+    /** @brief The prompt has been read. */
+    void prompt_read(std::string_view id, double prefill_tokens);
+
+    void reported(std::string_view id, const reported_load &load);
+
+    void ended(std::string_view id, attempt_outcome how);
+
+    /** @return Requests there, from all callers, as far as known. */
+    [[nodiscard]] double outstanding(const backend_state &it) const;
+
+    /** @return Part of recent attempts that failed, from 0 to 1. */
+    [[nodiscard]] double failure_rate(const backend_state &it) const;
+
+private:
+    [[nodiscard]] backend_state *find_mutable(std::string_view id);
+    [[nodiscard]] double decay(const backend_state &it) const;
+    void note(backend_state &it, double failure);
+    void pause(backend_state &it);
+
+    const base::clock &time_;
+    const health_settings settings_;
+    std::map<std::string, backend_state, std::less<>> states_;
+};
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/config_source.cpp
@@ -0,0 +1,96 @@
+#include "gateway/config_source.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include "log/event.hpp"
+
+namespace dotterelstack::gateway {
+
+namespace internal {
+
+// Gateways asked in one round. Three of them in turn reach all of a small site within a second.
+constexpr std::size_t peers_per_round = 3;
+// Longest call to a peer; a silent one must not hold up the next.
+constexpr auto peer_timeout = std::chrono::milliseconds{300};
+constexpr const char *peer_path = "/traffic-config";
+constexpr const char *version_parameter = "since";
+
+} // namespace internal
+
+config_source::config_source(dependencies with) : with_{std::move(with)} {}
+
+bool config_source::adopt(std::string_view value, std::string_view origin) {
+    auto decoded = with_.codec.decode_config(value);
+    if (!decoded) {
+        log::write("config_unreadable", {{"origin", origin}, {"reason", decoded.error().message}});
+        return false;
+    }
+    const auto version = decoded.value().version;
+    traffic_config_ptr config;
+    {
+        const std::scoped_lock lock{mutex_};
+        if (known_ && version <= version_) {
+            return false;
+        }
+        known_ = true;
+        version_ = version;
+        value_ = std::string{value};
+        config = std::make_shared<const traffic_config>(std::move(decoded.value()));
+    }
+    log::write("config_adopted", {{"version", version}, {"origin", origin}});
+    with_.on_config(std::move(config));
+    return true;
+}
+
+void config_source::on_object(const store::object &item) {
+    if (item.key == with_.codec.config_key()) {
+        adopt(item.value, "store");
+    }
+}
+
+void config_source::ask_peers() {
+    const auto peers = with_.peers();
+    const auto n = std::min(peers.size(), internal::peers_per_round);
+    for (std::size_t it = 0; it < n; ++it) {
+        const auto &address = peers[next_peer_++ % peers.size()];
+        std::string target = internal::peer_path;
+        {
+            const std::scoped_lock lock{mutex_};
+            if (known_) {
+                target += std::string{"?"} + internal::version_parameter + "=" + std::to_string(version_);
+            }
+        }
+        http::call_options options;
+        options.connect_timeout = internal::peer_timeout;
+        options.timeout = internal::peer_timeout;
+        const auto answer = with_.client.call(address, {"GET", target, {}, ""}, options);
+        if (answer && answer.value().status == 200) {
+            adopt(answer.value().body, address);
+        }
+    }
+}
+
+std::uint64_t config_source::version() const {
+    const std::scoped_lock lock{mutex_};
+    return version_;
+}
+
+http::response config_source::answer_peer(const http::request &message) const {
+    const http::field_list json{{"Content-Type", "application/json"}};
+    if (message.path() != internal::peer_path) {
+        return {404, json, R"({"error":{"code":"unknown_path","message":"ask for /traffic-config"}})"};
+    }
+    const auto since = message.query_value(internal::version_parameter);
+    std::uint64_t version = 0;
+    if (since) {
+        std::from_chars(since->data(), since->data() + since->size(), version);
+    }
+    const std::scoped_lock lock{mutex_};
+    if (!known_ || (since && version >= version_)) {
+        return {204, {}, ""};
+    }
+    return {200, json, value_};
+}
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/event_splitter.cpp
@@ -0,0 +1,60 @@
+#include "gateway/event_splitter.hpp"
+
+#include <charconv>
+
+namespace dotterelstack::gateway {
+
+namespace internal {
+
+/** Position after the first blank line, or npos. Lines end with LF or CRLF. */
+std::size_t end_of_event(std::string_view text) {
+    for (auto at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+        if (text.substr(at + 1).starts_with('\n')) {
+            return at + 2;
+        }
+        if (text.substr(at + 1).starts_with("\r\n")) {
+            return at + 3;
+        }
+    }
+    return std::string_view::npos;
+}
+
+std::optional<std::uint64_t> event_id(std::string_view text) {
+    std::optional<std::uint64_t> out;
+    while (!text.empty()) {
+        const auto end = text.find('\n');
+        auto line = text.substr(0, end);
+        text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+        if (!line.starts_with("id:")) {
+            continue;
+        }
+        line.remove_prefix(3);
+        if (line.starts_with(' ')) {
+            line.remove_prefix(1);
+        }
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        std::uint64_t id = 0;
+        const auto [last, ec] = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (ec == std::errc{} && last == line.data() + line.size()) {
+            out = id;
+        }
+    }
+    return out;
+}
+
+} // namespace internal
+
+std::optional<stream_event> event_splitter::next() {
+    const auto end = internal::end_of_event(rest_);
+    if (end == std::string_view::npos) {
+        return std::nullopt;
+    }
+    stream_event out{rest_.substr(0, end), std::nullopt};
+    out.id = internal::event_id(out.text);
+    rest_.erase(0, end);
+    return out;
+}
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/events.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "base/ring.hpp"
+#include "gateway/backend_port.hpp"
+#include "gateway/backend_server.hpp"
+#include "gateway/retry_window.hpp"
+#include "gateway/traffic_config.hpp"
+#include "http/caller_port.hpp"
+#include "http/message.hpp"
+
+namespace dotterelstack::gateway {
+
+struct arrival_event {
+    std::shared_ptr<http::caller_port> caller;
+    http::request message;
+    base::instant received{};
+};
+struct head_event {
+    call_id call{0};
+    int status{0};
+    http::field_list fields;
+};
+struct data_event {
+    call_id call{0};
+    std::string part;
+};
+struct end_event {
+    call_id call{0};
+    call_end how{call_end::broken};
+    http::response answer;
+};
+struct config_event {
+    traffic_config_ptr config;
+};
+struct backends_event {
+    std::vector<backend_server> all;
+};
+struct gateways_event {
+    std::uint32_t count{1};
+};
+struct settings_event {
+    retry_window_settings retries;
+};
+struct stop_event {};
+
+using gateway_event = std::variant<arrival_event, head_event, data_event, end_event, config_event, backends_event,
+                                   gateways_event, settings_event, stop_event>;
+
+/** @brief Ring in front of the forwarder's thread. When it is full, arrivals are refused; other producers wait. */
+using event_ring = base::bounded_ring<gateway_event>;
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/fwd.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+namespace dotterelstack::gateway {
+
+class backend_port;
+class backend_protocol;
+class backend_table;
+class event_splitter;
+class fleet_view;
+class forwarder;
+class gateway_daemon;
+class placement;
+class prefix_memory;
+class retry_window;
+class traffic_config;
+struct backend_server;
+struct exchange_request;
+struct organisation;
+struct request_facts;
+struct traffic_route;
+struct traffic_service;
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/gateway_daemon.cpp
@@ -0,0 +1,303 @@
+#include "gateway/gateway_daemon.hpp"
+
+#include <algorithm>
+#include <random>
+
+#include "base/overloaded.hpp"
+#include "http/exchange_caller.hpp"
+#include "log/event.hpp"
+
+namespace dotterelstack::gateway {
+
+namespace internal {
+
+constexpr std::size_t event_ring_limit = 8192;
+// The forwarder's periodic work runs this often while requests are open, and more seldom otherwise.
+constexpr auto busy_tick = std::chrono::milliseconds{25};
+constexpr auto idle_tick = std::chrono::milliseconds{200};
+// Descriptors that are not for callers: the other half is for connections to backend servers.
+constexpr std::uint64_t caller_share_divisor = 2;
+// The balancer takes a host out after two questions, one a second, without a 200; new connections come until then.
+constexpr auto balancer_delay = std::chrono::milliseconds{3500};
+// Part of the stop grace that is left for the process to end.
+constexpr int grace_reserve_divisor = 12;
+// Windows whose counts a gateway keeps and publishes.
+constexpr std::uint64_t kept_windows = 6;
+constexpr auto stop_poll = std::chrono::milliseconds{50};
+
+http::response json_answer(int status, std::string body) {
+    return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+retry_window_settings retries_of(const settings::gateway_bounds &from) {
+    return {from.retry_window, from.retry_ratio, from.retry_allowance};
+}
+
+lease::lease_settings lease_of(const settings::gateway_settings &from, const std::string &incarnation) {
+    lease::lease_settings out{.name = "usage", .holder = incarnation};
+    out.term = from.bounds.lease_term;
+    // Two renewals may fail before the term ends.
+    out.renew_every = from.bounds.lease_term * 3 / 10;
+    return out;
+}
+
+placement::random_source uniform_source() {
+    const auto engine = std::make_shared<std::mt19937_64>(std::random_device{}());
+    return [engine] { return std::uniform_real_distribution<double>{0, 1}(*engine); };
+}
+
+/** Address of another gateway: ports are the same on all hosts. */
+std::string with_port_of(std::string_view address, std::string_view own) {
+    return std::string{address.substr(0, address.find(':'))} + std::string{own.substr(own.find(':'))};
+}
+
+} // namespace internal
+
+gateway_daemon::gateway_daemon(settings::gateway_settings values, dependencies with)
+    : settings_{std::move(values)}, with_{with}, incarnation_{with_.ids.next()}, events_{internal::event_ring_limit},
+      starts_{&system_wall_clock, settings_.bounds.usage_window, internal::kept_windows},
+      link_{transfers_, events_, settings_.timings.connect_timeout},
+      forwarder_{{.failure_domain = settings_.failure_domain, .retries = internal::retries_of(settings_.bounds)},
+                 {with_.time, metrics_, link_, with_.protocol, starts_, internal::uniform_source()}},
+      config_{{with_.time, with_.codec, with_.client, [this] { return peers(); },
+               [this](traffic_config_ptr it) { events_.push(config_event{std::move(it)}); }}},
+      fleet_{with_.time} {
+    const feed_settings feed{settings_.timings.watch_wait, settings_.timings.store_retry};
+    config_feed_ = std::make_unique<store_feed>(
+        with_.store, std::string{with_.codec.config_prefix()}, feed,
+        feed_handlers{
+            [this](const auto &all) { std::ranges::for_each(all, [this](const auto &it) { config_.on_object(it); }); },
+            [this](const store::watch_event &it) {
+                if (!it.deleted) {
+                    config_.on_object(it.item);
+                }
+            },
+            [this] { note_store(true); },
+            [this] {
+                note_store(false);
+                config_.ask_peers();
+            }});
+    server_feed_ = std::make_unique<store_feed>(with_.store, std::string{with_.codec.servers_prefix()}, feed,
+                                                feed_handlers{[this](const auto &all) { on_servers(all); },
+                                                              [this](const auto &it) { on_server_change(it); },
+                                                              [this] {
+                                                                  fleet_.on_store(true);
+                                                                  if (fleet_.expire()) {
+                                                                      publish_servers();
+                                                                  }
+                                                              },
+                                                              [this] { fleet_.on_store(false); }});
+}
+
+gateway_daemon::~gateway_daemon() {
+    stop_threads();
+}
+
+base::result<gateway_addresses> gateway_daemon::start() {
+    gateway_addresses out;
+    BOOST_OUTCOME_TRY(peers, peers_server_.start(settings_.listen.peers, http::answer_with([this](const auto &message) {
+                                                     return config_.answer_peer(message);
+                                                 })));
+    out.peers = peers;
+    BOOST_OUTCOME_TRY(
+        metrics, metrics_server_.start(
+                     settings_.listen.metrics, http::answer_with([this](const auto &) {
+                         return http::response{200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text()};
+                     })));
+    out.metrics = metrics;
+    BOOST_OUTCOME_TRY(readiness,
+                      readiness_.start(settings_.listen.readiness, http::answer_with([this](const auto &) {
+                                           return ready_ ? internal::json_answer(200, R"({"status":"ready"})")
+                                                         : internal::json_answer(503, R"({"status":"not ready"})");
+                                       })));
+    out.readiness = readiness;
+    forward_thread_ = std::thread{[this] { run_forwarder(); }};
+    config_feed_->start();
+    server_feed_->start();
+    member_settings about{.name = settings_.name, .incarnation = incarnation_, .peers = peers};
+    about.publish_every = settings_.bounds.usage_window / 2;
+    members_ = std::make_unique<member_task>(
+        about, member_task::dependencies{with_.time, with_.store, with_.ids, starts_,
+                                         [this](std::uint32_t n) { events_.push(gateways_event{n}); }});
+    members_->start();
+    if (with_.duties != nullptr) {
+        lease_ = std::make_unique<lease::lease_thread>(internal::lease_of(settings_, incarnation_), with_.time,
+                                                       with_.store, with_.ids, [] { return true; });
+        duty_settings duty;
+        duty.window = settings_.bounds.usage_window;
+        duty.due = settings_.bounds.usage_due;
+        duty_ = std::make_unique<usage_duty>(
+            duty, usage_duty::dependencies{with_.time, &system_wall_clock, with_.store, with_.ids, *with_.duties});
+        duty_thread_ = std::make_unique<usage_duty_thread>(*duty_, *lease_, duty.step);
+        lease_->start();
+        duty_thread_->start();
+    }
+    http::server_limits limits;
+    limits.connections = settings_.descriptors / internal::caller_share_divisor;
+    BOOST_OUTCOME_TRY(callers,
+                      callers_.start(
+                          settings_.listen.callers, [this](const http::exchange &call) { on_call(call); }, limits));
+    out.callers = callers;
+    return out;
+}
+
+void gateway_daemon::on_call(const http::exchange &call) {
+    auto caller = std::make_shared<http::exchange_caller>(call);
+    if (!events_.try_push(arrival_event{caller, call.message(), with_.time.now()})) {
+        log::write("overloaded", {{"active", active_.load()}});
+        metrics_.count("refusals_total", "reason=\"overloaded\"");
+        auto answer = internal::json_answer(
+            503, R"({"error":{"code":"overloaded","message":"this gateway is full; retry later"}})");
+        answer.fields.push_back({"Retry-After", "0.5"});
+        caller->respond(answer);
+    }
+}
+
+std::vector<std::string> gateway_daemon::peers() const {
+    std::vector<std::string> out;
+    if (members_) {
+        out = members_->peers();
+    }
+    for (const auto &it : settings_.seeds) {
+        auto address = internal::with_port_of(it, settings_.listen.peers);
+        if (address != settings_.listen.peers && std::ranges::find(out, address) == out.end()) {
+            out.push_back(std::move(address));
+        }
+    }
+    return out;
+}
+
+void gateway_daemon::note_store(bool answered) {
+    if (store_answers_.exchange(answered) != answered) {
+        log::write(answered ? log::event{"store_recovered"} : log::event{"store_unavailable"},
+                   {{"config_version", config_.version()}});
+    }
+}
+
+std::optional<fleet_entry> gateway_daemon::to_entry(const store::object &item) {
+    const auto id = std::string_view{item.key}.substr(with_.codec.servers_prefix().size());
+    auto server = with_.codec.decode_server(id, item.value);
+    if (server) {
+        unreadable_.erase(item.key);
+        return fleet_entry{std::move(server.value()), item.version};
+    }
+    if (auto &seen = unreadable_[item.key]; seen != item.version) {
+        seen = item.version;
+        log::write("server_entry_unreadable", {{"object", item.key}, {"reason", server.error().message}});
+    }
+    return std::nullopt;
+}
+
+void gateway_daemon::on_servers(const std::vector<store::object> &all) {
+    std::vector<fleet_entry> entries;
+    for (const auto &it : all) {
+        if (auto entry = to_entry(it)) {
+            entries.push_back(std::move(*entry));
+        }
+    }
+    fleet_.on_list(entries);
+    publish_servers();
+}
+
+void gateway_daemon::on_server_change(const store::watch_event &change) {
+    const auto id = std::string_view{change.item.key}.substr(with_.codec.servers_prefix().size());
+    if (change.deleted) {
+        fleet_.on_removed(id, change.item.version);
+    } else if (const auto entry = to_entry(change.item)) {
+        fleet_.on_change(*entry);
+    }
+    publish_servers();
+}
+
+void gateway_daemon::publish_servers() {
+    auto all = fleet_.servers();
+    log::write("servers_changed",
+               {{"servers", all.size()}, {"draining", std::ranges::count_if(all, &backend_server::draining)}});
+    events_.push(backends_event{std::move(all)});
+}
+
+void gateway_daemon::handle(gateway_event &event) {
+    std::visit(base::overloaded{
+                   [this](arrival_event &it) { forwarder_.on_arrival(std::move(it.caller), it.message, it.received); },
+                   [this](const head_event &it) { forwarder_.on_head(it.call, it.status, it.fields); },
+                   [this](const data_event &it) { forwarder_.on_data(it.call, it.part); },
+                   [this](const end_event &it) { forwarder_.on_end(it.call, it.how, it.answer); },
+                   [this](config_event &it) { forwarder_.on_config(std::move(it.config)); },
+                   [this](const backends_event &it) { forwarder_.on_backends(it.all); },
+                   [this](const gateways_event &it) { forwarder_.set_gateways(it.count); },
+                   [this](const settings_event &it) { forwarder_.set_retries(it.retries); },
+                   [this](const stop_event &) { forwarder_.begin_stop(); },
+               },
+               event);
+}
+
+void gateway_daemon::run_forwarder() {
+    base::instant tick_due{};
+    while (true) {
+        const auto tick = forwarder_.active() > 0 ? internal::busy_tick : internal::idle_tick;
+        auto event = events_.pop_for(tick);
+        if (event) {
+            handle(*event);
+        } else if (events_.closed()) {
+            return;
+        }
+        const auto now = with_.time.now();
+        if (!event || now >= tick_due) {
+            tick_due = now + tick;
+            forwarder_.tick();
+        }
+        active_ = forwarder_.active();
+        ready_ = forwarder_.ready();
+    }
+}
+
+void gateway_daemon::reload(const settings::gateway_settings &values) {
+    events_.push(settings_event{internal::retries_of(values.bounds)});
+    log::write("settings_reloaded", {{"retry_allowance", values.bounds.retry_allowance}});
+}
+
+void gateway_daemon::drain_and_stop() {
+    events_.push(stop_event{});
+    const auto begun = with_.time.now();
+    const auto grace = settings_.bounds.stop_grace;
+    const auto last = begun + grace - grace / internal::grace_reserve_divisor;
+    while (with_.time.now() < last) {
+        const bool unseen = with_.time.now() >= begun + internal::balancer_delay;
+        if (unseen && callers_.connections() == 0 && active_ == 0) {
+            break;
+        }
+        std::this_thread::sleep_for(internal::stop_poll);
+    }
+    if (active_ > 0) {
+        log::write("stop_deadline_passed", {{"active", active_.load()}});
+    }
+    stop_threads();
+}
+
+void gateway_daemon::stop_threads() {
+    if (stopped_) {
+        return;
+    }
+    stopped_ = true;
+    if (duty_thread_) {
+        duty_thread_->stop();
+        lease_->stop();
+    }
+    if (members_) {
+        members_->stop();
+    }
+    config_feed_->stop();
+    server_feed_->stop();
+    callers_.quiesce();
+    events_.close();
+    if (forward_thread_.joinable()) {
+        forward_thread_.join();
+    }
+    transfers_.stop();
+    callers_.stop();
+    readiness_.stop();
+    peers_server_.stop();
+    metrics_server_.stop();
+}
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/gateway_daemon.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "base/clock.hpp"
+#include "base/id.hpp"
+#include "gateway/backend_link.hpp"
+#include "gateway/config_source.hpp"
+#include "gateway/events.hpp"
+#include "gateway/fleet_view.hpp"
+#include "gateway/forwarder.hpp"
+#include "gateway/member_task.hpp"
+#include "gateway/site_codec.hpp"
+#include "gateway/start_tally.hpp"
+#include "gateway/store_feed.hpp"
+#include "gateway/usage_duty.hpp"
+#include "http/async_client.hpp"
+#include "http/client.hpp"
+#include "http/server.hpp"
+#include "lease/lease_thread.hpp"
+#include "metrics/registry.hpp"
+#include "settings/gateway_settings.hpp"
+#include "store/object_store.hpp"
+
+namespace dotterelstack::gateway {
+
+/** @brief Addresses on which a gateway listens. */
+struct gateway_addresses {
+    std::string callers;
+    std::string readiness;
+    std::string peers;
+    std::string metrics;
+};
+
+/**
+ * @brief Process of a gateway host: listeners, the forwarder's thread and its feeds.
+ *
+ * Threads: four listeners (libmicrohttpd), transfers (libcurl), forwarder, configuration, discovery, membership, lease,
+ * usage.
+ */
+class gateway_daemon {
+public:
+    /** @brief Collaborators; all must outlive the daemon. */
+    struct dependencies {
+        const base::clock &time;
+        base::id_source &ids;
+        http::client &client;
+        store::object_store &store;
+        const backend_protocol &protocol;
+        const site_codec &codec;
+        duty_port *duties; /**< Null when the site has no duties. */
+    };
+
+    gateway_daemon(settings::gateway_settings values, dependencies with);
+    gateway_daemon(const gateway_daemon &) = delete;
+    gateway_daemon &operator=(const gateway_daemon &) = delete;
+    gateway_daemon(gateway_daemon &&) = delete;
+    gateway_daemon &operator=(gateway_daemon &&) = delete;
+    ~gateway_daemon();
+
+    [[nodiscard]] base::result<gateway_addresses> start();
+
+    /** @brief Takes over the settings that may change while the process runs: the retry limits. */
+    void reload(const settings::gateway_settings &values);
+
+    /** @brief Stops being ready, serves open connections until they are idle or the grace ends, and returns. */
+    void drain_and_stop();
+
+private:
+    void on_call(const http::exchange &call);
+    void on_servers(const std::vector<store::object> &all);
+    void on_server_change(const store::watch_event &change);
+    void publish_servers();
+    [[nodiscard]] std::optional<fleet_entry> to_entry(const store::object &item);
+    [[nodiscard]] std::vector<std::string> peers() const;
+    void note_store(bool answered);
+    void run_forwarder();
+    void handle(gateway_event &event);
+    void stop_threads();
+
+    const settings::gateway_settings settings_;
+    dependencies with_;
+    const std::string incarnation_;
+    metrics::registry metrics_;
+    event_ring events_;
+    start_tally starts_;
+    http::async_client transfers_;
+    backend_link link_;
+    forwarder forwarder_;
+    config_source config_;
+    fleet_view fleet_;                                /**< Used by the discovery thread only. */
+    std::map<std::string, std::uint64_t> unreadable_; /**< Entries reported as unreadable, by revision. */
+    std::atomic<bool> store_answers_{true};
+    std::unique_ptr<store_feed> config_feed_;
+    std::unique_ptr<store_feed> server_feed_;
+    std::unique_ptr<member_task> members_;
+    std::unique_ptr<lease::lease_thread> lease_;
+    std::unique_ptr<usage_duty> duty_;
+    std::unique_ptr<usage_duty_thread> duty_thread_;
+    http::server callers_;
+    http::server readiness_;
+    http::server peers_server_;
+    http::server metrics_server_;
+    std::thread forward_thread_;
+    std::atomic<std::size_t> active_{0};
+    std::atomic<bool> ready_{false};
+    bool stopped_{false};
+};
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/member_record.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "base/error.hpp"
+#include "gateway/start_tally.hpp"
+#include "store/object_store.hpp"
+
+namespace dotterelstack::gateway {
+
+/** @brief Prefix of the store keys of gateways; one object for each incarnation. */
+inline constexpr std::string_view members_prefix = "gateways/";
+
+/** @brief What a gateway publishes about itself in the store. */
+struct member_record {
+    std::string name;
+    std::string peers; /**< Address for other gateways. */
+    window_counts starts;
+};
+
+[[nodiscard]] nlohmann::json to_json(const member_record &record);
+
+/** @return The record, or an error naming the key. */
+[[nodiscard]] base::result<member_record> parse_member(const store::object &item);
+
+/** @return Store key of the final counts of a window. */
+[[nodiscard]] std::string sealed_starts_key(std::uint64_t window);
+
+/** @brief Prefix of the store keys of final counts. */
+inline constexpr std::string_view sealed_starts_prefix = "sealed-starts/";
+
+[[nodiscard]] nlohmann::json to_json(const start_counts &counts);
+
+[[nodiscard]] base::result<start_counts> parse_counts(const store::object &item);
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/member_task.cpp
@@ -0,0 +1,97 @@
+#include "gateway/member_task.hpp"
+
+#include <algorithm>
+
+#include "base/interruptible_wait.hpp"
+#include "log/event.hpp"
+#include "store/settled_write.hpp"
+
+namespace dotterelstack::gateway {
+
+member_task::member_task(member_settings settings, dependencies with)
+    : settings_{std::move(settings)}, with_{std::move(with)} {}
+
+member_task::~member_task() {
+    stop();
+}
+
+void member_task::start() {
+    thread_ = std::jthread{[this](const std::stop_token &token) { run(token); }};
+}
+
+void member_task::stop() {
+    if (thread_.joinable()) {
+        thread_.request_stop();
+        thread_.join();
+    }
+}
+
+std::string member_task::own_key() const {
+    return std::string{members_prefix} + settings_.incarnation;
+}
+
+std::vector<std::string> member_task::peers() const {
+    const std::scoped_lock lock{mutex_};
+    return peers_;
+}
+
+bool member_task::publish() {
+    const member_record record{settings_.name, settings_.peers, with_.starts.counts()};
+    const auto written = store::settled_write(with_.store, with_.ids, own_key(), to_json(record), version_);
+    if (written) {
+        version_ = written.value();
+        return true;
+    }
+    log::write("member_write_failed", {{"reason", written.error().code}, {"version", version_}});
+    // Nobody else writes this object, so whatever is there is a copy of ours, or its holder has cleaned it up.
+    if (const auto found = with_.store.get(own_key())) {
+        version_ = found.value() ? found.value()->version : store::absent;
+    }
+    return false;
+}
+
+void member_task::survey() {
+    const auto all = with_.store.list(members_prefix);
+    if (!all) {
+        log::write("member_list_failed", {{"reason", all.error().code}});
+        return;
+    }
+    const auto now = with_.time.now();
+    std::map<std::string, sighting> seen;
+    std::vector<std::string> others;
+    std::uint32_t live = 1;
+    for (const auto &item : all.value()) {
+        const auto before = seen_.find(item.key);
+        const bool changed = before == seen_.end() || before->second.version != item.version;
+        auto &it = seen[item.key];
+        it = changed ? sighting{item.version, now} : before->second;
+        if (item.key == own_key() || now - it.changed_at > settings_.life) {
+            continue;
+        }
+        if (const auto record = parse_member(item)) {
+            ++live;
+            others.push_back(record.value().peers);
+        } else {
+            log::write("member_unreadable", {{"object", item.key}, {"reason", record.error().message}});
+        }
+    }
+    seen_ = std::move(seen);
+    with_.on_count(live);
+    const std::scoped_lock lock{mutex_};
+    peers_ = std::move(others);
+}
+
+void member_task::run(const std::stop_token &token) {
+    base::instant survey_due{};
+    while (!token.stop_requested()) {
+        const bool published = publish();
+        if (with_.time.now() >= survey_due) {
+            survey();
+            survey_due = with_.time.now() + settings_.list_every;
+        }
+        base::wait_unless_stopped(token, published ? settings_.publish_every : settings_.retry_after);
+    }
+    (void)publish();
+}
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/member_task.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "base/id.hpp"
+#include "gateway/member_record.hpp"
+#include "store/object_store.hpp"
+
+namespace dotterelstack::gateway {
+
+/** @brief Times of a `member_task`. */
+struct member_settings {
+    std::string name;
+    std::string incarnation;
+    std::string peers;
+    base::duration publish_every{std::chrono::milliseconds{2500}};
+    base::duration retry_after{std::chrono::milliseconds{500}};
+    base::duration list_every{std::chrono::seconds{5}};
+    base::duration life{std::chrono::seconds{12}}; /**< A gateway whose record did not change for so long has gone. */
+};
+
+/** @brief Publishes this gateway's record and follows those of the others. */
+class member_task {
+public:
+    struct dependencies {
+        const base::clock &time;
+        store::object_store &store;
+        base::id_source &ids;
+        const start_tally &starts;
+        std::function<void(std::uint32_t)> on_count; /**< Number of live gateways, this one included. */
+    };
+
+    member_task(member_settings settings, dependencies with);
+    member_task(const member_task &) = delete;
+    member_task &operator=(const member_task &) = delete;
+    ~member_task();
+
+    void start();
+
+    /** @brief Publishes a last time and ends the thread. */
+    void stop();
+
+    /** @return Addresses of the other live gateways. Callable from any thread. */
+    [[nodiscard]] std::vector<std::string> peers() const;
+
+    /** @brief Writes this gateway's record. @return False when it must be tried again. */
+    [[nodiscard]] bool publish();
+
+    /** @brief Reads the records of all gateways. */
+    void survey();
+
+private:
+    struct sighting {
+        std::uint64_t version{0};
+        base::instant changed_at{};
+    };
+
+    void run(const std::stop_token &token);
+    [[nodiscard]] std::string own_key() const;
+
+    const member_settings settings_;
+    dependencies with_;
+    std::uint64_t version_{store::absent};
+    std::map<std::string, sighting> seen_;
+    mutable std::mutex mutex_;
+    std::vector<std::string> peers_;
+    std::jthread thread_;
+};
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/placement.cpp
@@ -0,0 +1,210 @@
+#include "gateway/placement.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <optional>
+
+namespace dotterelstack::gateway {
+
+namespace internal {
+
+// Until the first answer: between the short calls and the streams that are usual.
+constexpr double first_slot_ms = 100;
+// Weight of the newest answer in the mean.
+constexpr double slot_time_gain = 0.05;
+// Until the first prompt was read apart.
+constexpr double first_prefill_tokens = 2000;
+// State moves this much slower between failure domains.
+constexpr double far_transfer_factor = 2;
+// Random part of a cost, which keeps gateways from choosing alike.
+constexpr double jitter_ms = 2;
+
+base::duration milliseconds(double value) {
+    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double, std::milli>{value});
+}
+
+} // namespace internal
+
+placement::placement(const base::clock &time, const backend_table &table, random_source random,
+                     placement_settings settings)
+    : time_{time}, table_{table}, random_{std::move(random)}, settings_{settings}, prefixes_{time,
+                                                                                             settings.prefix_life} {}
+
+double placement::slot_ms(std::string_view service) const {
+    const auto it = slot_ms_.find(service);
+    return it == slot_ms_.end() ? internal::first_slot_ms : it->second;
+}
+
+void placement::on_slot_time(std::string_view service, base::duration held) {
+    const double ms = std::chrono::duration<double, std::milli>(held).count();
+    const auto it = slot_ms_.find(service);
+    if (it == slot_ms_.end()) {
+        slot_ms_.emplace(std::string{service}, ms);
+    } else {
+        it->second += internal::slot_time_gain * (ms - it->second);
+    }
+}
+
+void placement::on_prompt_read(std::string_view engine, std::span<const prompt_part> prompt) {
+    prefixes_.note(engine, prompt);
+}
+
+double placement::wait_ms(const backend_state &it) const {
+    const double slots = std::max(1U, it.facts.slots);
+    const double ahead = table_.outstanding(it) - slots + 1;
+    return ahead <= 0 ? 0 : ahead * slot_ms(it.facts.service) / slots;
+}
+
+bool placement::has_room(const backend_state &it) const {
+    const double slots = std::max(1U, it.facts.slots);
+    return table_.outstanding(it) < slots * (1 + settings_.queue_per_slot);
+}
+
+double placement::shared_tokens(const placement_request &request) const {
+    double out = 0;
+    if (!request.prompt.empty()) {
+        for (const auto &part : request.prompt.first(request.prompt.size() - 1)) {
+            out += part.tokens;
+        }
+    }
+    return std::min<double>(out, request.prompt_tokens);
+}
+
+double placement::penalty_ms(const backend_state &it, const placement_request &request) const {
+    const double far = it.facts.failure_domain == request.failure_domain ? 0 : settings_.far_ms;
+    return far + settings_.failure_ms * table_.failure_rate(it) + internal::jitter_ms * random_();
+}
+
+base::duration placement::free_in(const state_list &from) const {
+    double best = std::numeric_limits<double>::max();
+    for (const auto *it : from) {
+        const double slots = std::max(1U, it->facts.slots);
+        const double excess = table_.outstanding(*it) - slots * (1 + settings_.queue_per_slot) + 1;
+        best = std::min(best, std::max(1.0, excess) * slot_ms(it->facts.service) / slots);
+    }
+    return internal::milliseconds(best);
+}
+
+placement_result placement::choose_plain(const placement_request &request, const state_list &from) {
+    placement_result out{{}, placement_obstacle::full, {}};
+    double best = std::numeric_limits<double>::max();
+    for (const auto *it : from) {
+        if (!has_room(*it)) {
+            continue;
+        }
+        // Beside the wait, load itself counts: some backend servers slow down when they are nearly full.
+        const double load = table_.outstanding(*it) / std::max(1U, it->facts.slots);
+        const double cost = wait_ms(*it) + load * slot_ms(request.service) / 2 + penalty_ms(*it, request);
+        if (cost < best) {
+            best = cost;
+            out.plan.run = it;
+            out.plan.expected = internal::milliseconds(wait_ms(*it) + slot_ms(request.service));
+            out.obstacle = placement_obstacle::none;
+        }
+    }
+    return out;
+}
+
+double placement::fetch_ms(const placement_request &request, const backend_state &engine,
+                           const backend_state *home) const {
+    if (home == nullptr || home == &engine) {
+        return 0;
+    }
+    const double missing = std::max(0.0, shared_tokens(request) - prefixes_.cached(engine.facts.id, request.prompt));
+    const bool near = engine.facts.failure_domain == home->facts.failure_domain;
+    return missing / settings_.transfer_tokens_per_ms * (near ? 1 : internal::far_transfer_factor);
+}
+
+placement::candidate placement::direct(const placement_request &request, const backend_state &engine,
+                                       const backend_state *home, double rank) const {
+    const double tokens = request.prompt_tokens - (home == nullptr ? 0 : shared_tokens(request));
+    const double reading = tokens / settings_.decode_tokens_per_ms;
+    const double pending = engine.own_prefill_tokens * gateways_ / settings_.decode_tokens_per_ms;
+    candidate out{{nullptr, &engine, home == &engine ? nullptr : home, tokens, {}}, 0, 0};
+    out.expected_ms = wait_ms(engine) + fetch_ms(request, engine, home) + reading + pending;
+    // Other generations of the engine slow down with its load and while it reads.
+    out.cost_ms = out.expected_ms + table_.outstanding(engine) + settings_.disturbance * reading +
+                  penalty_ms(engine, request) + (home == nullptr ? 0 : settings_.spill_ms * rank);
+    return out;
+}
+
+placement::candidate placement::split(const placement_request &request, const backend_state &reader, double rank,
+                                      const candidate &decoder, const backend_state *home) const {
+    const double tokens = request.prompt_tokens - shared_tokens(request);
+    const double ahead = table_.outstanding(reader) * mean_prefill_tokens_;
+    const bool near = reader.facts.failure_domain == decoder.plan.run->facts.failure_domain;
+    candidate out{{&reader, decoder.plan.run, home, tokens, {}}, 0, 0};
+    out.expected_ms =
+        fetch_ms(request, reader, home) + (ahead + tokens) / settings_.prefill_tokens_per_ms +
+        settings_.transfer_setup_ms +
+        request.prompt_tokens / settings_.transfer_tokens_per_ms * (near ? 1 : internal::far_transfer_factor) +
+        wait_ms(*decoder.plan.run);
+    out.cost_ms = out.expected_ms + penalty_ms(reader, request) + settings_.spill_ms * rank;
+    return out;
+}
+
+placement_result placement::choose_engine(const placement_request &request, const state_list &from) {
+    const auto key = shared_prefix_key(request.prompt, settings_.least_shared_tokens);
+    auto order = from;
+    if (key != 0) {
+        std::ranges::sort(order, std::ranges::greater{},
+                          [key](const auto *it) { return rendezvous_rank(key, it->facts.id); });
+    }
+    const backend_state *home = nullptr;
+    std::optional<candidate> best;
+    std::optional<candidate> decoder;
+    double rank = 0;
+    for (const auto *it : order) {
+        if (it->facts.stage == engine_stage::prefill) {
+            continue;
+        }
+        home = home == nullptr && key != 0 ? it : home;
+        if (has_room(*it)) {
+            const auto now = direct(request, *it, home, rank);
+            best = !best || now.cost_ms < best->cost_ms ? now : best;
+            // Where a generation runs after a split: near the home, wherever there are free slots.
+            const double place = wait_ms(*it) + settings_.spill_ms * rank + penalty_ms(*it, request);
+            if (!decoder || place < decoder->cost_ms) {
+                decoder = candidate{now.plan, place, 0};
+            }
+        }
+        rank += 1;
+    }
+    rank = 0;
+    for (const auto *it : order) {
+        if (it->facts.stage == engine_stage::prefill && request.may_split && key != 0 && decoder) {
+            const auto now = split(request, *it, rank, *decoder, home);
+            best = now.cost_ms < best->cost_ms ? now : best;
+            rank += 1;
+        }
+    }
+    if (!best) {
+        return {{}, placement_obstacle::full, {}};
+    }
+    best->plan.expected = internal::milliseconds(best->expected_ms);
+    if (best->plan.prefill != nullptr) {
+        mean_prefill_tokens_ += internal::slot_time_gain * (best->plan.prefill_tokens - mean_prefill_tokens_);
+    }
+    return {best->plan, placement_obstacle::none, {}};
+}
+
+placement_result placement::choose(const placement_request &request) {
+    auto open = table_.open(request.service);
+    if (open.empty()) {
+        return {{}, placement_obstacle::no_backend, {}};
+    }
+    std::erase_if(open, [&request](const auto *it) {
+        return std::ranges::find(request.excluded, it->facts.id) != request.excluded.end();
+    });
+    if (open.empty()) {
+        return {{}, placement_obstacle::excluded, {}};
+    }
+    const bool engine = std::ranges::any_of(open, [](const auto *it) { return it->facts.stage != engine_stage::none; });
+    auto out = engine ? choose_engine(request, open) : choose_plain(request, open);
+    if (out.obstacle == placement_obstacle::full) {
+        out.free_in = free_in(open);
+    }
+    return out;
+}
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/placement.hpp
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "gateway/backend_table.hpp"
+#include "gateway/prefix_memory.hpp"
+#include "gateway/request_facts.hpp"
+
+namespace dotterelstack::gateway {
+
+/** @brief Speeds and weights by which placements are compared. */
+struct placement_settings {
+    double prefill_tokens_per_ms{120};   /**< Of a prefill engine. */
+    double decode_tokens_per_ms{37};     /**< Of a decode engine that reads a prompt between the tokens of others. */
+    double transfer_tokens_per_ms{1200}; /**< Cached state between engines of one failure domain. */
+    double transfer_setup_ms{40};        /**< Two calls in place of one, and the start of the generation. */
+    double far_ms{4};                    /**< Price of leaving the failure domain: bytes between domains cost. */
+    double spill_ms{25};                 /**< Price of each step down the order of engines for a prefix. */
+    double failure_ms{400};              /**< Price of a backend server that fails every attempt. */
+    double disturbance{0.5};             /**< Price of reading a prompt at a decode engine, as a part of its time. */
+    std::uint32_t least_shared_tokens{1000}; /**< Prompts that share less go wherever there is room. */
+    base::duration prefix_life{std::chrono::seconds{10}};
+    /** Requests that may wait at a backend server, for each of its slots. */
+    double queue_per_slot{1.0};
+};
+
+/** @brief A request as far as its placement is concerned. Views must outlive the call only. */
+struct placement_request {
+    std::string_view service;
+    std::span<const prompt_part> prompt; /**< Empty for plain services. */
+    std::uint32_t prompt_tokens{0};
+    std::string_view failure_domain;         /**< Of this gateway. */
+    std::span<const std::string> excluded{}; /**< Backend servers that were tried. */
+    bool may_split{true};                    /**< Prefill and decode may happen at two engines. */
+};
+
+/** @brief Where a request goes. Pointers are valid until the table changes. */
+struct placement_plan {
+    const backend_state *prefill{nullptr}; /**< Null when `run` reads the prompt, too. */
+    const backend_state *run{nullptr};
+    const backend_state *fetch_from{nullptr}; /**< Engine that probably keeps the shared parts; null for none. */
+    double prefill_tokens{0};                 /**< Tokens to be read at the engine that reads the prompt. */
+    base::duration expected{0}; /**< Until the answer or its first event. */
+};
+
+/** @brief Why there is no place. */
+enum class placement_obstacle : std::uint8_t {
+    none,
+    no_backend, /**< No backend server of the service takes requests. */
+    excluded,   /**< All of them were tried. */
+    full        /**< All slots are taken and as many wait as may. */
+};
+
+struct placement_result {
+    placement_plan plan;
+    placement_obstacle obstacle{placement_obstacle::none};
+    base::duration free_in{0}; /**< With `full`: estimated time until a place is free. */
+};
+
+/**
+ * @brief Chooses backend servers. Not thread-safe.
+ *
+ * The cheapest place by estimated time to the answer wins. A long shared prefix has a home, the decode engine that all
+ * gateways agree on without talking to each other: its generations run there, so that the prefix stays cached, and
+ * whichever engine reads a prompt with that prefix fetches it from the home instead of reading it again. The next
+ * engines of that order follow when the home is busy.
+ */
+class placement {
+public:
+    /** @brief Uniform numbers in [0, 1), to spread equal choices. */
+    using random_source = std::function<double()>;
+
+    placement(const base::clock &time, const backend_table &table, random_source random,
+              placement_settings settings = {});
+
+    [[nodiscard]] placement_result choose(const placement_request &request);
+
+    /** @brief An engine has read a prompt. */
+    void on_prompt_read(std::string_view engine, std::span<const prompt_part> prompt);
+
+    /** @brief Learns how long requests of a service hold a slot. */
+    void on_slot_time(std::string_view service, base::duration held);
+
+    /** @brief Sets the number of gateways, by which own unread prompts are scaled to those of all. */
+    void set_gateways(std::uint32_t n) noexcept { gateways_ = n == 0 ? 1 : n; }
+
+    /** @brief Periodic work; call it about once a second. */
+    void expire() { prefixes_.expire(); }
+
+private:
+    /** A choice of engines and its cost. */
+    struct candidate {
+        placement_plan plan;
+        double cost_ms{0};
+        double expected_ms{0};
+    };
+
+    using state_list = std::vector<const backend_state *>;
+
+    [[nodiscard]] double slot_ms(std::string_view service) const;
+    [[nodiscard]] double wait_ms(const backend_state &it) const;
+    [[nodiscard]] double shared_tokens(const placement_request &request) const;
+    [[nodiscard]] double penalty_ms(const backend_state &it, const placement_request &request) const;
+    [[nodiscard]] bool has_room(const backend_state &it) const;
+    [[nodiscard]] placement_result choose_plain(const placement_request &request, const state_list &from);
+    [[nodiscard]] placement_result choose_engine(const placement_request &request, const state_list &from);
+    [[nodiscard]] candidate direct(const placement_request &request, const backend_state &engine,
+                                   const backend_state *home, double rank) const;
+    [[nodiscard]] candidate split(const placement_request &request, const backend_state &reader, double rank,
+                                  const candidate &decoder, const backend_state *home) const;
+    [[nodiscard]] double fetch_ms(const placement_request &request, const backend_state &engine,
+                                  const backend_state *home) const;
+    [[nodiscard]] base::duration free_in(const state_list &from) const;
+
+    const base::clock &time_;
+    const backend_table &table_;
+    const random_source random_;
+    const placement_settings settings_;
+    prefix_memory prefixes_;
+    std::uint32_t gateways_{1};
+    std::map<std::string, double, std::less<>> slot_ms_;
+    double mean_prefill_tokens_; /**< Of prompts that were read apart. */
+};
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/prefix_memory.cpp
@@ -0,0 +1,90 @@
+#include "gateway/prefix_memory.hpp"
+
+namespace dotterelstack::gateway {
+
+namespace internal {
+
+// Finaliser of splitmix64 and offset of FNV-1a: all gateways must compute the same values.
+constexpr std::uint64_t mix(std::uint64_t it) noexcept {
+    it = (it ^ (it >> 30U)) * 0xbf58476d1ce4e5b9U;
+    it = (it ^ (it >> 27U)) * 0x94d049bb133111ebU;
+    return it ^ (it >> 31U);
+}
+
+constexpr std::uint64_t text_hash(std::string_view text) noexcept {
+    std::uint64_t out = 0xcbf29ce484222325U;
+    for (const char it : text) {
+        out = (out ^ static_cast<unsigned char>(it)) * 0x100000001b3U;
+    }
+    return out;
+}
+
+} // namespace internal
+
+prefix_memory::prefix_memory(const base::clock &time, base::duration life) : time_{time}, life_{life} {}
+
+void prefix_memory::note(std::string_view engine, std::span<const prompt_part> prompt) {
+    if (prompt.size() < 2) {
+        return;
+    }
+    auto it = engines_.find(engine);
+    if (it == engines_.end()) {
+        it = engines_.emplace(std::string{engine}, part_times{}).first;
+    }
+    for (const auto &part : prompt.first(prompt.size() - 1)) {
+        it->second[part.id] = time_.now();
+    }
+}
+
+std::uint32_t prefix_memory::cached(std::string_view engine, std::span<const prompt_part> prompt) const {
+    const auto it = engines_.find(engine);
+    if (it == engines_.end()) {
+        return 0;
+    }
+    const auto oldest = time_.now() - life_;
+    std::uint32_t out = 0;
+    for (const auto &part : prompt) {
+        const auto found = it->second.find(part.id);
+        if (found == it->second.end() || found->second < oldest) {
+            break;
+        }
+        out += part.tokens;
+    }
+    return out;
+}
+
+void prefix_memory::forget(std::string_view engine) {
+    if (const auto it = engines_.find(engine); it != engines_.end()) {
+        engines_.erase(it);
+    }
+}
+
+void prefix_memory::expire() {
+    const auto oldest = time_.now() - life_;
+    for (auto &[engine, parts] : engines_) {
+        std::erase_if(parts, [oldest](const auto &it) { return it.second < oldest; });
+    }
+    std::erase_if(engines_, [](const auto &it) { return it.second.empty(); });
+}
+
+std::uint64_t shared_prefix_key(std::span<const prompt_part> prompt, std::uint32_t least_tokens) noexcept {
+    if (prompt.size() < 2) {
+        return 0;
+    }
+    std::uint64_t tokens = 0;
+    std::uint64_t out = 0;
+    for (const auto &it : prompt.first(prompt.size() - 1)) {
+        tokens += it.tokens;
+        out = internal::mix(out ^ it.id);
+        if (tokens >= least_tokens) {
+            return out == 0 ? 1 : out;
+        }
+    }
+    return 0;
+}
+
+std::uint64_t rendezvous_rank(std::uint64_t key, std::string_view engine) noexcept {
+    return internal::mix(key ^ internal::mix(internal::text_hash(engine)));
+}
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/site_codec.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/error.hpp"
+#include "gateway/backend_server.hpp"
+#include "gateway/traffic_config.hpp"
+
+namespace dotterelstack::gateway {
+
+/** @brief Translates what a platform keeps in its object store. Stateless and thread-safe. */
+class site_codec {
+public:
+    site_codec() = default;
+    site_codec(const site_codec &) = delete;
+    site_codec &operator=(const site_codec &) = delete;
+    virtual ~site_codec() = default;
+
+    /** @return Prefix of the keys under which the traffic configuration is kept. */
+    [[nodiscard]] virtual std::string_view config_prefix() const noexcept = 0;
+
+    /** @return Key of the traffic configuration in force. */
+    [[nodiscard]] virtual std::string_view config_key() const noexcept = 0;
+
+    /** @return Prefix of the keys under which backend servers register themselves. */
+    [[nodiscard]] virtual std::string_view servers_prefix() const noexcept = 0;
+
+    [[nodiscard]] virtual base::result<traffic_values> decode_config(std::string_view value) const = 0;
+
+    /** @param id Key of the entry without the prefix. */
+    [[nodiscard]] virtual base::result<backend_server> decode_server(std::string_view id,
+                                                                     std::string_view value) const = 0;
+};
+
+/** @brief Requests that began to run in one window, by organisation. */
+using start_counts = std::map<std::string, std::uint64_t, std::less<>>;
+
+/** @brief Calls that only the holder of a lease may make. */
+class duty_port {
+public:
+    duty_port() = default;
+    duty_port(const duty_port &) = delete;
+    duty_port &operator=(const duty_port &) = delete;
+    virtual ~duty_port() = default;
+
+    /**
+     * @brief Reports the usage of one window. Blocks.
+     * @param window Number of the window since 1970.
+     * @param fence Fencing token of the holder's lease.
+     * @return Nothing when accepted; `refused` when a holder with a higher token has reported.
+     */
+    [[nodiscard]] virtual base::result<void> report_usage(std::uint64_t window, const start_counts &counts,
+                                                          std::uint64_t fence) = 0;
+};
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/store_feed.cpp
@@ -0,0 +1,61 @@
+#include "gateway/store_feed.hpp"
+
+#include <algorithm>
+
+#include "base/interruptible_wait.hpp"
+
+namespace dotterelstack::gateway {
+
+store_feed::store_feed(store::object_store &store, std::string prefix, feed_settings settings, feed_handlers handlers)
+    : store_{store}, prefix_{std::move(prefix)}, settings_{settings}, handlers_{std::move(handlers)} {}
+
+store_feed::~store_feed() {
+    stop();
+}
+
+void store_feed::start() {
+    thread_ = std::jthread{[this](const std::stop_token &token) { run(token); }};
+}
+
+void store_feed::stop() {
+    if (thread_.joinable()) {
+        thread_.request_stop();
+        thread_.join();
+    }
+}
+
+base::duration store_feed::step() {
+    const auto batch = store_.watch(prefix_, since_, settings_.watch_wait);
+    if (!batch) {
+        if (batch.error().code == "history_lost") {
+            since_ = 0;
+            handlers_.on_answered();
+            return base::duration{0};
+        }
+        handlers_.on_failed();
+        return settings_.retry_after;
+    }
+    handlers_.on_answered();
+    const auto &seen = batch.value();
+    if (since_ == 0) {
+        std::vector<store::object> all;
+        all.reserve(seen.events.size());
+        std::ranges::transform(seen.events, std::back_inserter(all), [](const auto &it) { return it.item; });
+        handlers_.on_list(all);
+    } else {
+        std::ranges::for_each(seen.events, handlers_.on_change);
+    }
+    since_ = std::max(since_, seen.revision);
+    return base::duration{0};
+}
+
+void store_feed::run(const std::stop_token &token) {
+    while (!token.stop_requested()) {
+        const auto pause = step();
+        if (pause > base::duration{0}) {
+            base::wait_unless_stopped(token, pause);
+        }
+    }
+}
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/store_feed.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "store/object_store.hpp"
+
+namespace dotterelstack::gateway {
+
+/** @brief Times of a `store_feed`. */
+struct feed_settings {
+    base::duration watch_wait{std::chrono::milliseconds{1500}};
+    base::duration retry_after{std::chrono::milliseconds{200}};
+};
+
+/** @brief Functions called on the thread of a feed. */
+struct feed_handlers {
+    std::function<void(const std::vector<store::object> &all)> on_list; /**< Everything under the prefix. */
+    std::function<void(const store::watch_event &change)> on_change;
+    std::function<void()> on_answered; /**< After each call that the store answered. */
+    std::function<void()> on_failed;   /**< After each call that it did not answer. */
+};
+
+/**
+ * @brief Follows the objects under one prefix: a list, then watches; a new list when the store has dropped the history.
+ */
+class store_feed {
+public:
+    /** @param store Outlives the feed. */
+    store_feed(store::object_store &store, std::string prefix, feed_settings settings, feed_handlers handlers);
+    store_feed(const store_feed &) = delete;
+    store_feed &operator=(const store_feed &) = delete;
+    ~store_feed();
+
+    void start();
+    void stop();
+
+    /** @brief One call to the store. @return Pause before the next one. */
+    [[nodiscard]] base::duration step();
+
+private:
+    void run(const std::stop_token &token);
+
+    store::object_store &store_;
+    const std::string prefix_;
+    const feed_settings settings_;
+    const feed_handlers handlers_;
+    std::uint64_t since_{0}; /**< 0 asks for a list. */
+    std::jthread thread_;
+};
+
+} // namespace dotterelstack::gateway
--- /dev/null
+++ b/src/gateway/usage_duty.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+
+#include "base/clock.hpp"
+#include "base/id.hpp"
+#include "gateway/member_record.hpp"
+#include "lease/lease_thread.hpp"
+#include "store/object_store.hpp"
+
+namespace dotterelstack::gateway {
+
+/** @brief Times of a `usage_duty`. */
+struct duty_settings {
+    base::duration window{std::chrono::seconds{5}};
+    base::duration due{std::chrono::seconds{10}};           /**< From the end of a window to its report. */
+    base::duration settle{std::chrono::milliseconds{3500}}; /**< Until all gateways have published their counts. */
+    base::duration step{std::chrono::milliseconds{500}};
+    std::uint64_t keep_windows{12}; /**< Sealed windows and records of former gateways are erased after so many. */
+};
+
+/** @brief Work on one window in a term of office. */
+enum class window_state : std::uint8_t {
+    open,
+    sealed,
+    reported
+};
+
+/**
+ * @brief Seals the counts of each window in the store and reports them; works under a lease.
+ *
+ * The figures of a window are fixed by creating an object that must not exist, before they are reported, so every
+ * repetition by whichever holder carries the same ones.
+ */
+class usage_duty {
+public:
+    struct dependencies {
+        const base::clock &time;
+        wall_clock now;
+        store::object_store &store;
+        base::id_source &ids;
+        duty_port &duties;
+    };
+
+    usage_duty(duty_settings settings, dependencies with);
+
+    /**
+     * @brief Does what is due. Blocks for calls to the store and the platform.
+     * @param authority Check of the lease; asked again before every call that must have authority.
+     */
+    void work(const lease::authority_check &authority);
+
+private:
+    [[nodiscard]] std::uint64_t window_ms() const noexcept;
+    [[nodiscard]] std::optional<start_counts> seal(std::uint64_t window, const lease::authority_check &authority);
+    [[nodiscard]] std::optional<start_counts> sum(std::uint64_t window);
+    void report(std::uint64_t window, const lease::authority_check &authority);
+    void clean_up(std::uint64_t current);
+
+    const duty_settings settings_;
+    dependencies with_;
+    std::uint64_t fence_{0}; /**< Of the term that the fields below belong to. */
+    bool outranked_{false};  /**< A holder with a higher fence has reported. */
+    std::map<std::uint64_t, start_counts> sealed_;
+    std::set<std::uint64_t> reported_;
+    std::uint64_t cleaned_{0};
+};
+
+/** @brief Runs a `usage_duty` on a thread of its own while the lease is held. */
+class usage_duty_thread {
+public:
+    usage_duty_thread(usage_duty &duty, const lease::lease_thread &lease, base::duration step);
+    usage_duty_thread(const usage_duty_thread &) = delete;
+    usage_duty_thread &operator=(const usage_duty_thread &) = delete;
+    ~usage_duty_thread();
+
+    void start();
+    void stop();
+
+private:
+    usage_duty &duty_;
+    const lease::lease_thread &lease_;
+    const base::duration step_;
+    std::jthread thread_;
+};
+
+} // namespace dotterelstack::gateway
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -53,6 +53,9 @@
         if (it->handlers.on_data) {
             it->detail.sink = &it->handlers.on_data;
         }
+        if (it->handlers.on_head) {
+            it->detail.head = &it->handlers.on_head;
+        }
         internal::prepare(it->handle.get(), it->detail, it->address, it->options);
         auto *handle = it->handle.get();
         active.emplace(handle, std::move(it));
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -14,6 +14,9 @@
 /** @brief Called for each part of a streamed body; returning false cancels the transfer. */
 using body_sink = std::function<bool(std::string_view part)>;
 
+/** @brief Called once with status and fields of a response, before its body. */
+using head_sink = std::function<void(int status, const field_list &fields)>;
+
 /** @brief Called once, immediately before the last byte of a request; returning false abandons it unfinished. */
 using final_check = std::function<bool()>;
 
@@ -22,6 +25,7 @@
     base::duration connect_timeout{std::chrono::seconds{1}};
     base::duration timeout{std::chrono::seconds{5}}; /**< Whole call; zero means none. */
     base::duration idle_timeout{0};                  /**< Longest silence inside a stream; zero means none. */
+    bool fresh_connection{false};                    /**< Uses a connection of its own, closed afterwards. */
 };
 
 /**
--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -32,6 +32,12 @@
     const auto colon = line.find(':');
     if (line.starts_with("HTTP/")) {
         it.answer.fields.clear();
+    } else if (it.head != nullptr && (line == "\r\n" || line == "\n")) {
+        long status = 0;
+        curl_easy_getinfo(it.handle, CURLINFO_RESPONSE_CODE, &status);
+        if (status == 200) {
+            (*it.head)(static_cast<int>(status), it.answer.fields);
+        }
     } else if (colon != std::string_view::npos) {
         auto value = line.substr(colon + 1);
         const auto first = value.find_first_not_of(" \t");
@@ -84,7 +90,15 @@
 list_ptr make_headers(const request &message) {
     curl_slist *list = nullptr;
     for (const auto &it : message.fields) {
-        list = curl_slist_append(list, (it.name + ": " + it.value).c_str());
+        // libcurl takes "name:" as a request to leave a field out; an empty value is written "name;".
+        list =
+            curl_slist_append(list, it.value.empty() ? (it.name + ";").c_str() : (it.name + ": " + it.value).c_str());
+    }
+    // Fields that libcurl adds by itself unless they are named.
+    for (const auto *name : {"Accept", "Content-Type"}) {
+        if (!find_field(message.fields, name)) {
+            list = curl_slist_append(list, (std::string{name} + ":").c_str());
+        }
     }
     // Without these libcurl waits a second for "100 Continue" before larger bodies.
     list = curl_slist_append(list, "Expect:");
@@ -147,7 +161,8 @@
     // libcurl repeats a request by itself when a reused connection closes before the first byte of the response, which
     // would run a call twice. A new connection is never retried.
     const bool idempotent = it.message.method == "GET" || it.message.method == "HEAD";
-    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, idempotent ? 0L : 1L);
+    curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, idempotent && !options.fresh_connection ? 0L : 1L);
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, options.fresh_connection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, it.headers.get());
     set_timeouts(handle, options);
     set_body(handle, it);
--- a/src/http/curl_transfer.hpp
+++ b/src/http/curl_transfer.hpp
@@ -16,6 +16,7 @@
 struct transfer {
     const request &message;
     const body_sink *sink{nullptr};
+    const head_sink *head{nullptr};
     const final_check *check{nullptr};
     CURL *handle{nullptr};
     response answer{};
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,11 +1,14 @@
 #include "http/server.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
 #include <cstring>
 #include <microhttpd.h>
 #include <mutex>
 #include <netinet/in.h>
+#include <poll.h>
+#include <strings.h>
 #include <unistd.h>
 
 namespace dotterelstack::http {
@@ -98,16 +101,32 @@
     return MHD_YES;
 }
 
-MHD_Result reject_body(MHD_Connection *connection) {
-    static std::string text = R"({"error":{"code":"body_too_large","message":"the body is over the limit of this )"
-                              R"(server; send a smaller one","ran":"no"}})";
-    MHD_Response *answer = MHD_create_response_from_buffer(text.size(), text.data(), MHD_RESPMEM_PERSISTENT);
+MHD_Result reject(MHD_Connection *connection, unsigned int status, std::string text) {
+    MHD_Response *answer = MHD_create_response_from_buffer(text.size(), text.data(), MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(answer, "Content-Type", "application/json");
-    const MHD_Result ok = MHD_queue_response(connection, MHD_HTTP_CONTENT_TOO_LARGE, answer);
+    MHD_add_response_header(answer, "Connection", "close");
+    const MHD_Result ok = MHD_queue_response(connection, status, answer);
     MHD_destroy_response(answer);
     return ok;
 }
 
+MHD_Result reject_body(MHD_Connection *connection) {
+    return reject(connection, MHD_HTTP_CONTENT_TOO_LARGE,
+                  R"({"error":{"code":"body_too_large","message":"the body is over the limit of this )"
+                  R"(server; send a smaller one","ran":"no"}})");
+}
+
+/** True when the end of the body or the host is ambiguous, so that another reader may see other requests in it. */
+bool ambiguous(const field_list &fields) {
+    const auto count = [&fields](const char *name) {
+        return std::ranges::count_if(fields,
+                                     [name](const field &it) { return strcasecmp(it.name.c_str(), name) == 0; });
+    };
+    const auto lengths = count(MHD_HTTP_HEADER_CONTENT_LENGTH);
+    const auto encodings = count(MHD_HTTP_HEADER_TRANSFER_ENCODING);
+    return lengths + encodings > 1 || count(MHD_HTTP_HEADER_HOST) != 1;
+}
+
 MHD_Result on_access(void *user, MHD_Connection *connection, const char * /*url*/, const char *method,
                      const char * /*version*/, const char *data, std::size_t *size, void **slot) {
     auto &owner = *static_cast<server_state *>(user);
@@ -118,6 +137,11 @@
         (*held)->message.method = method;
         MHD_get_connection_values(connection, MHD_HEADER_KIND, &add_field, &(*held)->message.fields);
         ++owner.active;
+        if (ambiguous((*held)->message.fields)) {
+            return reject(connection, MHD_HTTP_BAD_REQUEST,
+                          R"({"error":{"code":"ambiguous_request","message":"send one Host and either )"
+                          R"(one Content-Length or one Transfer-Encoding","ran":"no"}})");
+        }
         return MHD_YES;
     }
     auto &it = **held;
@@ -261,6 +285,15 @@
 }
 
 bool exchange::caller_gone() const noexcept {
+    const std::scoped_lock lock{state_->mutex};
+    // libmicrohttpd does not watch the socket of a suspended connection; the connection stays valid meanwhile.
+    if (!state_->gone && state_->suspended && state_->connection != nullptr) {
+        const auto *info = MHD_get_connection_info(state_->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        pollfd socket{info == nullptr ? -1 : info->connect_fd, POLLRDHUP, 0};
+        if (::poll(&socket, 1, 0) > 0) {
+            state_->gone = true;
+        }
+    }
     return state_->gone;
 }
 
@@ -275,12 +308,12 @@
     state_->handler = std::move(handler);
     state_->limits = limits;
     constexpr unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
-    state_->daemon =
-        MHD_start_daemon(flags, 0, nullptr, nullptr, &internal::on_access, state_.get(), MHD_OPTION_SOCK_ADDR, &where,
-                         MHD_OPTION_URI_LOG_CALLBACK, &internal::on_uri, nullptr, MHD_OPTION_NOTIFY_COMPLETED,
-                         &internal::on_completed, state_.get(), MHD_OPTION_CONNECTION_LIMIT,
-                         static_cast<unsigned int>(limits.connections), MHD_OPTION_CONNECTION_TIMEOUT,
-                         limits.idle_timeout_seconds, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+    state_->daemon = MHD_start_daemon(
+        flags, 0, nullptr, nullptr, &internal::on_access, state_.get(), MHD_OPTION_SOCK_ADDR, &where,
+        MHD_OPTION_URI_LOG_CALLBACK, &internal::on_uri, nullptr, MHD_OPTION_NOTIFY_COMPLETED, &internal::on_completed,
+        state_.get(), MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned int>(limits.connections),
+        MHD_OPTION_CONNECTION_TIMEOUT, limits.idle_timeout_seconds, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+        MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
     if (state_->daemon == nullptr) {
         return base::fail(base::error_kind::unavailable, "cannot_listen",
                           "cannot listen on " + std::string{address} + "; choose a free port or stop its user");
@@ -309,6 +342,12 @@
     return state_->active;
 }
 
+std::size_t server::connections() const noexcept {
+    const auto *info =
+        state_->daemon == nullptr ? nullptr : MHD_get_daemon_info(state_->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    return info == nullptr ? 0 : info->num_connections;
+}
+
 request_handler answer_with(std::function<response(const request &)> answer) {
     return [answer = std::move(answer)](const exchange &it) { it.respond(answer(it.message())); };
 }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -88,6 +88,9 @@
     /** @return Number of requests without a finished response. */
     [[nodiscard]] std::size_t active() const noexcept;
 
+    /** @return Number of open connections. */
+    [[nodiscard]] std::size_t connections() const noexcept;
+
 private:
     std::unique_ptr<internal::server_state> state_;
 };
--- a/src/entry/lease_thread.cpp
+++ b/src/lease/lease_thread.cpp
@@ -1,31 +1,24 @@
-#include "entry/lease_thread.hpp"
+#include "lease/lease_thread.hpp"
 
 #include <algorithm>
 
+#include "base/interruptible_wait.hpp"
 #include "log/event.hpp"
 
-namespace dotterelstack::entry {
+namespace dotterelstack::lease {
 
 namespace internal {
 
-// Longest sleep of the thread, which bounds the time of a stop.
-constexpr auto lease_wait = std::chrono::milliseconds{50};
+// Interval at which a process that does not stand for the lease asks itself again.
+constexpr auto candidate_wait = std::chrono::milliseconds{200};
+// Pause between two tries to write the release.
+constexpr auto release_wait = std::chrono::milliseconds{50};
 // Longest wait for the release to be written; without it the lease expires by itself.
 constexpr auto lease_stop_limit = std::chrono::seconds{2};
 
 } // namespace internal
 
-lease::lease_settings lease_settings_of(const settings::entry_timings &timings, std::string name, std::string holder) {
-    lease::lease_settings out{.name = std::move(name), .holder = std::move(holder)};
-    out.term = timings.lease_term;
-    out.margin = timings.lease_margin;
-    // Two renewals may fail before the term ends.
-    out.renew_every = timings.lease_term * 3 / 10;
-    out.standby_read_every = std::min<base::duration>(out.standby_read_every, timings.lease_term / 2);
-    return out;
-}
-
-lease_thread::lease_thread(const lease::lease_settings &values, const base::clock &time, store::object_store &store,
+lease_thread::lease_thread(const lease_settings &values, const base::clock &time, store::object_store &store,
                            base::id_source &ids, candidate_check candidate)
     : name_{values.name}, store_{store}, ids_{ids}, clock_{time}, candidate_{std::move(candidate)}, keeper_{time,
                                                                                                             values} {}
@@ -45,7 +38,7 @@
     }
 }
 
-std::optional<lease::authority_check> lease_thread::authority() const {
+std::optional<authority_check> lease_thread::authority() const {
     const std::scoped_lock lock{mutex_};
     return authority_ && (*authority_)() ? authority_ : std::nullopt;
 }
@@ -64,15 +57,17 @@
     while (!token.stop_requested()) {
         if (!keeper_.held() && !candidate_()) {
             publish();
-            std::this_thread::sleep_for(internal::lease_wait);
+            base::wait_unless_stopped(token, internal::candidate_wait);
             continue;
         }
-        const auto action = lease::drive_lease(keeper_, store_, ids_);
+        const auto action = drive_lease(keeper_, store_, ids_);
         publish();
-        if (action.step == lease::lease_step::wait) {
+        if (action.step == lease_step::wait) {
+            // A holder that is suspended is late by the time it slept; its authority ends by the clock, not by this
+            // wait.
             const auto wait =
-                std::clamp<base::duration>(action.until - clock_.now(), base::duration{0}, internal::lease_wait);
-            std::this_thread::sleep_for(wait);
+                std::clamp<base::duration>(action.until - clock_.now(), base::duration{0}, internal::candidate_wait);
+            base::wait_unless_stopped(token, wait);
         }
     }
     const bool held = keeper_.held();
@@ -83,15 +78,15 @@
     }
     const auto limit = clock_.now() + internal::lease_stop_limit;
     while (held && clock_.now() < limit) {
-        const auto action = lease::drive_lease(keeper_, store_, ids_);
-        if (action.step == lease::lease_step::wait && action.until == base::instant::max()) {
+        const auto action = drive_lease(keeper_, store_, ids_);
+        if (action.step == lease_step::wait && action.until == base::instant::max()) {
             log::write("lease_released", {{"lease", name_}});
             break;
         }
-        if (action.step == lease::lease_step::wait) {
-            std::this_thread::sleep_for(internal::lease_wait);
+        if (action.step == lease_step::wait) {
+            std::this_thread::sleep_for(internal::release_wait);
         }
     }
 }
 
-} // namespace dotterelstack::entry
+} // namespace dotterelstack::lease
--- a/src/entry/lease_thread.hpp
+++ b/src/lease/lease_thread.hpp
@@ -6,21 +6,16 @@
 #include <thread>
 
 #include "lease/lease_keeper.hpp"
-#include "settings/entry_settings.hpp"
 
-namespace dotterelstack::entry {
-
-/** @return Settings of a lease from the entry's times. */
-[[nodiscard]] lease::lease_settings lease_settings_of(const settings::entry_timings &timings, std::string name,
-                                                      std::string holder);
+namespace dotterelstack::lease {
 
 /** @brief Keeps one lease on a thread of its own, so that slow work under the lease delays no renewal. */
 class lease_thread {
 public:
-    /** @brief Tells whether this entry stands for the lease. A holder keeps it in any case. */
+    /** @brief Tells whether this process stands for the lease. A holder keeps it in any case. */
     using candidate_check = std::function<bool()>;
 
-    lease_thread(const lease::lease_settings &values, const base::clock &time, store::object_store &store,
+    lease_thread(const lease_settings &values, const base::clock &time, store::object_store &store,
                  base::id_source &ids, candidate_check candidate);
     lease_thread(const lease_thread &) = delete;
     lease_thread &operator=(const lease_thread &) = delete;
@@ -34,7 +29,7 @@
     void stop();
 
     /** @return Check of the lease when it is held. Callable from any thread. */
-    [[nodiscard]] std::optional<lease::authority_check> authority() const;
+    [[nodiscard]] std::optional<authority_check> authority() const;
 
 private:
     void run(const std::stop_token &token);
@@ -45,11 +40,11 @@
     base::id_source &ids_;
     const base::clock &clock_;
     const candidate_check candidate_;
-    lease::lease_keeper keeper_;
+    lease_keeper keeper_;
     bool was_held_{false};
     mutable std::mutex mutex_;
-    std::optional<lease::authority_check> authority_;
+    std::optional<authority_check> authority_;
     std::jthread thread_;
 };
 
-} // namespace dotterelstack::entry
+} // namespace dotterelstack::lease
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -124,6 +124,28 @@
     {1804, "drain_started", severity::info, "A backend server takes no new work and finishes its requests.", "none"},
     {1805, "drain_finished", severity::info, "A drained backend server has no requests left.", "none"},
     {1806, "request_rejected", severity::info, "The agent rejected a request before handing it over.", "none"},
+    // Gateway
+    {1901, "request_placed", severity::info, "A request is sent to a backend server; the inputs of the choice.",
+     "none"},
+    {1902, "request_refused", severity::info, "A request was answered by the gateway itself.",
+     "Look at the reason; `busy` and `no_backend` call for backend servers."},
+    {1903, "attempt_failed", severity::info, "An attempt at a backend server failed.",
+     "Check the backend server if it appears often."},
+    {1904, "request_finished", severity::info, "A request has its final answer.", "none"},
+    {1905, "servers_changed", severity::info, "The set of known backend servers has changed.", "none"},
+    {1906, "server_entry_unreadable", severity::warning, "A discovery entry names no usable backend server.",
+     "Correct the writer of the entry."},
+    {1907, "settings_reloaded", severity::info, "The settings file was read again.", "none"},
+    {1908, "settings_reload_failed", severity::error, "The changed settings file was refused; the old ones hold.",
+     "Correct the listed fields; check with `dotterelstack check-settings FILE`."},
+    {1909, "member_write_failed", severity::warning, "This gateway's record could not be written.",
+     "Check the store if this repeats."},
+    {1910, "member_list_failed", severity::warning, "The records of gateways could not be read.",
+     "Check the store if this repeats."},
+    {1911, "member_unreadable", severity::warning, "The record of a gateway could not be decoded.",
+     "Run the same release of the program everywhere."},
+    {1912, "usage_seal_failed", severity::warning, "The figures of a usage window could not be fixed yet.",
+     "Check the store if this repeats."},
 });
 
 } // namespace dotterelstack::log
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -100,8 +100,9 @@
     }
 }
 
-void start(const char *program) {
-    FLAGS_logtostderr = true;
+void start(const char *program, destination to) {
+    FLAGS_logtostderr = to == destination::standard_error;
+    FLAGS_logtostdout = to == destination::standard_output;
     google::InitGoogleLogging(program);
 }
 
--- a/src/log/event.hpp
+++ b/src/log/event.hpp
@@ -110,10 +110,16 @@
  */
 void write(event what, field_values values = {});
 
+/** @brief Where log lines go; never to a file, since the hosts are diskless. */
+enum class destination {
+    standard_error,
+    standard_output
+};
+
 /**
- * @brief Directs glog to standard error, since the hosts are diskless. Call once in `main`.
+ * @brief Prepares glog. Call once in `main`.
  * @param program Name of the program.
  */
-void start(const char *program);
+void start(const char *program, destination to = destination::standard_error);
 
 } // namespace dotterelstack::log
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,7 @@
 #include <algorithm>
+#include <array>
 #include <csignal>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <span>
@@ -13,11 +15,17 @@
 #include "base/id.hpp"
 #include "cli/run.hpp"
 #include "entry/entry_daemon.hpp"
+#include "gateway/gateway_daemon.hpp"
 #include "http/client.hpp"
 #include "log/background_writer.hpp"
 #include "log/event.hpp"
+#include "platform/http_duties.hpp"
+#include "platform/http_protocol.hpp"
+#include "platform/object_codec.hpp"
+#include "platform/object_store.hpp"
 #include "settings/agent_settings.hpp"
 #include "settings/entry_settings.hpp"
+#include "settings/gateway_settings.hpp"
 #include "store/http_store.hpp"
 #include "transport/event_loop.hpp"
 #include "transport/h2_client.hpp"
@@ -30,25 +38,35 @@
 constexpr int exit_failure = 1;
 constexpr int exit_usage = 2;
 
-/** Blocks the stop signals in all threads, so that `wait_for_stop` receives them. */
-void block_stop_signals() {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
+sigset_t awaited_signals() {
+    sigset_t out;
+    sigemptyset(&out);
+    sigaddset(&out, SIGTERM);
+    sigaddset(&out, SIGINT);
+    sigaddset(&out, SIGHUP);
+    return out;
+}
+
+/** Blocks the awaited signals in all threads, so that `wait_for_stop` receives them. */
+void block_awaited_signals() {
+    const auto signals = awaited_signals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-void wait_for_stop() {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
+/** @param reload Called for each SIGHUP. */
+template<typename Function>
+void wait_for_stop(Function reload) {
+    const auto signals = awaited_signals();
     int received = 0;
-    sigwait(&signals, &received);
+    while (sigwait(&signals, &received) != 0 || received == SIGHUP) {
+        reload();
+    }
 }
 
+/** The settings of entries and agents take effect at a restart only. */
+void ignore_reload() {}
+
 int report(const base::error &ec) {
     std::cerr << ec.code << ": " << ec.message << std::endl;
     return ec.kind == base::error_kind::invalid_argument ? exit_usage : exit_failure;
@@ -73,13 +91,53 @@
     std::cout << "listening callers " << addresses.value().callers << "\nlistening peers " << addresses.value().peers
               << std::endl;
     log::write("process_started", {{"role", "entry"}, {"name", values.value().name}});
-    wait_for_stop();
+    wait_for_stop(&ignore_reload);
     log::write("process_stopping", {{"role", "entry"}});
     daemon.drain_and_stop();
     log::write("process_stopped", {{"role", "entry"}});
     return exit_success;
 }
 
+int run_gateway(const std::string &file, const std::vector<std::string> &overrides) {
+    const auto values = settings::load_gateway_settings(file, overrides);
+    if (!values) {
+        log::write("settings_invalid", {{"file", file}, {"reason", values.error().message}});
+        return report(values.error());
+    }
+    const auto &with = values.value();
+    base::boottime_clock clock;
+    base::id_source ids;
+    http::curl_client client;
+    platform::store_limits limits;
+    limits.timeout = with.timings.store_timeout;
+    platform::object_store store{client, with.store, limits};
+    const platform::http_protocol protocol;
+    const platform::object_codec codec;
+    platform::http_duties duties{client, with.duties, with.name, with.timings.store_timeout};
+    gateway::gateway_daemon daemon{
+        with, {clock, ids, client, store, protocol, codec, with.duties.empty() ? nullptr : &duties}};
+    const auto addresses = daemon.start();
+    if (!addresses) {
+        return report(addresses.error());
+    }
+    std::cout << "listening callers " << addresses.value().callers << "\nlistening readiness "
+              << addresses.value().readiness << "\nlistening peers " << addresses.value().peers
+              << "\nlistening metrics " << addresses.value().metrics << std::endl;
+    log::write("process_started", {{"role", "gateway"}, {"name", with.name}});
+    wait_for_stop([&] {
+        const auto changed = settings::load_gateway_settings(file, overrides);
+        if (changed) {
+            daemon.reload(changed.value());
+        } else {
+            log::write("settings_reload_failed", {{"file", file}, {"reason", changed.error().message}});
+        }
+    });
+    log::write("process_stopping", {{"role", "gateway"}});
+    daemon.drain_and_stop();
+    log::write("process_stopped", {{"role", "gateway"}});
+    return exit_success;
+}
+
 agent::agent_options to_options(const settings::agent_settings &values) {
     agent::agent_options out;
     out.host = values.host;
@@ -116,13 +174,25 @@
     }
     std::cout << "listening agent " << address.value() << std::endl;
     log::write("process_started", {{"role", "agent"}, {"host", values.value().host}});
-    wait_for_stop();
+    wait_for_stop(&ignore_reload);
     log::write("process_stopping", {{"role", "agent"}});
     daemon.drain_and_stop();
     log::write("process_stopped", {{"role", "agent"}});
     return exit_success;
 }
 
+struct process_role {
+    std::string_view name;
+    int (*run)(const std::string &file, const std::vector<std::string> &overrides);
+    log::destination logs;
+};
+
+constexpr auto roles = std::to_array<process_role>({
+    {"entry", &run_entry, log::destination::standard_error},
+    {"agent", &run_agent, log::destination::standard_error},
+    {"gateway", &run_gateway, log::destination::standard_output},
+});
+
 int run_role(const std::string &role, int argc, char **argv) {
     cxxopts::Options options{"dotterelstack " + role, "Runs one " + role + " process"};
     auto add = options.add_options();
@@ -135,14 +205,21 @@
         std::cout << options.help() << std::endl;
         return exit_success;
     }
-    if (args.count("settings") == 0) {
-        std::cerr << "name the settings file with --settings FILE\n" << options.help() << std::endl;
+    const char *variable = std::getenv("DOTTERELSTACK_SETTINGS");
+    if (args.count("settings") == 0 && variable == nullptr) {
+        std::cerr << "name the settings file with --settings FILE or DOTTERELSTACK_SETTINGS\n"
+                  << options.help() << std::endl;
         return exit_usage;
     }
     const auto overrides =
         args.count("set") == 0 ? std::vector<std::string>{} : args["set"].as<std::vector<std::string>>();
-    const auto file = args["settings"].as<std::string>();
-    return role == "entry" ? run_entry(file, overrides) : run_agent(file, overrides);
+    const auto file = args.count("settings") == 0 ? std::string{variable} : args["settings"].as<std::string>();
+    for (const auto &it : roles) {
+        if (it.name == role) {
+            return it.run(file, overrides);
+        }
+    }
+    return exit_usage;
 }
 
 /** Reads the status of entries over their peers listener. */
@@ -176,6 +253,7 @@
     out << "usage: dotterelstack COMMAND [OPTIONS]\n\n"
            "  entry --settings FILE    runs an entry\n"
            "  agent --settings FILE    runs the agent of a backend server host\n"
+           "  gateway --settings FILE  forwards opaque requests straight to backend servers\n"
            "operator commands, each with --help:\n ";
     for (const auto it : cli::command_names()) {
         out << ' ' << it;
@@ -196,9 +274,10 @@
         return exit_success;
     }
     try {
-        if (command == "entry" || command == "agent") {
-            log::start(argv[0]);
-            block_stop_signals();
+        const auto role = std::ranges::find(roles, command, &process_role::name);
+        if (role != roles.end()) {
+            log::start(argv[0], role->logs);
+            block_awaited_signals();
             const log::background_writer writer;
             return run_role(std::string{command}, argc - 1, argv + 1);
         }
--- /dev/null
+++ b/src/platform/http_protocol.cpp
@@ -0,0 +1,234 @@
+#include "platform/http_protocol.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <strings.h>
+
+namespace dotterelstack::platform {
+
+namespace internal {
+
+/** Concern one connection only. */
+constexpr auto connection_fields = std::to_array<std::string_view>(
+    {"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE", "Trailer",
+     "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"});
+
+/** Set by the system only; a caller's own are dropped. The key never reaches a backend server. */
+constexpr auto system_fields = std::to_array<std::string_view>(
+    {"Authorization", "Tenant", "Expect-Instance", "Request-Priority", "Serving-Stage", "Kv-Source", "Kv-Fetch",
+     "Kv-Backup", "Kv-Hold", "Pin-Ms", "Deadline-Ms", "Last-Event-Id", "Duty-Holder", "Fencing-Token"});
+
+/** Fields of which a request may have only one. */
+constexpr auto single_fields =
+    std::to_array<std::string_view>({"Host", "Authorization", "Attempt-Id", "Deadline-Ms", "Content-Length", "Model",
+                                     "Token-Usage", "Prompt-Prefix", "Last-Event-Id"});
+
+constexpr unsigned int least_urgent = 9;
+
+bool same_name(std::string_view a, std::string_view b) noexcept {
+    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+template<typename Names>
+bool contains(const Names &names, std::string_view name) {
+    return std::ranges::any_of(names, [name](std::string_view it) { return same_name(it, name); });
+}
+
+std::string_view trimmed(std::string_view text) noexcept {
+    const auto first = text.find_first_not_of(" \t");
+    const auto last = text.find_last_not_of(" \t");
+    return first == std::string_view::npos ? std::string_view{} : text.substr(first, last - first + 1);
+}
+
+template<typename Number>
+std::optional<Number> to_number(std::string_view text, int base = 10) noexcept {
+    Number out{};
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out, base);
+    const bool whole = ec == std::errc{} && end == text.data() + text.size() && !text.empty();
+    return whole ? std::optional{out} : std::nullopt;
+}
+
+/** Calls `visit` with each trimmed element of a comma-separated list. */
+template<typename Function>
+void for_each_element(std::string_view list, Function visit) {
+    while (!list.empty()) {
+        const auto end = list.find(',');
+        visit(trimmed(list.substr(0, end)));
+        list = end == std::string_view::npos ? std::string_view{} : list.substr(end + 1);
+    }
+}
+
+std::vector<std::string> named_in_connection(const http::field_list &fields) {
+    std::vector<std::string> out;
+    for (const auto &it : fields) {
+        if (same_name(it.name, "Connection")) {
+            for_each_element(it.value, [&out](std::string_view name) { out.emplace_back(name); });
+        }
+    }
+    return out;
+}
+
+std::vector<gateway::prompt_part> decode_prompt(std::string_view text) {
+    std::vector<gateway::prompt_part> out;
+    for_each_element(text, [&out](std::string_view part) {
+        const auto colon = part.find(':');
+        const auto id = to_number<std::uint64_t>(part.substr(0, colon), 16);
+        const auto tokens =
+            colon == std::string_view::npos ? std::nullopt : to_number<std::uint32_t>(part.substr(colon + 1));
+        if (id && tokens) {
+            out.push_back({*id, *tokens});
+        }
+    });
+    return out;
+}
+
+std::string bearer_key(std::string_view value) {
+    constexpr std::string_view scheme = "Bearer ";
+    const bool bearer = value.size() > scheme.size() && same_name(value.substr(0, scheme.size()), scheme);
+    return bearer ? std::string{trimmed(value.substr(scheme.size()))} : std::string{};
+}
+
+std::optional<std::uint64_t> number_field(const http::field_list &fields, std::string_view name) {
+    const auto it = http::find_field(fields, name);
+    return it ? to_number<std::uint64_t>(trimmed(*it)) : std::nullopt;
+}
+
+auto malformed(std::string message) {
+    return base::fail(base::error_kind::invalid_argument, "malformed_request", std::move(message));
+}
+
+gateway::request_facts decode_facts(const http::field_list &fields) {
+    gateway::request_facts out;
+    out.id = std::string{http::find_field(fields, "Attempt-Id").value_or("")};
+    out.host = std::string{http::find_field(fields, "Host").value_or("")};
+    out.key = bearer_key(http::find_field(fields, "Authorization").value_or(""));
+    out.model = std::string{http::find_field(fields, "Model").value_or("")};
+    if (const auto ms = number_field(fields, "Deadline-Ms")) {
+        out.time_left = std::chrono::milliseconds{*ms};
+    }
+    out.last_event = number_field(fields, "Last-Event-Id");
+    // Prompt tokens, then the largest number of output tokens.
+    const auto usage = http::find_field(fields, "Token-Usage").value_or("");
+    const auto comma = usage.find(',');
+    out.prompt_tokens = to_number<std::uint32_t>(trimmed(usage.substr(0, comma))).value_or(0);
+    if (comma != std::string_view::npos) {
+        out.most_output_tokens = to_number<std::uint32_t>(trimmed(usage.substr(comma + 1))).value_or(0);
+    }
+    out.prompt = decode_prompt(http::find_field(fields, "Prompt-Prefix").value_or(""));
+    return out;
+}
+
+std::optional<gateway::reported_load> decode_load(std::string_view text) {
+    std::vector<std::uint32_t> numbers;
+    for_each_element(text, [&numbers](std::string_view it) {
+        if (const auto n = to_number<std::uint32_t>(it)) {
+            numbers.push_back(*n);
+        }
+    });
+    if (numbers.size() != 3) {
+        return std::nullopt;
+    }
+    return gateway::reported_load{numbers[0], numbers[1], numbers[2]};
+}
+
+/** A deadline of 0 would say that there is none left, which the request itself shows soon enough. */
+std::string deadline_text(base::duration left) {
+    return std::to_string(std::max<std::int64_t>(1, base::to_milliseconds(left)));
+}
+
+} // namespace internal
+
+base::result<gateway::exchange_request> http_protocol::decode_request(const http::request &message) const {
+    for (const auto name : internal::single_fields) {
+        const auto same = [name](const http::field &it) { return internal::same_name(it.name, name); };
+        if (std::ranges::count_if(message.fields, same) > 1) {
+            return internal::malformed("send the field " + std::string{name} + " once");
+        }
+    }
+    gateway::exchange_request out;
+    out.facts = internal::decode_facts(message.fields);
+    if (out.facts.id.empty()) {
+        return internal::malformed("send the id of the request in Attempt-Id");
+    }
+    const auto own = internal::named_in_connection(message.fields);
+    out.message = {message.method, message.target, {}, message.body};
+    for (const auto &it : message.fields) {
+        const bool dropped = internal::contains(internal::connection_fields, it.name) ||
+                             internal::contains(internal::system_fields, it.name) || internal::contains(own, it.name);
+        if (!dropped) {
+            out.message.fields.push_back(it);
+        }
+    }
+    return out;
+}
+
+http::request http_protocol::encode_attempt(const gateway::exchange_request &request,
+                                            const gateway::attempt_facts &attempt) const {
+    auto out = request.message;
+    out.fields.push_back({"Deadline-Ms", internal::deadline_text(attempt.time_left)});
+    out.fields.push_back({"Expect-Instance", attempt.backend});
+    if (!attempt.organisation.empty()) {
+        out.fields.push_back({"Tenant", attempt.organisation});
+    }
+    if (attempt.priority) {
+        out.fields.push_back({"Request-Priority", std::to_string(std::min(*attempt.priority, internal::least_urgent))});
+    }
+    if (attempt.prefill_only) {
+        out.fields.push_back({"Serving-Stage", "prefill"});
+    }
+    if (!attempt.fetch_from.empty()) {
+        out.fields.push_back({"Kv-Fetch", attempt.fetch_from});
+    }
+    if (!attempt.state_source.empty()) {
+        out.fields.push_back({"Kv-Source", attempt.state_source});
+    }
+    const auto last = attempt.resume_after ? attempt.resume_after : request.facts.last_event;
+    if (last) {
+        out.fields.push_back({"Last-Event-Id", std::to_string(*last)});
+    }
+    return out;
+}
+
+gateway::answer_head http_protocol::decode_head(int status, const http::field_list &fields,
+                                                std::string_view sent) const {
+    gateway::answer_head out;
+    out.status = status;
+    const auto echoed = http::find_field(fields, "Attempt-Id");
+    out.other_request = echoed && *echoed != sent;
+    const bool encoded = http::find_field(fields, "Content-Encoding").has_value();
+    out.genuine = http::find_field(fields, "Response-Signature").has_value() && !encoded && !out.other_request;
+    out.other_server = status == 421;
+    out.not_run = !out.other_request && (out.other_server || http::find_field(fields, "Not-Executed").has_value());
+    out.event_stream = http::find_field(fields, "Content-Type").value_or("").starts_with("text/event-stream");
+    out.load = internal::decode_load(http::find_field(fields, "Instance-Load").value_or(""));
+    const auto own = internal::named_in_connection(fields);
+    for (const auto &it : fields) {
+        if (!internal::contains(internal::connection_fields, it.name) && !internal::contains(own, it.name) &&
+            !internal::same_name(it.name, "Date")) {
+            out.fields.push_back(it);
+        }
+    }
+    return out;
+}
+
+base::result<std::string> http_protocol::decode_handle(std::string_view body) const {
+    const auto value = nlohmann::json::parse(body, nullptr, false);
+    if (value.is_object() && value.contains("KvHandle") && value["KvHandle"].is_string()) {
+        return value["KvHandle"].get<std::string>();
+    }
+    return base::fail(base::error_kind::internal, "no_handle",
+                      "the engine answered a prefill without a handle; the prompt is read again elsewhere");
+}
+
+std::string http_protocol::state_source(std::string_view address, std::string_view handle) const {
+    return std::string{address} + "/" + std::string{handle};
+}
+
+http::request http_protocol::release_handle(std::string_view handle) const {
+    return {"DELETE", "/kv-handle/" + std::string{handle}, {}, ""};
+}
+
+} // namespace dotterelstack::platform
--- /dev/null
+++ b/src/platform/object_codec.cpp
@@ -0,0 +1,166 @@
+#include "platform/object_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "settings/reader.hpp"
+
+namespace dotterelstack::platform {
+
+using nlohmann::json;
+
+namespace internal {
+
+auto unreadable(std::string what, const std::string &why) {
+    return base::fail(base::error_kind::invalid_argument, "unreadable_entry",
+                      std::move(what) + ": " + why + "; its writer must correct it");
+}
+
+base::duration milliseconds(const json &from, const char *name, base::duration otherwise) {
+    const auto it = from.find(name);
+    return it == from.end() || it->is_null() ? otherwise
+                                             : base::duration{std::chrono::milliseconds{it->get<std::uint64_t>()}};
+}
+
+gateway::work_kind to_kind(const std::string &text) {
+    if (text == "safe") {
+        return gateway::work_kind::safe;
+    }
+    // Kinds that are not known are treated as work that must not be repeated.
+    return text == "streaming" ? gateway::work_kind::stream : gateway::work_kind::unsafe;
+}
+
+gateway::traffic_route decode_route(const json &from) {
+    gateway::traffic_route out;
+    out.name = from.value("Name", std::string{});
+    out.host = from.at("Host").get<std::string>();
+    out.path_prefix = from.at("PathPrefix").get<std::string>();
+    out.kind = to_kind(from.value("Kind", std::string{}));
+    out.timeout = milliseconds(from, "TimeoutMs", base::duration{0});
+    out.latency_objective = milliseconds(from, "TargetLatencyMs", base::duration{0});
+    out.gap_objective = milliseconds(from, "GapAimMs", base::duration{0});
+    out.priority = from.value("Priority", 0U);
+    out.most_attempts = std::max(1U, from.value("MaxAttempts", 1U));
+    out.is_public = from.value("Public", false);
+    out.resumable = from.value("Resumable", false);
+    if (const auto it = from.find("TrafficSplit"); it != from.end() && it->is_array()) {
+        for (const auto &part : *it) {
+            out.services.push_back({part.at("Service").get<std::string>(), part.value("Weight", 1U)});
+        }
+    }
+    if (out.services.empty()) {
+        out.services.push_back({from.at("Service").get<std::string>(), 1});
+    }
+    return out;
+}
+
+gateway::traffic_service decode_service(const json &from) {
+    gateway::traffic_service out;
+    out.name = from.at("Name").get<std::string>();
+    out.most_connections = from.value("MaxConnections", 0U);
+    if (const auto it = from.find("Engine"); it != from.end() && it->is_object()) {
+        gateway::engine_figures engine;
+        engine.slots = it->value("Slots", 1U);
+        engine.memory_tokens = it->value("KvCapacityTokens", std::uint64_t{0});
+        const std::chrono::duration<double> life{it->value("KvHoldS", 0.0)};
+        engine.handle_life = std::chrono::duration_cast<base::duration>(life);
+        out.engine = engine;
+    }
+    return out;
+}
+
+gateway::organisation decode_organisation(const json &from) {
+    gateway::organisation out;
+    out.name = from.at("Name").get<std::string>();
+    out.keys = from.value("ApiKeys", std::vector<std::string>{});
+    if (const auto it = from.find("Priority"); it != from.end() && it->is_number_unsigned()) {
+        out.priority = it->get<unsigned int>();
+    }
+    return out;
+}
+
+void decode_limits(const json &from, gateway::caller_limits &out) {
+    out.header_bytes = from.value("MaxHeaderBytes", out.header_bytes);
+    out.body_bytes = from.value("MaxBodyBytes", out.body_bytes);
+    out.idle_timeout = milliseconds(from, "IdleTimeoutMs", out.idle_timeout);
+}
+
+template<typename Type, typename Function>
+void decode_list(const json &from, const char *name, std::vector<Type> &out, Function decode) {
+    if (const auto it = from.find(name); it != from.end() && it->is_array()) {
+        for (const auto &item : *it) {
+            out.push_back(decode(item));
+        }
+    }
+}
+
+gateway::engine_stage to_stage(const json &from) {
+    const auto it = from.find("Stage");
+    if (it == from.end() || it->is_null() || (it->is_string() && it->get<std::string>().empty())) {
+        return gateway::engine_stage::none;
+    }
+    const auto text = it->get<std::string>();
+    if (text != "prefill" && text != "decode") {
+        throw std::invalid_argument{"unknown Stage '" + text + "'"};
+    }
+    return text == "prefill" ? gateway::engine_stage::prefill : gateway::engine_stage::decode;
+}
+
+gateway::backend_server decode_entry(std::string_view id, const json &from) {
+    gateway::backend_server out;
+    out.id = std::string{id};
+    out.service = from.at("Service").get<std::string>();
+    out.address = from.at("Address").get<std::string>();
+    out.failure_domain = from.at("Zone").get<std::string>();
+    out.slots = from.at("Slots").get<std::uint32_t>();
+    out.sequence = from.at("Sequence").get<std::uint64_t>();
+    if (const auto it = from.find("born"); it != from.end()) {
+        if (!it->is_number_unsigned()) {
+            throw std::invalid_argument{"born is no whole number"};
+        }
+        out.born = it->get<std::uint64_t>();
+    }
+    const auto state = from.at("State").get<std::string>();
+    if (state != "ready" && state != "draining") {
+        throw std::invalid_argument{"unknown State '" + state + "'"};
+    }
+    out.draining = state == "draining";
+    out.stage = to_stage(from);
+    out.cold_for = milliseconds(from, "ColdRemainingMs", base::duration{0});
+    if (!settings::is_peer_address(out.address) || out.slots == 0) {
+        throw std::invalid_argument{"Address or Slots is of no use"};
+    }
+    return out;
+}
+
+} // namespace internal
+
+base::result<gateway::traffic_values> object_codec::decode_config(std::string_view value) const {
+    try {
+        const auto from = json::parse(value);
+        gateway::traffic_values out;
+        out.version = from.at("Version").get<std::uint64_t>();
+        internal::decode_list(from, "Routes", out.routes, &internal::decode_route);
+        internal::decode_list(from, "Services", out.services, &internal::decode_service);
+        internal::decode_list(from, "Tenants", out.organisations, &internal::decode_organisation);
+        if (const auto it = from.find("Limits"); it != from.end() && it->is_object()) {
+            internal::decode_limits(*it, out.limits);
+        }
+        return out;
+    } catch (const std::exception &ec) {
+        return internal::unreadable("the traffic configuration", ec.what());
+    }
+}
+
+base::result<gateway::backend_server> object_codec::decode_server(std::string_view id, std::string_view value) const {
+    try {
+        const auto from = json::parse(value);
+        if (!from.is_object()) {
+            return internal::unreadable("entry " + std::string{id}, "it is no object");
+        }
+        return internal::decode_entry(id, from);
+    } catch (const std::exception &ec) {
+        return internal::unreadable("entry " + std::string{id}, ec.what());
+    }
+}
+
+} // namespace dotterelstack::platform
