Take servers from a peer when a gateway starts without the store, and write log lines whole

Causes: a gateway that starts while the store is away knew the configuration from a peer but no backend server; lines on standard output were torn when the reader was slow, because they went through buffered output; the record of members was used by the feeds before it existed.

--- a/src/gateway/config_source.cpp
+++ b/src/gateway/config_source.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "gateway/peer_paths.hpp"
 #include "log/event.hpp"
 
 namespace dotterelstack::gateway {
@@ -11,9 +12,6 @@
 
 // Gateways asked in one round. Three of them in turn reach all of a small site within a second.
 constexpr std::size_t peers_per_round = 3;
-// Longest call to a peer; a silent one must not hold up the next.
-constexpr auto peer_timeout = std::chrono::milliseconds{300};
-constexpr const char *peer_path = "/traffic-config";
 constexpr const char *version_parameter = "since";
 
 } // namespace internal
@@ -54,7 +52,7 @@
     const auto n = std::min(peers.size(), internal::peers_per_round);
     for (std::size_t it = 0; it < n; ++it) {
         const auto &address = peers[next_peer_++ % peers.size()];
-        std::string target = internal::peer_path;
+        std::string target{traffic_config_path};
         {
             const std::scoped_lock lock{mutex_};
             if (known_) {
@@ -62,8 +60,8 @@
             }
         }
         http::call_options options;
-        options.connect_timeout = internal::peer_timeout;
-        options.timeout = internal::peer_timeout;
+        options.connect_timeout = peer_timeout;
+        options.timeout = peer_timeout;
         const auto answer = with_.client.call(address, {"GET", target, {}, ""}, options);
         if (answer && answer.value().status == 200) {
             adopt(answer.value().body, address);
@@ -78,9 +76,6 @@
 
 http::response config_source::answer_peer(const http::request &message) const {
     const http::field_list json{{"Content-Type", "application/json"}};
-    if (message.path() != internal::peer_path) {
-        return {404, json, R"({"error":{"code":"unknown_path","message":"ask for /traffic-config"}})"};
-    }
     const auto since = message.query_value(internal::version_parameter);
     std::uint64_t version = 0;
     if (since) {
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "base/overloaded.hpp"
+#include "gateway/peer_paths.hpp"
 #include "http/exchange_caller.hpp"
 #include "log/event.hpp"
 
@@ -65,7 +66,8 @@
                  {with_.time, metrics_, link_, with_.protocol, starts_, internal::uniform_source()}},
       config_{{with_.time, with_.codec, with_.client, [this] { return peers(); },
                [this](traffic_config_ptr it) { events_.push(config_event{std::move(it)}); }}},
-      fleet_{with_.time} {
+      servers_{{with_.time, with_.codec, with_.client, [this] { return peers(); },
+                [this](std::vector<backend_server> all) { events_.push(backends_event{std::move(all)}); }}} {
     const feed_settings feed{settings_.timings.watch_wait, settings_.timings.store_retry, internal::change_pause};
     config_feed_ = std::make_unique<store_feed>(
         with_.store, std::string{with_.codec.config_prefix()}, feed,
@@ -83,18 +85,10 @@
             }});
     server_feed_ = std::make_unique<store_feed>(
         with_.store, std::string{with_.codec.servers_prefix()}, feed,
-        feed_handlers{[this](const auto &all) { on_servers(all); }, [this](const auto &it) { on_server_change(it); },
-                      [this] {
-                          fleet_.on_store(true);
-                          if (fleet_.expire()) {
-                              publish_servers();
-                          }
-                      },
-                      [this] { fleet_.on_store(false); },
-                      [this] {
-                          const auto due = fleet_.next_expiry();
-                          return due ? *due - with_.time.now() : settings_.timings.watch_wait;
-                      }});
+        feed_handlers{[this](const auto &all) { servers_.on_list(all); },
+                      [this](const auto &it) { servers_.on_change(it); }, [this] { servers_.on_answered(); },
+                      [this] { servers_.on_failed(); },
+                      [this] { return servers_.longest_wait(settings_.timings.watch_wait); }});
 }
 
 gateway_daemon::~gateway_daemon() {
@@ -104,7 +98,7 @@
 base::result<gateway_addresses> gateway_daemon::start() {
     gateway_addresses out;
     BOOST_OUTCOME_TRY(peers, peers_server_.start(settings_.listen.peers, http::answer_with([this](const auto &message) {
-                                                     return config_.answer_peer(message);
+                                                     return answer_peer(message);
                                                  })));
     out.peers = peers;
     BOOST_OUTCOME_TRY(
@@ -119,14 +113,14 @@
                                                          : internal::json_answer(503, R"({"status":"not ready"})");
                                        })));
     out.readiness = readiness;
-    forward_thread_ = std::thread{[this] { run_forwarder(); }};
-    config_feed_->start();
-    server_feed_->start();
     member_settings about{.name = settings_.name, .incarnation = incarnation_, .peers = peers};
     about.publish_every = settings_.bounds.usage_window / 2;
     members_ = std::make_unique<member_task>(
         about, member_task::dependencies{with_.time, with_.store, with_.ids, starts_,
                                          [this](std::uint32_t n) { events_.push(gateways_event{n}); }});
+    forward_thread_ = std::thread{[this] { run_forwarder(); }};
+    config_feed_->start();
+    server_feed_->start();
     members_->start();
     if (with_.duties != nullptr) {
         lease_ =
@@ -162,6 +156,16 @@
     }
 }
 
+http::response gateway_daemon::answer_peer(const http::request &message) const {
+    if (message.path() == traffic_config_path) {
+        return config_.answer_peer(message);
+    }
+    if (message.path() == servers_path) {
+        return servers_.answer_peer();
+    }
+    return internal::json_answer(404, R"({"error":{"code":"unknown_path","message":"nothing is offered here"}})");
+}
+
 std::vector<std::string> gateway_daemon::peers() const {
     std::vector<std::string> out;
     if (members_) {
@@ -183,56 +187,6 @@
     }
 }
 
-std::optional<fleet_entry> gateway_daemon::to_entry(const store::object &item) {
-    const auto id = std::string_view{item.key}.substr(with_.codec.servers_prefix().size());
-    auto server = with_.codec.decode_server(id, item.value);
-    if (server) {
-        unreadable_.erase(item.key);
-        return fleet_entry{std::move(server.value()), item.version};
-    }
-    if (auto &seen = unreadable_[item.key]; seen != item.version) {
-        seen = item.version;
-        log::write("server_entry_unreadable", {{"object", item.key}, {"reason", server.error().message}});
-    }
-    return std::nullopt;
-}
-
-void gateway_daemon::on_servers(const std::vector<store::object> &all) {
-    std::vector<fleet_entry> entries;
-    for (const auto &it : all) {
-        if (auto entry = to_entry(it)) {
-            entries.push_back(std::move(*entry));
-        }
-    }
-    fleet_.on_list(entries);
-    publish_servers();
-}
-
-void gateway_daemon::on_server_change(const store::watch_event &change) {
-    const auto id = std::string_view{change.item.key}.substr(with_.codec.servers_prefix().size());
-    if (change.deleted) {
-        fleet_.on_removed(id, change.item.version);
-        log::write("server_removed", {{"server", id}, {"revision", change.item.version}});
-    } else if (const auto entry = to_entry(change.item)) {
-        const bool taken = fleet_.on_change(*entry);
-        log::write("server_changed", {{"server", id},
-                                      {"draining", entry->server.draining},
-                                      {"stage", static_cast<int>(entry->server.stage)},
-                                      {"born", entry->server.born},
-                                      {"sequence", entry->server.sequence},
-                                      {"revision", entry->revision},
-                                      {"taken", taken}});
-    }
-    publish_servers();
-}
-
-void gateway_daemon::publish_servers() {
-    auto all = fleet_.servers();
-    log::write("servers_changed",
-               {{"servers", all.size()}, {"draining", std::ranges::count_if(all, &backend_server::draining)}});
-    events_.push(backends_event{std::move(all)});
-}
-
 void gateway_daemon::handle(gateway_event &event) {
     std::visit(base::overloaded{
                    [this](arrival_event &it) { forwarder_.on_arrival(std::move(it.caller), it.message, it.received); },
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -10,9 +10,9 @@
 #include "gateway/backend_link.hpp"
 #include "gateway/config_source.hpp"
 #include "gateway/events.hpp"
-#include "gateway/fleet_view.hpp"
 #include "gateway/forwarder.hpp"
 #include "gateway/member_task.hpp"
+#include "gateway/server_source.hpp"
 #include "gateway/site_codec.hpp"
 #include "gateway/start_tally.hpp"
 #include "gateway/store_feed.hpp"
@@ -71,10 +71,7 @@
 
 private:
     void on_call(const http::exchange &call);
-    void on_servers(const std::vector<store::object> &all);
-    void on_server_change(const store::watch_event &change);
-    void publish_servers();
-    [[nodiscard]] std::optional<fleet_entry> to_entry(const store::object &item);
+    [[nodiscard]] http::response answer_peer(const http::request &message) const;
     [[nodiscard]] std::vector<std::string> peers() const;
     void note_store(bool answered);
     void run_forwarder();
@@ -92,8 +89,7 @@
     backend_link link_;
     forwarder forwarder_;
     config_source config_;
-    fleet_view fleet_;                                /**< Used by the discovery thread only. */
-    std::map<std::string, std::uint64_t> unreadable_; /**< Entries reported as unreadable, by revision. */
+    server_source servers_;
     std::atomic<bool> store_answers_{true};
     std::unique_ptr<store_feed> config_feed_;
     std::unique_ptr<store_feed> server_feed_;
--- /dev/null
+++ b/src/gateway/server_source.cpp
@@ -0,0 +1,132 @@
+#include "gateway/server_source.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "gateway/peer_paths.hpp"
+#include "log/event.hpp"
+
+namespace dotterelstack::gateway {
+
+using nlohmann::json;
+
+server_source::server_source(dependencies with) : with_{std::move(with)}, fleet_{with_.time} {}
+
+std::optional<fleet_entry> server_source::to_entry(const store::object &item) {
+    const auto id = std::string_view{item.key}.substr(with_.codec.servers_prefix().size());
+    auto server = with_.codec.decode_server(id, item.value);
+    if (server) {
+        unreadable_.erase(item.key);
+        return fleet_entry{std::move(server.value()), item.version};
+    }
+    if (auto &seen = unreadable_[item.key]; seen != item.version) {
+        seen = item.version;
+        log::write("server_entry_unreadable", {{"object", item.key}, {"reason", server.error().message}});
+    }
+    return std::nullopt;
+}
+
+void server_source::publish() {
+    auto all = fleet_.servers();
+    log::write("servers_changed",
+               {{"servers", all.size()}, {"draining", std::ranges::count_if(all, &backend_server::draining)}});
+    with_.on_servers(std::move(all));
+}
+
+void server_source::on_list(const std::vector<store::object> &all) {
+    std::vector<fleet_entry> entries;
+    for (const auto &it : all) {
+        if (auto entry = to_entry(it)) {
+            entries.push_back(std::move(*entry));
+        }
+    }
+    {
+        const std::scoped_lock lock{mutex_};
+        entries_.clear();
+        for (const auto &it : all) {
+            entries_.emplace(it.key, it);
+        }
+    }
+    fleet_.on_list(entries);
+    publish();
+}
+
+void server_source::on_change(const store::watch_event &change) {
+    const auto id = std::string_view{change.item.key}.substr(with_.codec.servers_prefix().size());
+    {
+        const std::scoped_lock lock{mutex_};
+        if (change.deleted) {
+            entries_.erase(change.item.key);
+        } else {
+            entries_[change.item.key] = change.item;
+        }
+    }
+    if (change.deleted) {
+        fleet_.on_removed(id, change.item.version);
+        log::write("server_removed", {{"server", id}, {"revision", change.item.version}});
+    } else if (const auto entry = to_entry(change.item)) {
+        const bool taken = fleet_.on_change(*entry);
+        log::write("server_changed", {{"server", id},
+                                      {"draining", entry->server.draining},
+                                      {"stage", static_cast<int>(entry->server.stage)},
+                                      {"born", entry->server.born},
+                                      {"sequence", entry->server.sequence},
+                                      {"revision", entry->revision},
+                                      {"taken", taken}});
+    }
+    publish();
+}
+
+void server_source::on_answered() {
+    fleet_.on_store(true);
+    if (fleet_.expire()) {
+        publish();
+    }
+}
+
+void server_source::on_failed() {
+    fleet_.on_store(false);
+    if (!fleet_.known()) {
+        ask_peers();
+    }
+}
+
+base::duration server_source::longest_wait(base::duration limit) const {
+    const auto due = fleet_.next_expiry();
+    return due ? std::min(limit, *due - with_.time.now()) : limit;
+}
+
+void server_source::ask_peers() {
+    for (const auto &address : with_.peers()) {
+        http::call_options options;
+        options.connect_timeout = peer_timeout;
+        options.timeout = peer_timeout;
+        const auto answer = with_.client.call(address, {"GET", std::string{servers_path}, {}, ""}, options);
+        if (!answer || answer.value().status != 200) {
+            continue;
+        }
+        const auto body = json::parse(answer.value().body, nullptr, false);
+        std::vector<store::object> all;
+        for (const auto &it : body.is_array() ? body : json::array()) {
+            if (it.is_object()) {
+                all.push_back({it.value("key", ""), it.value("revision", std::uint64_t{0}), it.value("value", "")});
+            }
+        }
+        std::erase_if(all, [this](const auto &it) { return !it.key.starts_with(with_.codec.servers_prefix()); });
+        if (!all.empty()) {
+            log::write("servers_from_peer", {{"origin", address}, {"servers", all.size()}});
+            return on_list(all);
+        }
+    }
+}
+
+http::response server_source::answer_peer() const {
+    json all = json::array();
+    const std::scoped_lock lock{mutex_};
+    for (const auto &[key, it] : entries_) {
+        all.push_back({{"key", key}, {"revision", it.version}, {"value", it.value}});
+    }
+    return {200, {{"Content-Type", "application/json"}}, all.dump(-1, ' ', false, json::error_handler_t::replace)};
+}
+
+} // namespace dotterelstack::gateway
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -149,6 +149,8 @@
     {1913, "server_changed", severity::info, "A backend server's entry was written; `taken` tells whether it counts.",
      "none"},
     {1914, "server_removed", severity::info, "A backend server's entry was removed.", "none"},
+    {1915, "servers_from_peer", severity::warning, "The store was away at the start; a peer's entries are used.",
+     "Restore the store."},
 });
 
 } // namespace dotterelstack::log
--- a/src/log/event.cpp
+++ b/src/log/event.cpp
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <cstdio>
 #include <glog/logging.h>
+#include <poll.h>
+#include <unistd.h>
 #include <utility>
 
 #include "config/key_text.hpp"
@@ -71,8 +74,40 @@
     return out;
 }
 
+/** Writes each line whole: a reader that is slow for a moment must not tear lines apart, as buffered output would. */
+class output_sink final : public google::LogSink {
+public:
+    void send(google::LogSeverity level, const char * /*path*/, const char *file, int line,
+              const google::LogMessageTime &time, const char *message, std::size_t length) override {
+        const auto text = ToString(level, file, line, time, message, length) + "\n";
+        std::string_view rest{text};
+        while (!rest.empty()) {
+            const auto n = ::write(STDOUT_FILENO, rest.data(), rest.size());
+            if (n >= 0) {
+                rest.remove_prefix(static_cast<std::size_t>(n));
+                continue;
+            }
+            if (errno != EAGAIN && errno != EINTR) {
+                return;
+            }
+            pollfd out{STDOUT_FILENO, POLLOUT, 0};
+            ::poll(&out, 1, -1);
+        }
+    }
+};
+
+bool &writes_to_output() noexcept {
+    static bool out = false;
+    return out;
+}
+
 void write_line(severity level, const std::string &text) {
-    google::LogMessage{__FILE__, __LINE__, to_glog(level)}.stream() << text;
+    static output_sink sink;
+    if (writes_to_output()) {
+        google::LogMessage{__FILE__, __LINE__, to_glog(level), &sink, false}.stream() << text;
+    } else {
+        google::LogMessage{__FILE__, __LINE__, to_glog(level)}.stream() << text;
+    }
 }
 
 } // namespace internal
@@ -101,8 +136,8 @@
 }
 
 void start(const char *program, destination to) {
-    FLAGS_logtostderr = to == destination::standard_error;
-    FLAGS_logtostdout = to == destination::standard_output;
+    FLAGS_logtostderr = true;
+    internal::writes_to_output() = to == destination::standard_output;
     google::InitGoogleLogging(program);
 }
 
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -4,6 +4,7 @@
 #include "gateway/config_source.hpp"
 #include "gateway/fixture.hpp"
 #include "gateway/member_task.hpp"
+#include "gateway/server_source.hpp"
 #include "gateway/store_feed.hpp"
 #include "gateway/usage_duty.hpp"
 #include "http/server.hpp"
@@ -264,3 +265,35 @@
     CHECK(adopted == std::vector<std::uint64_t>{7});
     CHECK(cut_off.version() == 7);
 }
+
+// Guards against a gateway that serves nothing because it started while the store is away.
+TEST_CASE("a gateway that starts without the store takes the servers that a peer knows") {
+    base::manual_clock clock;
+    const platform::object_codec codec;
+    http::curl_client client;
+    const std::string entry =
+        R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":2,"State":"ready","Sequence":4})";
+    gateway::server_source informed{{clock, codec, client, [] { return std::vector<std::string>{}; }, [](auto) {}}};
+    http::server server;
+    const auto address =
+        server.start("127.0.0.1:0", http::answer_with([&](const http::request &) { return informed.answer_peer(); }));
+    REQUIRE(address);
+    std::vector<std::size_t> seen;
+    gateway::server_source fresh{{clock, codec, client, [&] { return std::vector<std::string>{address.value()}; },
+                                  [&](const auto &all) { seen.push_back(all.size()); }}};
+    fresh.on_failed();
+    CHECK(seen.empty());
+    informed.on_answered();
+    informed.on_list({{"servers/a", 5, entry}, {"servers/b", 6, "unreadable"}});
+    informed.on_change({{"servers/c", 7, entry}, false});
+    fresh.on_failed();
+    fresh.on_failed();
+    CHECK(seen == std::vector<std::size_t>{2});
+    // What the store says later replaces it.
+    fresh.on_answered();
+    fresh.on_list({{"servers/a", 5, entry}});
+    CHECK(seen.back() == 2);
+    clock.advance(3s);
+    fresh.on_answered();
+    CHECK(seen.back() == 1);
+}
