Wait for the gateways' counts after an outage before usage is sealed, and watch longer

On the grown sites store calls are the largest price: 31 gateways made 113 calls a second.

Ruled out: counts lost by kills (the logs show the gateways alive and their record writes failing).

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -68,7 +68,7 @@
                [this](traffic_config_ptr it) { events_.push(config_event{std::move(it)}); }}},
       servers_{{with_.time, with_.codec, with_.client, [this] { return peers(); },
                 [this](std::vector<backend_server> all) { events_.push(backends_event{std::move(all)}); }}} {
-    const feed_settings feed{settings_.timings.watch_wait, settings_.timings.store_retry, internal::change_pause};
+    const feed_settings feed{settings::watch_wait_of(settings_), settings_.timings.store_retry, internal::change_pause};
     config_feed_ = std::make_unique<store_feed>(
         with_.store, std::string{with_.codec.config_prefix()}, feed,
         feed_handlers{
@@ -88,7 +88,7 @@
         feed_handlers{[this](const auto &all) { servers_.on_list(all); },
                       [this](const auto &it) { servers_.on_change(it); }, [this] { servers_.on_answered(); },
                       [this] { servers_.on_failed(); },
-                      [this] { return servers_.longest_wait(settings_.timings.watch_wait); }});
+                      [this] { return servers_.longest_wait(settings::watch_wait_of(settings_)); }});
 }
 
 gateway_daemon::~gateway_daemon() {
--- a/src/gateway/member_task.cpp
+++ b/src/gateway/member_task.cpp
@@ -93,11 +93,14 @@
 
 void member_task::run(const std::stop_token &token) {
     base::instant survey_due{};
+    // Gateways start together and publish one after the other, so the first surveys come in quicker succession.
+    auto survey_wait = settings_.first_list_wait;
     while (!token.stop_requested()) {
         const bool published = publish();
         if (with_.time.now() >= survey_due) {
             survey();
-            survey_due = with_.time.now() + settings_.list_every;
+            survey_due = with_.time.now() + survey_wait;
+            survey_wait = std::min(2 * survey_wait, settings_.list_every);
         }
         base::wait_unless_stopped(token, published ? settings_.publish_every : settings_.retry_after);
     }
--- a/src/gateway/member_task.hpp
+++ b/src/gateway/member_task.hpp
@@ -23,8 +23,9 @@
     std::string peers;
     base::duration publish_every{std::chrono::milliseconds{2500}};
     base::duration retry_after{std::chrono::milliseconds{500}};
-    base::duration list_every{std::chrono::seconds{5}};
-    base::duration life{std::chrono::seconds{12}}; /**< A gateway whose record did not change for so long has gone. */
+    base::duration first_list_wait{std::chrono::seconds{2}}; /**< Doubled up to `list_every`. */
+    base::duration list_every{std::chrono::seconds{10}};
+    base::duration life{std::chrono::seconds{25}}; /**< A gateway whose record did not change for so long has gone. */
 };
 
 /** @brief Publishes this gateway's record and follows those of the others. */
--- a/src/gateway/usage_duty.cpp
+++ b/src/gateway/usage_duty.cpp
@@ -14,9 +14,19 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(1, base::to_milliseconds(settings_.window)));
 }
 
+bool usage_duty::may_seal(std::uint64_t window, std::uint64_t now) const {
+    const auto end = (window + 1) * window_ms();
+    const auto settled = end + static_cast<std::uint64_t>(base::to_milliseconds(settings_.settle));
+    const auto latest = end + static_cast<std::uint64_t>(base::to_milliseconds(settings_.due - settings_.reserve));
+    // Gateways could not publish during an outage; what they have counted comes right after it.
+    const bool recovering = failed_at_ && with_.time.now() - *failed_at_ < settings_.recovery;
+    return now >= settled && (!recovering || now >= latest);
+}
+
 std::optional<start_counts> usage_duty::sum(std::uint64_t window) {
     const auto members = with_.store.list(members_prefix);
     if (!members) {
+        failed_at_ = with_.time.now();
         log::write("member_list_failed", {{"reason", members.error().code}});
         return std::nullopt;
     }
@@ -42,13 +52,14 @@
     const auto key = sealed_starts_key(window);
     const auto found = with_.store.get(key);
     if (!found) {
+        failed_at_ = with_.time.now();
         return std::nullopt;
     }
     if (found.value()) {
         const auto counts = parse_counts(*found.value());
         return counts ? std::optional{counts.value()} : std::nullopt;
     }
-    const auto counts = sum(window);
+    auto counts = sum(window);
     if (!counts || !authority()) {
         return std::nullopt;
     }
@@ -121,13 +132,11 @@
         return;
     }
     const auto now = with_.now();
-    const auto settle_ms = static_cast<std::uint64_t>(base::to_milliseconds(settings_.settle));
     const auto current = now / window_ms();
     // Reports that are overdue are sent, too: late figures are better than none.
     const auto oldest = current - std::min(current, settings_.keep_windows / 2);
     for (auto window = oldest; window < current && !outranked_ && authority(); ++window) {
-        const auto end = (window + 1) * window_ms();
-        if (!reported_.contains(window) && now >= end + settle_ms) {
+        if (!reported_.contains(window) && (sealed_.contains(window) || may_seal(window, now))) {
             report(window, authority);
         }
     }
--- a/src/gateway/usage_duty.hpp
+++ b/src/gateway/usage_duty.hpp
@@ -21,6 +21,10 @@
     base::duration window{std::chrono::seconds{5}};
     base::duration due{std::chrono::seconds{10}};           /**< From the end of a window to its report. */
     base::duration settle{std::chrono::milliseconds{3500}}; /**< Until all gateways have published their counts. */
+    base::duration recovery{
+        std::chrono::milliseconds{3000}}; /**< As `settle`, from the end of an outage of the store. */
+    base::duration reserve{
+        std::chrono::milliseconds{2500}}; /**< Left before a report is due; then it is sealed anyway. */
     base::duration step{std::chrono::milliseconds{500}};
     std::uint64_t keep_windows{12}; /**< Sealed windows and records of former gateways are erased after so many. */
 };
@@ -58,6 +62,7 @@
 
 private:
     [[nodiscard]] std::uint64_t window_ms() const noexcept;
+    [[nodiscard]] bool may_seal(std::uint64_t window, std::uint64_t now) const;
     [[nodiscard]] std::optional<start_counts> seal(std::uint64_t window, const lease::authority_check &authority);
     [[nodiscard]] std::optional<start_counts> sum(std::uint64_t window);
     void report(std::uint64_t window, const lease::authority_check &authority);
@@ -70,6 +75,7 @@
     std::map<std::uint64_t, start_counts> sealed_;
     std::set<std::uint64_t> reported_;
     std::uint64_t cleaned_{0};
+    std::optional<base::instant> failed_at_; /**< When the store last did not answer. */
 };
 
 /** @brief Runs a `usage_duty` on a thread of its own while the lease is held. */
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -1,5 +1,6 @@
 #include "settings/gateway_settings.hpp"
 
+#include <algorithm>
 #include <array>
 
 #include "settings/file.hpp"
@@ -12,20 +13,21 @@
 template<typename Group>
 struct time_field {
     std::string_view name;
-    base::duration Group::*member;
-    range<std::uint64_t> milliseconds;
+    base::duration Group::*member{nullptr};
+    range<std::uint64_t> milliseconds{};
 };
 
 /** Bounds that the platform states in seconds, fractions included. */
 struct seconds_field {
     std::string_view name;
-    base::duration gateway_bounds::*member;
-    range<double> seconds;
+    base::duration gateway_bounds::*member{nullptr};
+    range<double> seconds{};
 };
 
 constexpr auto bounds_in_milliseconds = std::to_array<time_field<gateway_bounds>>({
     {"config_apply_ms", &gateway_bounds::config_apply, {100, 600'000}},
     {"drain_ms", &gateway_bounds::drain, {100, 600'000}},
+    {"contact_ms", &gateway_bounds::contact, {500, 600'000}},
     {"lease_term_ms", &gateway_bounds::lease_term, {200, 600'000}},
 });
 
@@ -43,6 +45,9 @@
     {"connect_timeout_ms", &gateway_timings::connect_timeout, {10, 60'000}},
 });
 
+// For a new connection and its first answer.
+constexpr base::duration reconnect_time = std::chrono::milliseconds{500};
+constexpr base::duration shortest_watch = std::chrono::milliseconds{200};
 constexpr range<double> retry_ratio_range{0, 10};
 constexpr range<std::uint64_t> retry_allowance_range{0, 1'000'000};
 constexpr range<std::uint64_t> descriptor_range{64, 10'000'000};
@@ -84,6 +89,11 @@
 
 } // namespace internal
 
+base::duration watch_wait_of(const gateway_settings &values) noexcept {
+    const auto most = values.bounds.contact - values.timings.store_timeout - internal::reconnect_time;
+    return std::min(values.timings.watch_wait, std::max(most, internal::shortest_watch));
+}
+
 base::result<gateway_settings> parse_gateway_settings(std::string_view file, std::string_view text,
                                                       const std::vector<std::string> &overrides) {
     problem_list problems{file};
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -16,7 +16,8 @@
     base::duration config_apply{std::chrono::seconds{2}}; /**< From the store's acknowledgement to use everywhere. */
     base::duration drain{std::chrono::seconds{2}};        /**< A leaving backend server gets nothing new after it. */
     base::duration stop_grace{std::chrono::seconds{8}};   /**< From SIGTERM to SIGKILL. */
-    base::duration lease_term{std::chrono::seconds{3}};   /**< Shortest time between two holders of a lease. */
+    base::duration contact{std::chrono::seconds{3}};    /**< A host without trouble for so long must keep the rules. */
+    base::duration lease_term{std::chrono::seconds{3}}; /**< Shortest time between two holders of a lease. */
     base::duration usage_window{std::chrono::seconds{5}};
     base::duration usage_due{std::chrono::seconds{10}}; /**< From the end of a window to its report. */
     base::duration retry_window{std::chrono::seconds{10}};
@@ -28,8 +29,8 @@
 struct gateway_timings {
     base::duration store_timeout{std::chrono::seconds{1}};
     base::duration store_retry{std::chrono::milliseconds{200}};
-    /** Longest wait of a watch. A connection that went silent is noticed after this and the store timeout. */
-    base::duration watch_wait{std::chrono::milliseconds{1500}};
+    /** Longest wait of a watch; see `watch_wait_of`. */
+    base::duration watch_wait{std::chrono::seconds{10}};
     base::duration connect_timeout{std::chrono::milliseconds{250}};
 };
 
@@ -51,6 +52,12 @@
     gateway_timings timings;
 };
 
+/**
+ * @return Wait of a watch that leaves time to notice a silent connection: wait, store timeout and a new connection fit
+ * into the contact time.
+ */
+[[nodiscard]] base::duration watch_wait_of(const gateway_settings &values) noexcept;
+
 /**
  * @brief Reads and checks the settings of a gateway.
  * @param file Name used in messages.
--- a/test/gateway/event_splitter.cpp
+++ b/test/gateway/event_splitter.cpp
@@ -1,6 +1,9 @@
 #include "gateway/event_splitter.hpp"
 
 #include <doctest/doctest.h>
+#include <optional>
+#include <string>
+#include <vector>
 
 using dotterelstack::gateway::event_splitter;
 
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -23,6 +23,7 @@
     /** `decode` and `prefill` engines of 12 slots. */
     void engines(int decode, int prefill) {
         std::vector<gateway::backend_server> all;
+        all.reserve(static_cast<std::size_t>(decode) + static_cast<std::size_t>(prefill));
         for (int n = 0; n < decode; ++n) {
             all.push_back(test::server("decode-" + std::to_string(n), "llm", engine_stage::decode, 12));
         }
--- a/test/process/soak.cpp
+++ b/test/process/soak.cpp
@@ -55,6 +55,7 @@
 
     void run(std::chrono::seconds length) {
         std::vector<std::jthread> clients;
+        clients.reserve(client_count);
         for (int n = 0; n < client_count; ++n) {
             clients.emplace_back([this, n](const std::stop_token &stop) { use(n, stop); });
         }
--- a/test/settings/gateway_settings.cpp
+++ b/test/settings/gateway_settings.cpp
@@ -36,3 +36,15 @@
         CHECK(it.error().message.find(name) != std::string::npos);
     }
 }
+
+// Guards against silent connections to the store that are noticed only after the time in which rules must hold again.
+TEST_CASE("a watch and its timeout fit into the contact time") {
+    auto it = settings::parse_gateway_settings("f", text).value();
+    CHECK(settings::watch_wait_of(it) == 1500ms);
+    it.bounds.contact = 4s;
+    CHECK(settings::watch_wait_of(it) == 2500ms);
+    it.bounds.contact = 1s;
+    CHECK(settings::watch_wait_of(it) > 0ms);
+    it.timings.watch_wait = 100ms;
+    CHECK(settings::watch_wait_of(it) == 100ms);
+}
