--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -50,16 +50,6 @@
     return out;
 }
 
-std::vector<const backend_state *> backend_table::all(std::string_view service) const {
-    std::vector<const backend_state *> out;
-    for (const auto &[id, it] : states_) {
-        if (it.facts.service == service) {
-            out.push_back(&it);
-        }
-    }
-    return out;
-}
-
 bool backend_table::any_live() const noexcept {
     return std::ranges::any_of(states_, [](const auto &it) { return !it.second.facts.draining; });
 }
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -66,9 +66,6 @@
     /** @return Backend servers of a service that take new requests now: not draining, not paused. */
     [[nodiscard]] std::vector<const backend_state *> open(std::string_view service) const;
 
-    /** @return Backend servers of a service, whatever their state. */
-    [[nodiscard]] std::vector<const backend_state *> all(std::string_view service) const;
-
     /** @return True when some backend server is not draining. */
     [[nodiscard]] bool any_live() const noexcept;
 
--- a/src/gateway/config_source.cpp
+++ b/src/gateway/config_source.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include "gateway/peer_paths.hpp"
+#include "gateway/peer_call.hpp"
 #include "log/event.hpp"
 
 namespace dotterelstack::gateway {
@@ -18,18 +18,18 @@
 
 config_source::config_source(dependencies with) : with_{std::move(with)} {}
 
-bool config_source::adopt(std::string_view value, std::string_view origin) {
+void config_source::adopt(std::string_view value, std::string_view origin) {
     auto decoded = with_.codec.decode_config(value);
     if (!decoded) {
         log::write("config_unreadable", {{"origin", origin}, {"reason", decoded.error().message}});
-        return false;
+        return;
     }
     const auto version = decoded.value().version;
     traffic_config_ptr config;
     {
         const std::scoped_lock lock{mutex_};
         if (known_ && version <= version_) {
-            return false;
+            return;
         }
         known_ = true;
         version_ = version;
@@ -38,7 +38,6 @@
     }
     log::write("config_adopted", {{"version", version}, {"origin", origin}});
     with_.on_config(std::move(config));
-    return true;
 }
 
 void config_source::on_object(const store::object &item) {
@@ -59,12 +58,8 @@
                 target += std::string{"?"} + internal::version_parameter + "=" + std::to_string(version_);
             }
         }
-        http::call_options options;
-        options.connect_timeout = peer_timeout;
-        options.timeout = peer_timeout;
-        const auto answer = with_.client.call(address, {"GET", target, {}, ""}, options);
-        if (answer && answer.value().status == 200) {
-            adopt(answer.value().body, address);
+        if (const auto value = ask_peer(with_.client, address, std::move(target))) {
+            adopt(*value, address);
         }
     }
 }
--- a/src/gateway/config_source.hpp
+++ b/src/gateway/config_source.hpp
@@ -46,7 +46,7 @@
     [[nodiscard]] http::response answer_peer(const http::request &message) const;
 
 private:
-    bool adopt(std::string_view value, std::string_view origin);
+    void adopt(std::string_view value, std::string_view origin);
 
     dependencies with_;
     mutable std::mutex mutex_;
--- a/src/gateway/forward_flow.hpp
+++ b/src/gateway/forward_flow.hpp
@@ -19,8 +19,7 @@
 enum class flow_stage : std::uint8_t {
     waiting,    /**< For a place. */
     prefilling, /**< One engine reads the prompt for another. */
-    running,    /**< An attempt is under way that answers the caller. */
-    done
+    running     /**< An attempt is under way that answers the caller. */
 };
 
 /** @brief What is known about whether the last attempt ran. */
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -477,7 +477,6 @@
                                     {"prefilled_ms", base::to_milliseconds(it.prefilled_after)},
                                     {"first_event_ms", base::to_milliseconds(it.first_event_after)},
                                     {"total_ms", base::to_milliseconds(with_.time.now() - it.received)}});
-    it.stage = flow_stage::done;
     flows_.erase(it.number);
 }
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -4,7 +4,7 @@
 #include <random>
 
 #include "base/overloaded.hpp"
-#include "gateway/peer_paths.hpp"
+#include "gateway/peer_call.hpp"
 #include "http/exchange_caller.hpp"
 #include "log/event.hpp"
 
--- /dev/null
+++ b/src/gateway/peer_call.cpp
@@ -0,0 +1,25 @@
+#include "gateway/peer_call.hpp"
+
+#include <chrono>
+
+namespace dotterelstack::gateway {
+
+namespace internal {
+
+// Longest call to a peer; a silent one must not hold up the next.
+constexpr auto peer_timeout = std::chrono::milliseconds{300};
+
+} // namespace internal
+
+std::optional<std::string> ask_peer(http::client &client, std::string_view address, std::string target) {
+    http::call_options options;
+    options.connect_timeout = internal::peer_timeout;
+    options.timeout = internal::peer_timeout;
+    auto answer = client.call(address, {"GET", std::move(target), {}, ""}, options);
+    if (!answer || answer.value().status != 200) {
+        return std::nullopt;
+    }
+    return std::move(answer.value().body);
+}
+
+} // namespace dotterelstack::gateway
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -12,7 +12,6 @@
 constexpr double first_slot_ms = 100;
 // Weight of the newest answer in the mean.
 constexpr double slot_time_gain = 0.05;
-constexpr double bytes_per_kb = 1000;
 // State moves this much slower between failure domains.
 constexpr double far_transfer_factor = 2;
 // Weight of the newest first event in the factors that correct the estimates, and their limits: one slow answer must
@@ -31,8 +30,8 @@
 
 placement::placement(const base::clock &time, const backend_table &table, random_source random,
                      placement_settings settings)
-    : time_{time}, table_{table}, random_{std::move(random)}, settings_{settings},
-      prefixes_{time, settings.prefix_life}, mean_prefill_tokens_{settings.first_prompt_tokens} {}
+    : table_{table}, random_{std::move(random)}, settings_{settings}, prefixes_{time, settings.prefix_life},
+      mean_prefill_tokens_{settings.first_prompt_tokens} {}
 
 double placement::slot_ms(std::string_view service) const {
     const auto it = slot_ms_.find(service);
@@ -82,9 +81,7 @@
 }
 
 double placement::penalty_ms(const backend_state &it, const placement_request &request) const {
-    const bool near = it.facts.failure_domain == request.failure_domain;
-    const double kilobytes = static_cast<double>(request.body_bytes) / internal::bytes_per_kb;
-    const double far = near ? 0 : settings_.far_ms + settings_.far_ms_per_kb * kilobytes;
+    const double far = it.facts.failure_domain == request.failure_domain ? 0 : settings_.far_ms;
     return far + settings_.failure_ms * table_.failure_rate(it) + internal::jitter_ms * random_();
 }
 
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -23,7 +23,6 @@
     double transfer_tokens_per_ms{1200}; /**< Cached state between engines of one failure domain. */
     double transfer_setup_ms{40};        /**< Two calls in place of one, and the start of the generation. */
     double far_ms{4};                    /**< Price of leaving the failure domain. */
-    double far_ms_per_kb{0.5};           /**< Price of the request's bytes between failure domains. */
     double spill_ms{25};                 /**< Price of each step down the order of engines for a prefix. */
     double failure_ms{400};              /**< Price of a backend server that fails every attempt. */
     double disturbance{0.5};             /**< Price of reading a prompt at a decode engine, as a part of its time. */
@@ -42,7 +41,6 @@
     std::string_view failure_domain;         /**< Of this gateway. */
     std::span<const std::string> excluded{}; /**< Backend servers that were tried. */
     bool may_split{true};                    /**< Prefill and decode may happen at two engines. */
-    std::size_t body_bytes{0};               /**< Sent to each engine. */
 };
 
 /** @brief Where a request goes. Pointers are valid until the table changes. */
@@ -133,7 +131,6 @@
                                   const backend_state *home) const;
     [[nodiscard]] base::duration free_in(const state_list &from) const;
 
-    const base::clock &time_;
     const backend_table &table_;
     const random_source random_;
     const placement_settings settings_;
--- a/src/gateway/prefix_memory.cpp
+++ b/src/gateway/prefix_memory.cpp
@@ -53,12 +53,6 @@
     return out;
 }
 
-void prefix_memory::forget(std::string_view engine) {
-    if (const auto it = engines_.find(engine); it != engines_.end()) {
-        engines_.erase(it);
-    }
-}
-
 void prefix_memory::expire() {
     const auto oldest = time_.now() - life_;
     for (auto &[engine, parts] : engines_) {
--- a/src/gateway/prefix_memory.hpp
+++ b/src/gateway/prefix_memory.hpp
@@ -27,9 +27,6 @@
     /** @return Leading tokens of the prompt that the engine has probably cached. */
     [[nodiscard]] std::uint32_t cached(std::string_view engine, std::span<const prompt_part> prompt) const;
 
-    /** @brief The engine has lost its memory. */
-    void forget(std::string_view engine);
-
     /** @brief Drops parts that have not been used for the life time. Call it about once a second. */
     void expire();
 
--- a/src/gateway/server_source.cpp
+++ b/src/gateway/server_source.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "gateway/peer_paths.hpp"
+#include "gateway/peer_call.hpp"
 #include "log/event.hpp"
 
 namespace dotterelstack::gateway {
@@ -98,14 +98,11 @@
 
 void server_source::ask_peers() {
     for (const auto &address : with_.peers()) {
-        http::call_options options;
-        options.connect_timeout = peer_timeout;
-        options.timeout = peer_timeout;
-        const auto answer = with_.client.call(address, {"GET", std::string{servers_path}, {}, ""}, options);
-        if (!answer || answer.value().status != 200) {
+        const auto answer = ask_peer(with_.client, address, std::string{servers_path});
+        if (!answer) {
             continue;
         }
-        const auto body = json::parse(answer.value().body, nullptr, false);
+        const auto body = json::parse(*answer, nullptr, false);
         std::vector<store::object> all;
         for (const auto &it : body.is_array() ? body : json::array()) {
             if (it.is_object()) {
