--- a/bench/retry.cpp
+++ b/bench/retry.cpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "retry/retry_budget.hpp"
 #include "retry/retry_policy.hpp"
 
 using namespace std::chrono_literals;
--- a/src/cli/command.hpp
+++ b/src/cli/command.hpp
@@ -40,6 +40,7 @@
 extern const command status_command;
 extern const command usage_command;
 extern const command check_settings_command;
+extern const command explain_command;
 
 /** @return Positional arguments. */
 [[nodiscard]] std::vector<std::string> positional(const call &with);
--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
-#include <ostream>
+#include <iostream>
 #include <thread>
 
 #include "cli/command.hpp"
@@ -12,11 +12,12 @@
 
 namespace internal {
 
-const std::array commands{&apply_command, &plan_command,   &export_command, &get_command,           &key_command,
-                          &drain_command, &status_command, &usage_command,  &check_settings_command};
+const std::array commands{
+    &apply_command,  &plan_command,  &export_command,         &get_command,    &key_command, &drain_command,
+    &status_command, &usage_command, &check_settings_command, &explain_command};
 
 constexpr auto names = std::to_array<std::string_view>(
-    {"apply", "plan", "export", "get", "key", "drain", "status", "usage", "check-settings"});
+    {"apply", "plan", "export", "get", "key", "drain", "status", "usage", "check-settings", "explain"});
 
 /** Takes the texts as they were given; cxxopts would split vector values at commas, which JSON values contain. */
 std::vector<std::string> texts_of(const call &with, const std::string &name) {
--- a/src/cli/run.hpp
+++ b/src/cli/run.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <functional>
-#include <iosfwd>
+#include <iostream>
 #include <optional>
 #include <span>
 #include <string>
@@ -32,6 +32,7 @@
     std::ostream &err;
     const base::clock &clock;
     std::function<void(base::duration)> sleep;
+    std::istream &in = std::cin;
 };
 
 /** @brief Addresses that a command line or the environment gives. */
--- /dev/null
+++ b/src/dispatch/engine.cpp
@@ -0,0 +1,298 @@
+#include "dispatch/engine.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "base/overloaded.hpp"
+#include "log/event.hpp"
+
+namespace dotterelstack::dispatch {
+
+namespace internal {
+
+end_reason to_end_reason(retry::give_up_reason why) noexcept {
+    switch (why) {
+    case retry::give_up_reason::not_repeatable:
+    case retry::give_up_reason::not_resumable:
+        return end_reason::outcome_unknown;
+    case retry::give_up_reason::organisation_budget:
+    case retry::give_up_reason::service_budget:
+        return end_reason::retry_budget;
+    case retry::give_up_reason::deadline:
+        return end_reason::deadline;
+    case retry::give_up_reason::none:
+    case retry::give_up_reason::outer_layer:
+    case retry::give_up_reason::attempts:
+        break;
+    }
+    return end_reason::attempts_exhausted;
+}
+
+} // namespace internal
+
+std::string_view to_string(end_reason why) noexcept {
+    switch (why) {
+    case end_reason::outcome_unknown:
+        return "outcome_unknown";
+    case end_reason::retry_budget:
+        return "retry_budget";
+    case end_reason::attempts_exhausted:
+        return "attempts_exhausted";
+    case end_reason::deadline:
+        return "deadline";
+    case end_reason::caller_gone:
+        break;
+    }
+    return "caller_gone";
+}
+
+exchange *engine::find(exchange_number number) const {
+    const auto it = exchanges_.find(number);
+    return it == exchanges_.end() ? nullptr : it->second.get();
+}
+
+std::vector<exchange_number> engine::numbers() const {
+    std::vector<exchange_number> out;
+    out.reserve(exchanges_.size());
+    for (const auto &[number, it] : exchanges_) {
+        out.push_back(number);
+    }
+    return out;
+}
+
+exchange_number engine::add(std::unique_ptr<exchange> request) {
+    const auto number = next_number_++;
+    exchanges_.emplace(number, std::move(request));
+    return number;
+}
+
+void engine::start(exchange_number number) {
+    auto *it = find(number);
+    if (it == nullptr || it->stage_ != exchange_stage::held) {
+        return;
+    }
+    const auto &of = it->identity();
+    it->history_ = with_.retries.begin(of.work, of.organisation, of.service, of.deadline);
+    attempt(number, *it);
+}
+
+void engine::attempt(exchange_number number, exchange &it) {
+    auto found = it.place();
+    if (auto *call = std::get_if<outgoing_call>(&found)) {
+        return open_call(number, it, std::move(*call));
+    }
+    if (std::holds_alternative<keep_waiting>(found)) {
+        it.stage_ = exchange_stage::waiting;
+        return;
+    }
+    it.stage_ = exchange_stage::waiting;
+    end(number, std::move(std::get<refusal>(found)));
+}
+
+void engine::open_call(exchange_number number, exchange &it, outgoing_call what) {
+    it.stage_ = exchange_stage::calling;
+    it.attempt_started_ = with_.time.now();
+    it.call_ = next_call_++;
+    calls_.emplace(it.call_, number);
+    with_.calls.send(it.call_, what.address, std::move(what.message), what.timeout);
+}
+
+void engine::close_call(exchange &it, attempt_outcome how, bool still_open) {
+    const auto call = std::exchange(it.call_, 0);
+    calls_.erase(call);
+    if (still_open) {
+        with_.calls.cancel(call);
+    }
+    it.on_attempt_end(how);
+}
+
+void engine::end(exchange_number number, refusal why) {
+    auto *it = find(number);
+    if (it == nullptr) {
+        return;
+    }
+    if (it->stage_ == exchange_stage::inquiring) {
+        why.ran = ran_claim::unknown;
+    }
+    if (it->call_ != 0) {
+        // A cancelled attempt may run all the same.
+        if (it->call_may_run()) {
+            why.ran = ran_claim::unknown;
+        }
+        close_call(*it, attempt_outcome::cancelled, true);
+    }
+    it->refuse(why);
+    exchanges_.erase(number);
+}
+
+void engine::end_all(const refusal &why) {
+    for (const auto number : numbers()) {
+        end(number, why);
+    }
+}
+
+void engine::on_head(call_id call, int status, const http::field_list &fields) {
+    const auto found = calls_.find(call);
+    if (found != calls_.end()) {
+        const auto number = found->second;
+        auto &it = *exchanges_.at(number);
+        take(number, it, it.on_head(status, fields), true);
+    }
+}
+
+void engine::on_data(call_id call, std::string_view part) {
+    const auto found = calls_.find(call);
+    if (found != calls_.end()) {
+        const auto number = found->second;
+        auto &it = *exchanges_.at(number);
+        take(number, it, it.on_data(part), true);
+    }
+}
+
+void engine::on_end(call_id call, call_end how, const http::response &answer) {
+    const auto found = calls_.find(call);
+    if (found != calls_.end()) {
+        const auto number = found->second;
+        auto &it = *exchanges_.at(number);
+        take(number, it, it.on_end(how, answer), false);
+    }
+    pump();
+}
+
+void engine::take(exchange_number number, exchange &it, call_step step, bool still_open) {
+    std::visit(base::overloaded{[](const call_goes_on & /*step*/) {},
+                                [&](const call_failed &failed) {
+                                    log::write(
+                                        "attempt_failed",
+                                        {{"request", it.identity().id},
+                                         {"backend", it.backend()},
+                                         {"attempt", it.history().attempt()},
+                                         {"outcome", to_string(failed.how)},
+                                         {"evidence", retry::to_string(failed.seen.kind)},
+                                         {"after_ms", base::to_milliseconds(with_.time.now() - it.attempt_started_)}});
+                                    close_call(it, failed.how, still_open);
+                                    after_failure(number, it, failed.seen);
+                                },
+                                [&](const call_complete & /*step*/) {
+                                    // An answer that is complete needs no cancel, even if its call has not ended.
+                                    close_call(it, attempt_outcome::answered, false);
+                                    it.stage_ = exchange_stage::answered;
+                                    if (it.complete()) {
+                                        exchanges_.erase(number);
+                                    }
+                                },
+                                [&](call_followed &followed) {
+                                    // The exchange has closed the books on the first call itself.
+                                    calls_.erase(it.call_);
+                                    open_call(number, it, std::move(followed.next));
+                                },
+                                [&](const caller_lost & /*step*/) {
+                                    end(number, it.refusal_for(end_reason::caller_gone, ran_claim::unknown));
+                                }},
+               step);
+}
+
+void engine::after_failure(exchange_number number, exchange &it, const retry::evidence &seen) {
+    const auto &work = it.identity().work;
+    if (seen.kind == retry::evidence_kind::unknown && !work.repeatable && !work.resumable) {
+        if (const auto wait = it.inquire()) {
+            it.stage_ = exchange_stage::inquiring;
+            it.next_step_ = with_.time.now() + *wait;
+            return;
+        }
+    }
+    retry_or_end(number, it, seen);
+}
+
+void engine::on_inquiry(exchange_number number, retry::evidence_kind seen) {
+    auto *it = find(number);
+    if (it == nullptr || it->stage_ != exchange_stage::inquiring) {
+        return;
+    }
+    if (seen == retry::evidence_kind::unknown) {
+        log::write("outcome_unknown",
+                   {{"request", it->identity().id}, {"service", it->identity().service}, {"backend", it->backend()}});
+    }
+    it->stage_ = exchange_stage::delayed;
+    retry_or_end(number, *it, {seen});
+}
+
+void engine::retry_or_end(exchange_number number, exchange &it, const retry::evidence &seen) {
+    const auto &of = it.identity();
+    const auto next = with_.retries.decide(it.history_, seen);
+    it.stage_ = exchange_stage::delayed;
+    if (next.action == retry::retry_action::give_up) {
+        const auto why = internal::to_end_reason(next.reason);
+        log::write("request_given_up",
+                   {{"request", of.id}, {"service", of.service}, {"attempts", it.history().attempt()}});
+        if (why == end_reason::retry_budget) {
+            log::write("retry_budget_empty", {{"service", of.service}, {"organisation", of.organisation}});
+        }
+        return end(number, it.refusal_for(why, claim_of(it)));
+    }
+    if (of.caller->gone() && it.ends_with_caller()) {
+        return end(number, it.refusal_for(end_reason::caller_gone, claim_of(it)));
+    }
+    with_.metrics.count("retries_total", "service=\"" + of.service + "\"");
+    if (next.action == retry::retry_action::resume_elsewhere) {
+        log::write("request_resumed", {{"request", of.id}, {"service", of.service}, {"offset", next.offset}});
+    }
+    if (next.delay <= base::duration{0}) {
+        return attempt(number, it);
+    }
+    it.next_step_ = with_.time.now() + next.delay;
+}
+
+void engine::check(exchange_number number, exchange &it, base::instant now) {
+    if (it.stage_ == exchange_stage::answered) {
+        return;
+    }
+    if (it.stage_ == exchange_stage::inquiring) {
+        if (now >= it.next_step_) {
+            on_inquiry(number, retry::evidence_kind::unknown);
+        }
+        return;
+    }
+    if (it.identity().caller->gone() && it.ends_with_caller()) {
+        return end(number, it.refusal_for(end_reason::caller_gone, claim_of(it)));
+    }
+    if (now >= it.identity().deadline) {
+        auto ran = claim_of(it);
+        if (it.call_ != 0) {
+            ran = it.call_may_run() ? ran_claim::unknown : ran;
+            close_call(it, attempt_outcome::silent, true);
+        }
+        return end(number, it.refusal_for(end_reason::deadline, ran));
+    }
+    if (it.stage_ == exchange_stage::delayed && now >= it.next_step_) {
+        attempt(number, it);
+    }
+}
+
+void engine::tick() {
+    const auto now = with_.time.now();
+    for (const auto number : numbers()) {
+        if (auto *it = find(number)) {
+            check(number, *it, now);
+        }
+    }
+    pump();
+}
+
+void engine::pump() {
+    std::vector<std::pair<exchange_number, exchange *>> waiting;
+    for (const auto &[number, it] : exchanges_) {
+        if (it->stage_ == exchange_stage::waiting) {
+            waiting.emplace_back(number, it.get());
+        }
+    }
+    std::ranges::stable_sort(waiting, {}, [](const auto &it) {
+        return std::pair{it.second->priority(), it.second->identity().received};
+    });
+    for (const auto &[number, it] : waiting) {
+        attempt(number, *it);
+    }
+}
+
+} // namespace dotterelstack::dispatch
--- /dev/null
+++ b/src/dispatch/engine.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.hpp"
+#include "dispatch/call_port.hpp"
+#include "dispatch/exchange.hpp"
+#include "dispatch/refusal.hpp"
+#include "metrics/registry.hpp"
+#include "retry/retry_policy.hpp"
+
+namespace dotterelstack::dispatch {
+
+/** @brief Number of an exchange in its engine. */
+using exchange_number = std::uint64_t;
+
+/**
+ * @brief Takes requests of all kinds from the first attempt to the final answer: attempts, retries, waits, deadlines,
+ * callers that go. Events in, calls of the port out; used by one thread; never blocks.
+ *
+ * Work that may not be repeated is sent again only with evidence that it has not run, and a request is refused as not
+ * run only with evidence about every attempt.
+ */
+class engine {
+public:
+    /** @brief Collaborators; all must outlive the engine. */
+    struct dependencies {
+        const base::clock &time;
+        metrics::registry &metrics;
+        call_port &calls;
+        retry::retry_policy &retries;
+    };
+
+    explicit engine(dependencies with) : with_{with} {}
+
+    /** @brief Takes a request, which is held until it is started. */
+    exchange_number add(std::unique_ptr<exchange> request);
+
+    /** @brief Begins the first attempt of a request that is held. */
+    void start(exchange_number number);
+
+    /** @brief Ends a request at once; an attempt under way is cancelled, and then nobody knows whether it ran. */
+    void end(exchange_number number, refusal why);
+
+    /** @brief Forgets a request that its front end has answered. */
+    void finish(exchange_number number) { exchanges_.erase(number); }
+
+    /** @param seen What the inquiry brought to light; ignored when it is no longer awaited. */
+    void on_inquiry(exchange_number number, retry::evidence_kind seen);
+
+    void on_head(call_id call, int status, const http::field_list &fields);
+    void on_data(call_id call, std::string_view part);
+
+    /** @param answer Status, fields and body unless they were given to `on_head` and `on_data`. */
+    void on_end(call_id call, call_end how, const http::response &answer = {});
+
+    /** @brief Periodic work: deadlines, delayed and waiting requests, callers that have gone. */
+    void tick();
+
+    /** @brief Places requests that wait, the most urgent first. */
+    void pump();
+
+    /** @brief Ends all requests. */
+    void end_all(const refusal &why);
+
+    [[nodiscard]] exchange *find(exchange_number number) const;
+    [[nodiscard]] std::vector<exchange_number> numbers() const;
+    [[nodiscard]] std::size_t size() const noexcept { return exchanges_.size(); }
+
+private:
+    void attempt(exchange_number number, exchange &it);
+    void open_call(exchange_number number, exchange &it, outgoing_call what);
+    void close_call(exchange &it, attempt_outcome how, bool still_open);
+    void take(exchange_number number, exchange &it, call_step step, bool still_open);
+    void after_failure(exchange_number number, exchange &it, const retry::evidence &seen);
+    void retry_or_end(exchange_number number, exchange &it, const retry::evidence &seen);
+    void check(exchange_number number, exchange &it, base::instant now);
+
+    dependencies with_;
+    std::map<exchange_number, std::unique_ptr<exchange>> exchanges_;
+    std::unordered_map<call_id, exchange_number> calls_;
+    exchange_number next_number_{1};
+    call_id next_call_{1};
+};
+
+} // namespace dotterelstack::dispatch
--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t max_prefix_blocks = 64;
 
 auto refuse(int status, std::string code, std::string message) {
-    return boost::outcome_v2::failure(refusal_answer{status, std::move(code), std::move(message)});
+    return boost::outcome_v2::failure(dispatch::refusal{status, std::move(code), std::move(message)});
 }
 
 std::size_t header_size(const http::request &message) {
--- a/src/entry/caller_request.hpp
+++ b/src/entry/caller_request.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "entry/refusal_answer.hpp"
+#include "dispatch/refusal.hpp"
 #include "http/message.hpp"
 
 namespace dotterelstack::entry {
@@ -46,7 +46,7 @@
 };
 
 using parse_result =
-    boost::outcome_v2::basic_result<caller_request, refusal_answer, boost::outcome_v2::policy::terminate>;
+    boost::outcome_v2::basic_result<caller_request, dispatch::refusal, boost::outcome_v2::policy::terminate>;
 
 /**
  * @brief Checks the form of a caller's request.
--- /dev/null
+++ b/src/entry/completion_exchange.cpp
@@ -0,0 +1,115 @@
+#include "entry/completion_exchange.hpp"
+
+#include <utility>
+#include <variant>
+
+#include "log/event.hpp"
+
+namespace dotterelstack::entry {
+
+namespace internal {
+
+const http::field_list event_stream{{"Content-Type", "text/event-stream"}, {"Cache-Control", "no-cache"}};
+
+} // namespace internal
+
+completion_exchange::completion_exchange(const exchange_tools &tools, dispatch::request_identity of,
+                                         caller_request asked, std::string key_hash, std::int64_t created)
+    : agent_exchange{tools, std::move(of), std::move(asked), std::move(key_hash)}, assembly_{identity().id},
+      format_{identity().id, request(), created}, prompt_tokens_{request().prompt_tokens} {}
+
+void completion_exchange::begin_attempt(std::uint32_t attempt) {
+    line_rest_.clear();
+    assembly_.begin_attempt(attempt);
+}
+
+void completion_exchange::add_fields(http::field_list &fields) const {
+    fields.push_back({"ds-kind", "completion"});
+    fields.push_back({"ds-offset", std::to_string(assembly_.next_offset())});
+}
+
+dispatch::call_step completion_exchange::on_data(std::string_view part) {
+    if (was_refused()) {
+        return dispatch::call_goes_on{};
+    }
+    line_rest_.append(part);
+    for (auto end = line_rest_.find('\n'); end != std::string::npos; end = line_rest_.find('\n')) {
+        const std::string line = line_rest_.substr(0, end);
+        line_rest_.erase(0, end + 1);
+        auto step = take_line(line);
+        if (!std::holds_alternative<dispatch::call_goes_on>(step)) {
+            return step;
+        }
+    }
+    return dispatch::call_goes_on{};
+}
+
+dispatch::call_step completion_exchange::take_line(std::string_view line) {
+    const auto message = answer::decode_line(line);
+    if (!message) {
+        return dispatch::call_goes_on{};
+    }
+    auto action = answer::assembly_action::ignore;
+    if (const auto *part = std::get_if<answer::chunk>(&message.value())) {
+        action = assembly_.accept(*part);
+        if (action == answer::assembly_action::deliver) {
+            return deliver(*part) ? dispatch::call_step{dispatch::call_goes_on{}} : dispatch::caller_lost{};
+        }
+    } else {
+        const auto &end = std::get<answer::chunk_end>(message.value());
+        action = assembly_.accept(end);
+        if (action == answer::assembly_action::complete) {
+            prompt_tokens_ = end.prompt_tokens;
+            finish_reason_ = end.finish_reason;
+            return dispatch::call_complete{};
+        }
+    }
+    if (action == answer::assembly_action::resume) {
+        return failure(dispatch::call_end::broken);
+    }
+    log::write("response_mismatch", {{"request", identity().id}, {"backend", backend()}});
+    return dispatch::call_goes_on{};
+}
+
+bool completion_exchange::deliver(const answer::chunk &part) {
+    const auto &of = identity();
+    const auto now = tools().time.now();
+    if (last_token_) {
+        tools().metrics.observe(metrics::timing::between_tokens, of.organisation, of.service, now - *last_token_);
+    } else {
+        tools().metrics.observe(metrics::timing::first_token, of.organisation, of.service, now - of.received);
+        on_progress();
+    }
+    last_token_ = now;
+    tools().admission.add_served_tokens(of.id, assembly_.next_offset() == 1 ? request().prompt_tokens : 0, 1);
+    if (!request().stream) {
+        text_ += part.text;
+        return true;
+    }
+    if (!started_) {
+        started_ = true;
+        of.caller->start(200, internal::event_stream);
+    }
+    return of.caller->write(format_.token_event(part.text));
+}
+
+dispatch::call_step completion_exchange::on_end(dispatch::call_end how, const http::response & /*answer*/) {
+    return failure(how);
+}
+
+void completion_exchange::give_answer() {
+    auto &caller = *identity().caller;
+    const token_usage used{prompt_tokens_, assembly_.next_offset()};
+    if (!request().stream) {
+        return caller.respond(
+            {200, {{"Content-Type", "application/json"}}, format_.whole(text_, finish_reason_, used)});
+    }
+    if (!started_) {
+        started_ = true;
+        caller.start(200, internal::event_stream);
+    }
+    (void)caller.write(format_.end_events(finish_reason_, used));
+    caller.finish();
+}
+
+} // namespace dotterelstack::entry
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -3,11 +3,15 @@
 #include <chrono>
 
 #include "config/route.hpp"
+#include "entry/completion_exchange.hpp"
 #include "entry/key_scrubber.hpp"
+#include "entry/service_exchange.hpp"
 #include "log/event.hpp"
 
 namespace dotterelstack::entry {
 
+using dispatch::ran_claim;
+
 namespace internal {
 
 // Concurrent requests of one service through this entry, for each backend server known.
@@ -36,7 +40,7 @@
     return std::chrono::duration_cast<std::chrono::seconds>(since).count();
 }
 
-refusal_answer limit_refusal(const limits::decision &it) {
+dispatch::refusal limit_refusal(const limits::decision &it) {
     using enum limits::refusal;
     const auto wait = it.retry_after;
     switch (it.reason) {
@@ -68,7 +72,17 @@
     : settings_{std::move(settings)}, with_{std::move(with)}, admission_{with_.time}, router_{with_.time, with_.random},
       budget_{with_.time}, retries_{with_.time, budget_,
                                     [random = with_.random] { return internal::to_unit(random()); }},
-      freshness_{with_.time, settings_.isolation_limit} {}
+      freshness_{with_.time, settings_.isolation_limit}, calls_{with_.agents}, tools_{with_.time,
+                                                                                      with_.metrics,
+                                                                                      with_.agents,
+                                                                                      with_.claims,
+                                                                                      with_.usage,
+                                                                                      router_,
+                                                                                      admission_,
+                                                                                      index_,
+                                                                                      settings_.failure_domain,
+                                                                                      settings_.probe_timeout},
+      engine_{{with_.time, with_.metrics, calls_, retries_}} {}
 
 const config::service *dispatcher::find_service(const caller_request &request) const {
     return request.kind == request_kind::call ? config_->find_service(request.service)
@@ -87,7 +101,7 @@
     return !withdrawn_.contains(hash) && config_->find_active_key(hash) != nullptr;
 }
 
-void dispatcher::refuse(caller_port &caller, const refusal_answer &answer, std::string_view service) {
+void dispatcher::refuse(caller_port &caller, const dispatch::refusal &answer, std::string_view service) {
     with_.metrics.count("refusals_total", "reason=\"" + answer.code + "\",service=\"" + std::string{service} + "\"");
     caller.respond(to_response(answer));
 }
@@ -128,102 +142,114 @@
         log::write("key_in_body_refused", {{"service", service->name}, {"organisation", organisation}});
         return refuse(*caller, {400, "key_in_request", "send the key in the Authorization header only"}, service->name);
     }
-    auto id = with_.ids.next();
-    response_format format{id, request, internal::wall_clock_seconds()};
-    auto it = std::make_shared<flow>(flow{.id = id,
-                                          .caller = std::move(caller),
-                                          .request = std::move(request),
-                                          .organisation = organisation,
-                                          .service = service->name,
-                                          .key_hash = key == nullptr ? "" : hash,
-                                          .received = with_.time.now(),
-                                          .assembly = answer::assembly{id},
-                                          .format = format});
-    it->deadline = it->received + settings_.request_deadline;
-    it->prompt_tokens = it->request.prompt_tokens;
-    if (it->request.kind == request_kind::call) {
-        const auto path = it->request.path.substr(0, it->request.path.find('?'));
-        const auto *route = config::find_route(*service, it->request.method, path);
-        it->repeatable = route != nullptr && route->repeatable;
-    } else {
-        it->prefix_blocks = prefix_hashes(it->request.model, it->request.prompt, settings_.block_tokens);
+    const auto received = with_.time.now();
+    dispatch::request_identity of{.id = with_.ids.next(),
+                                  .caller = std::move(caller),
+                                  .organisation = organisation,
+                                  .service = service->name,
+                                  .received = received,
+                                  .deadline = received + settings_.request_deadline};
+    const auto key_hash = key == nullptr ? "" : hash;
+    if (request.kind == request_kind::call) {
+        const auto *route =
+            config::find_route(*service, request.method, request.path.substr(0, request.path.find('?')));
+        of.work = {.repeatable = route != nullptr && route->repeatable,
+                   .idempotency_key = !request.idempotency_key.empty()};
+        return submit(std::make_unique<service_exchange>(tools_, std::move(of), std::move(request), key_hash));
     }
-    submit(it);
+    of.work = {.repeatable = true, .resumable = true, .idempotency_key = !request.idempotency_key.empty()};
+    submit(std::make_unique<completion_exchange>(tools_, std::move(of), std::move(request), key_hash,
+                                                 internal::wall_clock_seconds()));
 }
 
-void dispatcher::submit(const std::shared_ptr<flow> &it) {
-    flows_.emplace(it->id, it);
-    const auto answer = admission_.submit({.request = it->id,
-                                           .row = {it->organisation, it->service},
-                                           .prompt_tokens = it->request.prompt_tokens,
-                                           .max_generated_tokens = it->request.max_tokens,
-                                           .priority = static_cast<int>(it->request.priority),
-                                           .deadline = it->deadline});
+void dispatcher::submit(std::unique_ptr<agent_exchange> request) {
+    const auto &of = request->identity();
+    const auto &asked = request->request();
+    const limits::submission wanted{.request = of.id,
+                                    .row = {of.organisation, of.service},
+                                    .prompt_tokens = asked.prompt_tokens,
+                                    .max_generated_tokens = asked.max_tokens,
+                                    .priority = static_cast<int>(asked.priority),
+                                    .deadline = of.deadline};
+    auto *it = request.get();
+    const known_exchange known{engine_.add(std::move(request)), it};
+    index_[it->identity().id] = known;
+    const auto answer = admission_.submit(wanted);
     if (answer.outcome == limits::verdict::refused) {
-        refuse(*it->caller, internal::limit_refusal(answer), it->service);
-        flows_.erase(it->id);
+        engine_.end(known.number, internal::limit_refusal(answer));
     } else if (answer.outcome == limits::verdict::admitted) {
-        admitted(*it);
+        admitted(known);
     }
 }
 
-void dispatcher::admitted(flow &it) {
-    with_.metrics.observe(metrics::timing::queue_wait, it.organisation, it.service, with_.time.now() - it.received);
-    it.history = retries_.begin({.repeatable = it.repeatable,
-                                 .resumable = it.request.kind != request_kind::call,
-                                 .idempotency_key = !it.request.idempotency_key.empty()},
-                                it.organisation, it.service, it.deadline);
-    if (it.repeatable || it.request.idempotency_key.empty()) {
-        start_attempt(it);
-        return;
+void dispatcher::admitted(const known_exchange &it) {
+    const auto &of = it.request->identity();
+    with_.metrics.observe(metrics::timing::queue_wait, of.organisation, of.service, with_.time.now() - of.received);
+    if (of.work.repeatable || !of.work.idempotency_key) {
+        return engine_.start(it.number);
     }
-    it.stage = flow_stage::claiming;
-    with_.claims.submit(
-        {.request_id = it.id,
-         .organisation = it.organisation,
-         .service = it.service,
-         .key = it.request.idempotency_key,
-         .body_hash = base::sha256_hex(it.request.method + " " + it.request.path + "\n" + it.request.body)});
+    it.request->claim();
 }
 
 void dispatcher::on_claim(const claim::claim_decision &decision) {
-    auto *it = find_flow(decision.request_id);
-    if (it == nullptr || it->stage != flow_stage::claiming) {
+    const auto *known = find(decision.request_id);
+    if (known == nullptr || !known->request->claiming()) {
         // The caller's request was given up before the claim was decided; the claim must not stay open.
         if (decision.verdict == claim::claim_verdict::run) {
             with_.claims.finish_not_run(decision.request_id);
         }
         return;
     }
+    const auto it = *known;
     using enum claim::claim_verdict;
     switch (decision.verdict) {
     case run:
-        it->claimed = true;
-        it->run_before = decision.run_before;
-        return start_attempt(*it);
+        it.request->on_claimed(decision.run_before);
+        return engine_.start(it.number);
     case replay:
         if (!decision.answer.complete) {
-            return give_up(
-                *it, {409, "answer_not_kept", "the request ran; its answer was too large to keep", ran_claim::unknown});
+            return engine_.end(it.number, {409, "answer_not_kept", "the request ran; its answer was too large to keep",
+                                           ran_claim::unknown});
         }
-        it->caller->respond({decision.answer.status,
-                             {{"Content-Type", decision.answer.content_type}, {"Idempotent-Replayed", "true"}},
-                             decision.answer.body});
-        return erase(it->id);
+        it.request->identity().caller->respond(
+            {decision.answer.status,
+             {{"Content-Type", decision.answer.content_type}, {"Idempotent-Replayed", "true"}},
+             decision.answer.body});
+        return engine_.finish(it.number);
     case in_progress:
-        return give_up(*it, {409, "in_progress", "a request with this Idempotency-Key is running; repeat it later",
-                             ran_claim::no, internal::membership_delay});
+        return engine_.end(it.number,
+                           {409, "in_progress", "a request with this Idempotency-Key is running; repeat it later",
+                            ran_claim::no, internal::membership_delay});
     case unknown:
-        log::write("claim_unknown", {{"request", it->id}, {"service", it->service}});
-        return give_up(*it, {409, "outcome_unknown",
-                             "a request with this Idempotency-Key may have run; check the service before a new one",
-                             ran_claim::unknown});
+        log::write("claim_unknown", {{"request", decision.request_id}, {"service", it.request->identity().service}});
+        return engine_.end(it.number,
+                           {409, "outcome_unknown",
+                            "a request with this Idempotency-Key may have run; check the service before a new one",
+                            ran_claim::unknown});
     case key_reused:
-        return give_up(*it, {422, "idempotency_key_reused", "use a new Idempotency-Key for a different request"});
+        return engine_.end(it.number,
+                           {422, "idempotency_key_reused", "use a new Idempotency-Key for a different request"});
     case refused:
         break;
     }
-    give_up(*it, {503, "claim_unavailable", decision.reason.message, ran_claim::no, internal::membership_delay});
+    engine_.end(it.number,
+                {503, "claim_unavailable", decision.reason.message, ran_claim::no, internal::membership_delay});
+}
+
+void dispatcher::on_cancel_outcome(std::string_view request, std::string_view outcome) {
+    if (const auto *it = find(request)) {
+        const bool never = outcome == "never_starts";
+        engine_.on_inquiry(it->number, never ? retry::evidence_kind::never_starts : retry::evidence_kind::unknown);
+    }
+}
+
+void dispatcher::on_usage_held(std::string_view request) {
+    const auto *found = find(request);
+    if (found != nullptr && found->request->stage() == dispatch::exchange_stage::answered) {
+        const auto it = *found;
+        it.request->release_answer();
+        engine_.finish(it.number);
+    }
 }
 
 void dispatcher::on_config(config::state_ptr state) {
@@ -295,71 +321,62 @@
     admission_.set_share({organisation, service}, share);
 }
 
-bool dispatcher::handed_over(const flow &it) noexcept {
-    return it.stage == flow_stage::running || it.stage == flow_stage::probing;
-}
-
-void dispatcher::tick() {
-    for (const auto &answer : admission_.poll()) {
-        if (auto *it = find_flow(answer.request); it != nullptr && it->stage == flow_stage::queued) {
-            if (answer.outcome == limits::verdict::admitted) {
-                admitted(*it);
-            } else {
-                refuse(*it->caller, internal::limit_refusal(answer), it->service);
-                flows_.erase(answer.request);
-            }
-        }
-    }
-    const auto now = with_.time.now();
+void dispatcher::check_keys(base::instant now) {
     if (freshness_.serves()) {
         isolated_since_.reset();
     } else if (config_ && !isolated_since_) {
         isolated_since_ = now;
-        log::write("key_table_stale", {{"active", flows_.size()}});
+        log::write("key_table_stale", {{"active", engine_.size()}});
     }
     const bool isolated = isolated_since_ && now - *isolated_since_ >= internal::isolation_grace;
-    const bool check_keys = now >= next_key_check_;
-    if (check_keys) {
+    const bool due = now >= next_key_check_;
+    if (due) {
         next_key_check_ = now + settings_.key_check_interval;
     }
-    if (now >= next_prune_) {
-        next_prune_ = now + internal::prune_interval;
-        budget_.prune();
-    }
-    std::vector<std::string> ids;
-    for (const auto &[id, it] : flows_) {
-        ids.push_back(id);
+    if (!isolated && !due) {
+        return;
     }
-    for (const auto &id : ids) {
-        auto *it = find_flow(id);
-        if (it == nullptr || it->stage == flow_stage::holding) {
+    // Ending a request removes it from the index.
+    const auto all = index_;
+    for (const auto &[id, it] : all) {
+        const auto &hash = it.request->key_hash();
+        if (hash.empty() || it.request->stage() == dispatch::exchange_stage::answered) {
             continue;
         }
-        if (check_keys && !it->key_hash.empty() && config_ && !key_valid(it->key_hash)) {
-            log::write("stream_ended_key_withdrawn", {{"request", it->id}, {"organisation", it->organisation}});
-            give_up(*it, {401, "key_withdrawn", "the key was withdrawn; use a valid one", claim_of(*it)});
-        } else if (isolated && !it->key_hash.empty()) {
-            give_up(*it, {503, "isolated", "this entry cannot confirm its key table any more; send to another one",
-                          claim_of(*it), internal::membership_delay});
-        } else if (now >= it->deadline && it->stage != flow_stage::probing) {
-            give_up(*it, {504, "deadline", "the request took too long; ask for less or retry later", claim_of(*it),
-                          internal::membership_delay});
-        } else if (it->stage == flow_stage::delayed && now >= it->retry_at) {
-            start_attempt(*it);
-        } else if (it->caller->gone() && (it->request.kind != request_kind::call || !handed_over(*it))) {
-            give_up(*it, {499, "caller_gone", "the caller closed the connection", ran_claim::unknown});
+        if (due && config_ && !key_valid(hash)) {
+            log::write("stream_ended_key_withdrawn",
+                       {{"request", id}, {"organisation", it.request->identity().organisation}});
+            engine_.end(it.number,
+                        {401, "key_withdrawn", "the key was withdrawn; use a valid one", claim_of(*it.request)});
+        } else if (isolated) {
+            engine_.end(it.number,
+                        {503, "isolated", "this entry cannot confirm its key table any more; send to another one",
+                         claim_of(*it.request), internal::membership_delay});
         }
     }
-    for (auto it = probes_.begin(); it != probes_.end();) {
-        if (now >= it->second) {
-            const auto id = it->first;
-            it = probes_.erase(it);
-            on_cancel_outcome(id, "");
-            it = probes_.begin();
+}
+
+void dispatcher::tick() {
+    for (const auto &answer : admission_.poll()) {
+        const auto *found = find(answer.request);
+        if (found == nullptr || found->request->stage() != dispatch::exchange_stage::held ||
+            found->request->claiming()) {
+            continue;
+        }
+        const auto it = *found;
+        if (answer.outcome == limits::verdict::admitted) {
+            admitted(it);
         } else {
-            ++it;
+            engine_.end(it.number, internal::limit_refusal(answer));
         }
     }
+    const auto now = with_.time.now();
+    if (now >= next_prune_) {
+        next_prune_ = now + internal::prune_interval;
+        budget_.prune();
+    }
+    check_keys(now);
+    engine_.tick();
 }
 
 std::vector<std::string> dispatcher::withdrawn_key_ids() const {
@@ -374,23 +391,19 @@
 
 std::map<config::row_name, limits::row_status> dispatcher::active_rows() const {
     std::map<config::row_name, limits::row_status> out;
-    for (const auto &[id, it] : flows_) {
-        const config::row_name name{it->organisation, it->service};
+    for (const auto &[id, it] : index_) {
+        const auto &of = it.request->identity();
+        const config::row_name name{of.organisation, of.service};
         if (!out.contains(name)) {
-            out.emplace(name, admission_.status({it->organisation, it->service}));
+            out.emplace(name, admission_.status({of.organisation, of.service}));
         }
     }
     return out;
 }
 
-flow *dispatcher::find_call(call_id call) {
-    const auto it = calls_.find(call);
-    return it == calls_.end() ? nullptr : find_flow(it->second);
-}
-
-flow *dispatcher::find_flow(std::string_view id) {
-    const auto it = flows_.find(id);
-    return it == flows_.end() ? nullptr : it->second.get();
+const known_exchange *dispatcher::find(std::string_view id) const {
+    const auto it = index_.find(id);
+    return it == index_.end() ? nullptr : &it->second;
 }
 
 } // namespace dotterelstack::entry
--- a/src/entry/dispatcher.hpp
+++ b/src/entry/dispatcher.hpp
@@ -14,8 +14,9 @@
 #include "base/id.hpp"
 #include "claim/claim_book.hpp"
 #include "config/config_state.hpp"
+#include "dispatch/engine.hpp"
+#include "entry/agent_exchange.hpp"
 #include "entry/caller_request.hpp"
-#include "entry/flow.hpp"
 #include "entry/freshness.hpp"
 #include "entry/ports.hpp"
 #include "limits/admission.hpp"
@@ -36,7 +37,6 @@
     base::duration key_check_interval{std::chrono::seconds{1}};
     base::duration isolation_limit{std::chrono::seconds{5}};
     base::duration probe_timeout{std::chrono::seconds{2}}; /**< Longest wait for the answer to a cancel. */
-    std::uint32_t block_tokens{1000};
 };
 
 /** @brief Facts about one backend server from its agent's status. */
@@ -49,8 +49,8 @@
 };
 
 /**
- * @brief Takes each request from arrival to its final answer: key, limits, claim, backend server, attempts, assembly,
- * usage. Events in, calls of the ports out; used by one thread; never blocks.
+ * @brief Front end for completions and calls of plain services: key, limits and claim before the engine starts a
+ * request, usage before its answer is released. Events in, calls of the ports out; used by one thread; never blocks.
  */
 class dispatcher {
 public:
@@ -70,9 +70,9 @@
     /** @brief A request that is well-formed has arrived. */
     void on_arrival(std::shared_ptr<caller_port> caller, caller_request request);
 
-    void on_head(call_id call, int status, const http::field_list &fields);
-    void on_data(call_id call, std::string_view part);
-    void on_end(call_id call, call_end how);
+    void on_head(call_id call, int status, const http::field_list &fields) { engine_.on_head(call, status, fields); }
+    void on_data(call_id call, std::string_view part) { engine_.on_data(call, part); }
+    void on_end(call_id call, call_end how) { engine_.on_end(call, how); }
 
     /** @param outcome Text of the agent's answer; empty when it gave none. */
     void on_cancel_outcome(std::string_view request, std::string_view outcome);
@@ -101,7 +101,7 @@
     [[nodiscard]] bool accepts() const noexcept { return !stopping_ && config_ && freshness_.serves(); }
 
     [[nodiscard]] freshness_guard &freshness() noexcept { return freshness_; }
-    [[nodiscard]] std::size_t active() const noexcept { return flows_.size(); }
+    [[nodiscard]] std::size_t active() const noexcept { return engine_.size(); }
     [[nodiscard]] std::uint64_t config_version() const noexcept { return config_ ? config_->version() : 0; }
 
     /** @return Ids of the keys that peers have reported as withdrawn. */
@@ -113,41 +113,28 @@
     [[nodiscard]] std::map<config::row_name, limits::row_status> active_rows() const;
 
 private:
-    struct identity {
-        std::string organisation;
-        std::string key_hash;
+    /** @brief Sends the engine's calls through agents. */
+    class agent_calls final : public dispatch::call_port {
+    public:
+        explicit agent_calls(agent_port &agents) : agents_{agents} {}
+
+        void send(call_id call, std::string_view address, http::request message, base::duration /*timeout*/) override {
+            agents_.run(call, address, std::move(message));
+        }
+        void cancel(call_id call) override { agents_.reset(call); }
+
+    private:
+        agent_port &agents_;
     };
 
-    // Arrival
     [[nodiscard]] const config::service *find_service(const caller_request &request) const;
     [[nodiscard]] bool is_public(const config::service &service, const caller_request &request) const;
     [[nodiscard]] bool key_valid(std::string_view hash) const;
-    void refuse(caller_port &caller, const refusal_answer &answer, std::string_view service);
-    void submit(const std::shared_ptr<flow> &it);
-    void admitted(flow &it);
-
-    // Attempts
-    void start_attempt(flow &it);
-    [[nodiscard]] routing::route_request route_of(const flow &it) const;
-    [[nodiscard]] http::request run_message(const flow &it) const;
-    void take_line(flow &it, std::string_view line);
-    void deliver(flow &it, const answer::chunk &part);
-    void after_failure(flow &it, call_end how);
-    void after_call(flow &it);
-    void probe(flow &it);
-    void retry_or_give_up(flow &it, retry::evidence_kind seen);
-    /** @return True while an attempt may be at a backend server; a call is then left to finish. */
-    [[nodiscard]] static bool handed_over(const flow &it) noexcept;
-    [[nodiscard]] static ran_claim claim_of(const flow &it) noexcept;
-    void end_attempt(flow &it, routing::outcome how);
-
-    // Ends
-    void complete(flow &it);
-    void release_answer(flow &it);
-    void give_up(flow &it, refusal_answer answer);
-    void erase(const std::string &id);
-    [[nodiscard]] flow *find_call(call_id call);
-    [[nodiscard]] flow *find_flow(std::string_view id);
+    void refuse(caller_port &caller, const dispatch::refusal &answer, std::string_view service);
+    void submit(std::unique_ptr<agent_exchange> request);
+    void admitted(const known_exchange &it);
+    void check_keys(base::instant now);
+    [[nodiscard]] const known_exchange *find(std::string_view id) const;
 
     const dispatcher_settings settings_;
     dependencies with_;
@@ -156,17 +143,17 @@
     retry::retry_budget budget_;
     retry::retry_policy retries_;
     freshness_guard freshness_;
+    agent_calls calls_;
+    exchange_index index_;
+    const exchange_tools tools_;
     base::instant next_prune_{};
     config::state_ptr config_;
     std::set<std::string, std::less<>> withdrawn_;
-    std::map<std::string, std::shared_ptr<flow>, std::less<>> flows_;
-    std::map<call_id, std::string> calls_;
     std::set<std::string, std::less<>> known_backends_;
-    std::map<std::string, base::instant, std::less<>> probes_;
-    call_id next_call_{1};
     base::instant next_key_check_{};
     std::optional<base::instant> isolated_since_; /**< Since when requests are refused. */
     bool stopping_{false};
+    dispatch::engine engine_;
 };
 
 } // namespace dotterelstack::entry
--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -115,8 +115,8 @@
     if (!room || !events_.try_push(arrival_event{caller, std::move(request.value())})) {
         log::write("overloaded", {{"active", active_.load()}});
         metrics_.count("refusals_total", "reason=\"overloaded\",service=\"\"");
-        caller->respond(to_response({503, "overloaded", "this entry is full; send to another one or retry later",
-                                     ran_claim::no, std::chrono::seconds{1}}));
+        caller->respond(dispatch::to_response({503, "overloaded", "this entry is full; send to another one or retry later",
+                                     dispatch::ran_claim::no, std::chrono::seconds{1}}));
     }
 }
 
--- a/src/entry/fwd.hpp
+++ b/src/entry/fwd.hpp
@@ -3,7 +3,7 @@
 namespace dotterelstack::entry {
 
 struct caller_request;
-struct refusal_answer;
+class agent_exchange;
 class dispatcher;
 class entry_daemon;
 
--- a/src/entry/ports.hpp
+++ b/src/entry/ports.hpp
@@ -5,25 +5,16 @@
 #include <string_view>
 
 #include "claim/claim_book.hpp"
+#include "dispatch/call_port.hpp"
 #include "http/caller_port.hpp"
 #include "http/message.hpp"
 
 namespace dotterelstack::entry {
 
-/** @brief Number of one call to an agent, unique in this process. */
-using call_id = std::uint64_t;
-
+using dispatch::call_end;
+using dispatch::call_id;
 using http::caller_port;
 
-/** @brief How a call to an agent ended. */
-enum class call_end {
-    complete,
-    not_sent,
-    not_started,
-    broken,
-    cancelled
-};
-
 /** @brief The way to agents. Outcomes come back as events of the dispatcher. */
 class agent_port {
 public:
--- /dev/null
+++ b/src/entry/service_exchange.cpp
@@ -0,0 +1,55 @@
+#include "entry/service_exchange.hpp"
+
+#include <charconv>
+
+namespace dotterelstack::entry {
+
+namespace internal {
+
+std::uint64_t number_of(const http::field_list &fields, std::string_view name) {
+    const auto text = http::find_field(fields, name).value_or("0");
+    std::uint64_t out = 0;
+    std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
+
+} // namespace internal
+
+void service_exchange::begin_attempt(std::uint32_t /*attempt*/) {
+    status_ = 0;
+    content_type_.clear();
+    total_ = 0;
+    body_.clear();
+}
+
+void service_exchange::on_answer_head(const http::field_list &fields) {
+    status_ = static_cast<int>(internal::number_of(fields, "ds-status"));
+    content_type_ = http::find_field(fields, "ds-content-type").value_or("");
+    total_ = internal::number_of(fields, "ds-total");
+}
+
+void service_exchange::add_fields(http::field_list &fields) const {
+    fields.push_back({"ds-kind", "call"});
+    fields.push_back({"ds-method", request().method});
+    fields.push_back({"ds-content-type", request().content_type});
+}
+
+dispatch::call_step service_exchange::on_data(std::string_view part) {
+    body_.append(part);
+    return dispatch::call_goes_on{};
+}
+
+dispatch::call_step service_exchange::on_end(dispatch::call_end how, const http::response & /*answer*/) {
+    const bool whole = how == dispatch::call_end::complete && !was_refused() && status_ != 0 && body_.size() == total_;
+    return whole ? dispatch::call_step{dispatch::call_complete{}} : failure(how);
+}
+
+claim::kept_answer service_exchange::answer_to_keep() const {
+    return {status_, content_type_, body_, true};
+}
+
+void service_exchange::give_answer() {
+    identity().caller->respond({status_, {{"Content-Type", content_type_}}, body_});
+}
+
+} // namespace dotterelstack::entry
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -8,22 +8,13 @@
 #include <vector>
 
 #include "base/clock.hpp"
+#include "dispatch/attempt.hpp"
 #include "gateway/backend_server.hpp"
 #include "gateway/request_facts.hpp"
 
 namespace dotterelstack::gateway {
 
-/** @brief How an attempt at a backend server ended. */
-enum class attempt_outcome : std::uint8_t {
-    answered,     /**< A whole answer that is no server error. */
-    server_error, /**< A whole answer with status 5xx that the backend server stands for. */
-    full,         /**< Rejected before it ran. */
-    misdirected,  /**< Another incarnation has the address. */
-    unreachable,  /**< No connection. */
-    broken,       /**< The connection broke, or the answer was not genuine. */
-    silent,       /**< No answer in time. */
-    cancelled     /**< Ended from here; says nothing about the backend server. */
-};
+using dispatch::attempt_outcome;
 
 /** @brief Times and weights of the belief about backend servers. */
 struct health_settings {
--- a/src/gateway/events.hpp
+++ b/src/gateway/events.hpp
@@ -10,10 +10,10 @@
 #include "gateway/backend_port.hpp"
 #include "gateway/backend_server.hpp"
 #include "gateway/forward_stop.hpp"
-#include "gateway/retry_window.hpp"
 #include "gateway/traffic_config.hpp"
 #include "http/caller_port.hpp"
 #include "http/message.hpp"
+#include "retry/retry_window.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -46,7 +46,7 @@
     std::uint32_t count{1};
 };
 struct settings_event {
-    retry_window_settings retries;
+    retry::retry_window_settings retries;
 };
 struct stop_event {
     forward_stop how{forward_stop::closing};
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -34,7 +34,7 @@
     return {status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
 
-retry_window_settings retries_of(const settings::gateway_bounds &from) {
+retry::retry_window_settings retries_of(const settings::gateway_bounds &from) {
     return {from.retry_window, from.retry_ratio, from.retry_allowance};
 }
 
--- a/src/gateway/start_tally.hpp
+++ b/src/gateway/start_tally.hpp
@@ -8,8 +8,8 @@
 #include <string_view>
 
 #include "base/clock.hpp"
-#include "gateway/forwarder.hpp"
 #include "gateway/site_codec.hpp"
+#include "gateway/start_counter.hpp"
 
 namespace dotterelstack::gateway {
 
--- /dev/null
+++ b/src/retry/budget.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace dotterelstack::retry {
+
+enum class budget_verdict : std::uint8_t {
+    taken,
+    organisation_exhausted,
+    service_exhausted
+};
+
+/** @brief Limits how many retries there are beside the requests. */
+class budget {
+public:
+    budget() = default;
+    budget(const budget &) = default;
+    budget &operator=(const budget &) = default;
+    virtual ~budget() = default;
+
+    /** @brief Counts a request. */
+    virtual void earn(std::string_view organisation, std::string_view service) = 0;
+
+    /** @return Whether a retry was taken; otherwise nothing was taken. */
+    [[nodiscard]] virtual budget_verdict take(std::string_view organisation, std::string_view service) = 0;
+};
+
+} // namespace dotterelstack::retry
--- a/src/retry/retry_budget.hpp
+++ b/src/retry/retry_budget.hpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "base/clock.hpp"
+#include "retry/budget.hpp"
 
 namespace dotterelstack::retry {
 
@@ -19,26 +20,20 @@
     base::duration window{std::chrono::seconds{10}}; /**< Time constant with which earned retries decay. */
 };
 
-enum class budget_verdict : std::uint8_t {
-    taken,
-    organisation_exhausted,
-    service_exhausted
-};
-
 /**
  * @brief Retry budgets of one entry, one per organisation and one per service. A retry takes from both, so
  * that neither one organisation nor one failing service multiplies the load. Not thread-safe.
  */
-class retry_budget {
+class retry_budget final : public budget {
 public:
     /** @param clock Must outlive this object. */
     explicit retry_budget(const base::clock &clock, budget_options options = {});
 
     /** @brief Counts the first attempt of a request. */
-    void earn(std::string_view organisation, std::string_view service);
+    void earn(std::string_view organisation, std::string_view service) override;
 
     /** @return Whether a retry was taken from both budgets; otherwise nothing was taken. */
-    [[nodiscard]] budget_verdict take(std::string_view organisation, std::string_view service);
+    [[nodiscard]] budget_verdict take(std::string_view organisation, std::string_view service) override;
 
     /** @brief Forgets budgets that have not been used for ten windows. Call it about once a minute. */
     void prune();
--- a/src/retry/retry_policy.cpp
+++ b/src/retry/retry_policy.cpp
@@ -14,7 +14,25 @@
 
 } // namespace
 
-retry_policy::retry_policy(const base::clock &clock, retry_budget &budget, random_source random, policy_options options)
+std::string_view to_string(evidence_kind kind) noexcept {
+    switch (kind) {
+    case evidence_kind::never_sent:
+        return "never_sent";
+    case evidence_kind::refused_before_handover:
+        return "refused";
+    case evidence_kind::never_starts:
+        return "never_starts";
+    case evidence_kind::unknown:
+        return "unknown";
+    case evidence_kind::answered:
+        return "answered";
+    case evidence_kind::broken_stream:
+        break;
+    }
+    return "broken_stream";
+}
+
+retry_policy::retry_policy(const base::clock &clock, budget &budget, random_source random, policy_options options)
     : clock_{clock}, budget_{budget}, random_{std::move(random)}, options_{options} {}
 
 request_history retry_policy::begin(work_facts work, std::string_view organisation, std::string_view service,
@@ -40,7 +58,8 @@
     return out;
 }
 
-give_up_reason retry_policy::obstacle(const request_history &request, base::duration delay, bool budgeted) {
+give_up_reason retry_policy::obstacle(const request_history &request, base::duration delay, bool counted,
+                                      bool budgeted) {
     const bool repeatable = request.work_.repeatable || request.work_.resumable;
     if (request.may_have_run_ && !repeatable) {
         return give_up_reason::not_repeatable;
@@ -51,7 +70,8 @@
     if (request.outer_retries_) {
         return give_up_reason::outer_layer;
     }
-    if (request.attempt_ >= options_.most_attempts) {
+    const auto most = request.work_.most_attempts == 0 ? options_.most_attempts : request.work_.most_attempts;
+    if (counted && request.attempt_ >= most) {
         return give_up_reason::attempts;
     }
     if (clock_.now() + delay >= request.deadline_) {
@@ -79,7 +99,9 @@
     // A resume after new tokens continues admitted work in the same slot, and an attempt that was never started has
     // loaded no backend server. Neither multiplies load; the number of attempts bounds them.
     const bool progress = seen.kind == evidence_kind::broken_stream && seen.offset > request.offset_;
-    const bool budgeted = !progress && !proves_not_run(seen.kind);
+    const bool arrived = seen.kind != evidence_kind::never_sent;
+    const bool budgeted = options_.budgets_arrivals ? arrived : !progress && !proves_not_run(seen.kind);
+    const bool counted = arrived || options_.counts_unsent;
     if (seen.kind == evidence_kind::broken_stream) {
         request.offset_ = std::max(request.offset_, seen.offset);
     }
@@ -87,7 +109,7 @@
     const auto ceiling = std::min(options_.longest_delay, options_.first_delay * (1U << doublings));
     const auto delay =
         base::duration{static_cast<base::duration::rep>(static_cast<double>(ceiling.count()) * random_())};
-    const auto reason = obstacle(request, delay, budgeted);
+    const auto reason = obstacle(request, delay, counted, budgeted);
     if (reason != give_up_reason::none) {
         return give_up(request, reason);
     }
@@ -95,7 +117,8 @@
     out.action = request.offset_ > 0 ? retry_action::resume_elsewhere : retry_action::retry_elsewhere;
     out.offset = request.offset_;
     out.delay = delay;
-    out.attempt = ++request.attempt_;
+    request.attempt_ += counted ? 1 : 0;
+    out.attempt = request.attempt_;
     return out;
 }
 
--- a/src/retry/retry_policy.hpp
+++ b/src/retry/retry_policy.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 
 #include "base/clock.hpp"
-#include "retry/retry_budget.hpp"
+#include "retry/budget.hpp"
 
 namespace dotterelstack::retry {
 
@@ -15,18 +15,22 @@
     bool repeatable{false};      /**< Running it twice does no harm. */
     bool resumable{false};       /**< A completion, which can go on at a token offset; implies repeatable. */
     bool idempotency_key{false}; /**< A claim was made in the store before the first hand-over. */
+    unsigned most_attempts{0};   /**< For this request; 0 = as in the options of the policy. */
 };
 
 /** @brief What is known about the attempt that has just ended. */
 enum class evidence_kind : std::uint8_t {
     never_sent,              /**< The request never left the entry. */
-    refused_before_handover, /**< The agent's explicit rejection, `ds-ran: no`. */
+    refused_before_handover, /**< An explicit rejection, such as the agent's `ds-ran: no`. */
     never_starts,            /**< The agent's reply to a cancel that names request and incarnation. */
     unknown,                 /**< Anything else: silence, reset, an unexpected answer. */
     answered,                /**< A complete response, whatever its status. */
     broken_stream            /**< The response began and did not end. */
 };
 
+/** @return The name for logs. */
+[[nodiscard]] std::string_view to_string(evidence_kind kind) noexcept;
+
 struct evidence {
     evidence_kind kind{evidence_kind::unknown};
     std::uint64_t offset{0}; /**< First token or byte that the caller has not received; for broken streams. */
@@ -79,6 +83,9 @@
     unsigned most_attempts{4};
     base::duration first_delay{std::chrono::milliseconds{10}}; /**< Upper end of the first delay, doubled each time. */
     base::duration longest_delay{std::chrono::seconds{1}};
+    bool counts_unsent{true};     /**< An attempt that was never sent is one of the attempts. */
+    bool budgets_arrivals{false}; /**< Whatever arrives at a backend server takes from the budget: after a rejection
+                                     and when resumed, too. */
 };
 
 /** @brief Attempts of one request so far. Owned by the request. */
@@ -105,7 +112,7 @@
 };
 
 /**
- * @brief Decides what follows a failed attempt. Only entries retry; an agent passes every failure on.
+ * @brief Decides what follows a failed attempt. Only entries and gateways retry; an agent passes every failure on.
  *
  * For work that must not be repeated, send the cancel first and report `unknown` only when it brought no
  * evidence: the decision on `unknown` is final. Not thread-safe.
@@ -116,7 +123,7 @@
     using random_source = std::function<double()>;
 
     /** @param clock Must outlive this object. @param budget Shared by all requests of the entry. */
-    retry_policy(const base::clock &clock, retry_budget &budget, random_source random, policy_options options = {});
+    retry_policy(const base::clock &clock, budget &budget, random_source random, policy_options options = {});
 
     /**
      * @brief Starts a request and counts its first attempt towards the budgets.
@@ -130,11 +137,12 @@
     [[nodiscard]] retry_decision decide(request_history &request, const evidence &seen);
 
 private:
-    [[nodiscard]] give_up_reason obstacle(const request_history &request, base::duration delay, bool budgeted);
+    [[nodiscard]] give_up_reason obstacle(const request_history &request, base::duration delay, bool counted,
+                                          bool budgeted);
     [[nodiscard]] static retry_decision give_up(request_history &request, give_up_reason reason) noexcept;
 
     const base::clock &clock_;
-    retry_budget &budget_;
+    budget &budget_;
     random_source random_;
     policy_options options_;
 };
--- a/src/gateway/retry_window.cpp
+++ b/src/retry/retry_window.cpp
@@ -1,6 +1,6 @@
-#include "gateway/retry_window.hpp"
+#include "retry/retry_window.hpp"
 
-namespace dotterelstack::gateway {
+namespace dotterelstack::retry {
 
 namespace internal {
 
@@ -36,21 +36,21 @@
            static_cast<std::int64_t>(it.retries.size());
 }
 
-void retry_window::on_request(std::string_view service) {
+void retry_window::earn(std::string_view /*organisation*/, std::string_view service) {
     refreshed(service).requests.push_back(time_.now());
 }
 
-bool retry_window::take(std::string_view service) {
+budget_verdict retry_window::take(std::string_view /*organisation*/, std::string_view service) {
     auto &it = refreshed(service);
     if (room(it) < 1) {
-        return false;
+        return budget_verdict::service_exhausted;
     }
     it.retries.push_back(time_.now());
-    return true;
+    return budget_verdict::taken;
 }
 
 std::int64_t retry_window::available(std::string_view service) {
     return room(refreshed(service));
 }
 
-} // namespace dotterelstack::gateway
+} // namespace dotterelstack::retry
--- a/src/gateway/retry_window.hpp
+++ b/src/retry/retry_window.hpp
@@ -7,8 +7,9 @@
 #include <string_view>
 
 #include "base/clock.hpp"
+#include "retry/budget.hpp"
 
-namespace dotterelstack::gateway {
+namespace dotterelstack::retry {
 
 /** @brief Retries that all gateways together may make. */
 struct retry_window_settings {
@@ -23,7 +24,7 @@
  * The part is the ratio of the requests seen here and an equal share of the allowance. A tenth of both is kept back,
  * because windows of different gateways and of the judge do not begin together. Not thread-safe.
  */
-class retry_window {
+class retry_window final : public budget {
 public:
     /** @param time Clock; must outlive this object. */
     retry_window(const base::clock &time, retry_window_settings settings);
@@ -34,11 +35,8 @@
     /** @brief Changes the limits; what was counted stays. */
     void set_limits(const retry_window_settings &values) noexcept { settings_ = values; }
 
-    /** @brief Counts a request of a caller. */
-    void on_request(std::string_view service);
-
-    /** @return True when a retry was taken. */
-    [[nodiscard]] bool take(std::string_view service);
+    void earn(std::string_view organisation, std::string_view service) override;
+    [[nodiscard]] budget_verdict take(std::string_view organisation, std::string_view service) override;
 
     /** @return Retries that may be taken now. */
     [[nodiscard]] std::int64_t available(std::string_view service);
@@ -58,4 +56,4 @@
     std::map<std::string, account, std::less<>> accounts_;
 };
 
-} // namespace dotterelstack::gateway
+} // namespace dotterelstack::retry
--- a/test/entry/dispatcher.cpp
+++ b/test/entry/dispatcher.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "answer/chunk.hpp"
 #include "config/sample.hpp"
 
 using namespace dotterelstack;
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -194,6 +194,20 @@
     CHECK_FALSE(caller->aborted);
 }
 
+// Guards against a second run that repeats events which the caller already has.
+TEST_CASE("a stream whose events have no ids is broken off instead of resumed") {
+    forwarder_fixture it;
+    it.configure();
+    it.populate();
+    const auto caller = it.send("/draft/1");
+    it.begin_stream();
+    it.subject.on_data(it.last().call, "data: x\n\n");
+    it.end(call_end::broken);
+    CHECK(it.backends.calls.size() == 1);
+    CHECK(caller->aborted);
+    CHECK_FALSE(caller->finished);
+}
+
 // Guards against joining pieces of two runs of a stream that may not be resumed.
 TEST_CASE("a stream that may not be resumed is broken off visibly") {
     forwarder_fixture it;
--- a/test/retry/retry_policy.cpp
+++ b/test/retry/retry_policy.cpp
@@ -6,6 +6,8 @@
 #include <array>
 #include <vector>
 
+#include "retry/retry_budget.hpp"
+
 using namespace std::chrono_literals;
 using dotterelstack::base::instant;
 using dotterelstack::base::manual_clock;
--- a/test/gateway/retry_window.cpp
+++ b/test/retry/retry_window.cpp
@@ -1,4 +1,4 @@
-#include "gateway/retry_window.hpp"
+#include "retry/retry_window.hpp"
 
 #include <doctest/doctest.h>
 
@@ -8,10 +8,10 @@
 // Guards against gateways that together exceed a limit which each of them keeps.
 TEST_CASE("the allowance is divided among the gateways") {
     base::manual_clock clock;
-    gateway::retry_window it{clock, {10s, 0.0, 60}};
+    retry::retry_window it{clock, {10s, 0.0, 60}};
     it.set_gateways(6);
     int taken = 0;
-    while (it.take("llm")) {
+    while (it.take("large", "llm") == retry::budget_verdict::taken) {
         ++taken;
     }
     CHECK(taken == 9);
@@ -21,13 +21,13 @@
 // Pattern: a burst followed by silence. Guards against retries earned by requests that left the window.
 TEST_CASE("requests earn retries for one window only") {
     base::manual_clock clock;
-    gateway::retry_window it{clock, {10s, 0.2, 0}};
+    retry::retry_window it{clock, {10s, 0.2, 0}};
     for (int n = 0; n < 100; ++n) {
-        it.on_request("llm");
+        it.earn("large", "llm");
     }
     CHECK(it.available("llm") == 18);
-    REQUIRE(it.take("llm"));
+    REQUIRE(it.take("large", "llm") == retry::budget_verdict::taken);
     clock.advance(10001ms);
     CHECK(it.available("llm") == 0);
-    CHECK_FALSE(it.take("llm"));
+    CHECK(it.take("large", "llm") == retry::budget_verdict::service_exhausted);
 }
