Let an entry that starts without the store borrow from the limits of another

Such an entry now asks one other entry for a loan from its floors. The lender first lowers its own allowance, lends at most half of a floor, and only what it neither uses nor may admit, for 2 s. It adopts a new epoch only when no loan is out, because a smaller floor might not cover the loans.

Ruled out: the floor of the process that ran on the host before (a replaced host has none, and a host that is cut off still uses it), and a floor from the number of entries seen (entries that are cut off are not seen and use theirs).

Two faults of the first version were found by the test of share_link: rates that are asked for by use stay at nothing without a floor to grow from, and an entry that owns a limit alone did not subtract what it had lent (7 of 6).

The division of loans moved from share_ledger to loan_book, which both lenders use.

--- a/src/entry/entry_daemon.cpp
+++ b/src/entry/entry_daemon.cpp
@@ -45,7 +45,8 @@
       shares_{{.incarnation = incarnation_},
               {time, store, events_, peer_calls_,
                [this] { return fleet_ && fleet_->list_known() && fleet_->entries().empty(); },
-               [this] { return share_epochs_.authority(); }}},
+               [this] { return share_epochs_.authority(); },
+               [this] { return fleet_ ? fleet_->entries() : std::vector<peer_entry>{}; }}},
       share_epochs_{settings_.timings,
                     {.incarnation = incarnation_, .host = settings_.name},
                     {time, store, ids, peer_calls_, [this] { return is_lease_candidate(); },
@@ -115,8 +116,9 @@
     if (!room || !events_.try_push(arrival_event{caller, std::move(request.value())})) {
         log::write("overloaded", {{"active", active_.load()}});
         metrics_.count("refusals_total", "reason=\"overloaded\",service=\"\"");
-        caller->respond(dispatch::to_response({503, "overloaded", "this entry is full; send to another one or retry later",
-                                     dispatch::ran_claim::no, std::chrono::seconds{1}}));
+        caller->respond(
+            dispatch::to_response({503, "overloaded", "this entry is full; send to another one or retry later",
+                                   dispatch::ran_claim::no, std::chrono::seconds{1}}));
     }
 }
 
@@ -195,7 +197,7 @@
     if (path == "/usage/release" && message.method == "POST") {
         return stream.respond(usage_.on_release(message));
     }
-    if (path == "/shares/demand" && message.method == "POST") {
+    if ((path == "/shares/demand" || path == "/shares/loan") && message.method == "POST") {
         return stream.respond(shares_.on_demand(message));
     }
     if (path == "/shares/epoch") {
--- a/src/entry/share_link.cpp
+++ b/src/entry/share_link.cpp
@@ -15,6 +15,8 @@
 // Pause between questions while the epoch is not confirmed: a new epoch is confirmed soon after it was written, as
 // nothing is lent before that.
 constexpr auto confirm_retry = std::chrono::milliseconds{100};
+constexpr std::string_view demand_path = "/shares/demand";
+constexpr std::string_view loan_path = "/shares/loan";
 
 http::response share_answer(int status, const json &body) {
     return {status, {{"content-type", "application/json"}}, body.dump()};
@@ -28,6 +30,17 @@
     return {row.first, row.second};
 }
 
+/** Demands that follow the use of a rate need a floor to grow from, which a borrower does not have. */
+limits::share_amounts loan_wanted(const limits::share_amounts &limit, const limits::row_use &use) {
+    if (!any(use.wanted)) {
+        return {};
+    }
+    auto out = limit;
+    constexpr auto concurrency = static_cast<std::size_t>(limits::resource::concurrency);
+    out[concurrency] = use.wanted[concurrency];
+    return out;
+}
+
 limits::share_amounts amounts_of_row(const config::row &row) {
     limits::row_limits out;
     out.max_concurrency = static_cast<std::uint32_t>(row.concurrency);
@@ -41,7 +54,7 @@
 
 share_link::share_link(share_link_options options, dependencies with)
     : options_{std::move(options)}, with_{std::move(with)}, holder_{with_.time, options_.incarnation},
-      ledger_{with_.time} {}
+      ledger_{with_.time}, lender_{with_.time} {}
 
 share_link::~share_link() {
     stop();
@@ -79,6 +92,9 @@
             known.limit = limit;
             holder_.set_limit({row.organisation, row.service}, limit);
             ledger_.set_limit({row.organisation, row.service}, limit);
+            if (loans_) {
+                loans_->set_limit({row.organisation, row.service}, limit);
+            }
         }
     }
     changed_ = true;
@@ -97,9 +113,22 @@
     }
     // A demand gives lent amounts back, so the smaller share is in force before the demand leaves.
     apply_shares(apply);
+    offer_loans(load);
     send(demands);
 }
 
+void share_link::grant_times::on_sent(std::uint64_t sequence, base::instant at) {
+    sent[sequence] = at;
+    std::erase_if(sent, [&](const auto &it) { return it.second + limits::grant_lifetime < at; });
+}
+
+void share_link::grant_times::on_grant(std::uint64_t sequence) {
+    if (const auto at = sent.find(sequence); at != sent.end()) {
+        expires = at->second + limits::grant_lifetime;
+        sent.erase(sent.begin(), std::next(at));
+    }
+}
+
 std::optional<limits::row_use> share_link::take_use(row_state &row, const limits::row_status &status) const {
     const auto now = with_.time.now();
     const bool idle = status.running == 0 && status.waiting == 0 && status.admitted == row.seen.admitted;
@@ -115,28 +144,83 @@
 std::vector<share_link::addressed_demand> share_link::build_demands(const load_source &load) {
     std::vector<addressed_demand> out;
     const std::scoped_lock lock{mutex_};
-    if (!epoch_) {
+    borrow_or_stop();
+    if (!epoch_ && !loans_) {
         return out;
     }
     for (auto &[name, row] : rows_) {
-        const auto key = internal::key_of(name);
-        const auto use = internal::any(row.limit) ? take_use(row, load(key)) : std::nullopt;
+        const auto use = internal::any(row.limit) ? take_use(row, load(internal::key_of(name))) : std::nullopt;
         if (!use) {
             continue;
         }
-        const auto before = with_.time.now();
-        const auto demand = holder_.demand(key, use->wanted, use->in_use);
-        if (!demand) {
-            continue;
+        row.active = false;
+        for (const auto kind : {demand_kind::grant, demand_kind::loan}) {
+            if (auto demand = build_demand(kind, name, row, *use)) {
+                row.active = row.active || internal::any(demand->demand.wanted) || internal::any(demand->demand.in_use);
+                out.push_back(std::move(*demand));
+            }
         }
-        row.active = internal::any(demand->wanted) || internal::any(demand->in_use);
-        row.sent[demand->sequence] = before;
-        std::erase_if(row.sent, [&](const auto &it) { return it.second + limits::grant_lifetime < before; });
-        out.push_back({std::string{limits::coordinator_of(epoch_->epoch, key)}, name, *demand});
     }
     return out;
 }
 
+std::optional<share_link::addressed_demand> share_link::build_demand(demand_kind kind,
+                                                                     const limits::row_order::owned &name,
+                                                                     row_state &row, const limits::row_use &use) {
+    const auto key = internal::key_of(name);
+    const auto before = with_.time.now();
+    if (kind == demand_kind::loan) {
+        const auto demand =
+            loans_ ? loans_->demand(key, internal::loan_wanted(row.limit, use), use.in_use) : std::nullopt;
+        if (!demand) {
+            return std::nullopt;
+        }
+        row.loans.on_sent(demand->sequence, before);
+        return addressed_demand{kind, false, lender_address_, name, *demand};
+    }
+    const auto demand = epoch_ ? holder_.demand(key, use.wanted, use.in_use) : std::nullopt;
+    if (!demand) {
+        return std::nullopt;
+    }
+    row.grants.on_sent(demand->sequence, before);
+    const std::string coordinator{limits::coordinator_of(epoch_->epoch, key)};
+    const auto place = epoch_->places.find(coordinator);
+    return addressed_demand{kind, coordinator == options_.incarnation,
+                            place == epoch_->places.end() ? "" : place->second.address, name, *demand};
+}
+
+void share_link::borrow_or_stop() {
+    started_without_store_ = started_without_store_ && !holder_.has_floors();
+    if (!started_without_store_) {
+        // Loans that are given up need no message: they expire at the lender.
+        loans_.reset();
+        lender_address_.clear();
+    } else if (!loans_ || with_.time.now() >= lender_until_) {
+        choose_lender();
+    }
+}
+
+void share_link::choose_lender() {
+    auto peers = with_.peers();
+    std::erase_if(peers, [](const peer_entry &it) { return !it.live; });
+    if (peers.empty()) {
+        return;
+    }
+    // Entries that start at the same time begin with different lenders.
+    ++lender_term_;
+    const auto first = std::hash<std::string>{}(options_.incarnation);
+    const auto &chosen = peers[(first + lender_term_) % peers.size()];
+    lender_address_ = chosen.address;
+    lender_until_ = with_.time.now() + options_.lender_patience;
+    loans_.emplace(with_.time, options_.incarnation);
+    loans_->set_epoch({limits::floor_loan_epoch, {}, {}});
+    for (auto &[name, row] : rows_) {
+        loans_->set_limit(internal::key_of(name), row.limit);
+        row.loans = {};
+    }
+    log::write("floor_lender_chosen", {{"peer", lender_address_}, {"term", lender_term_}});
+}
+
 bool share_link::owns_all() const {
     // The first epoch has no predecessor whose grants could still be in use, and a later one cannot grant anything
     // within the life of its confirmation, so its only member need not wait for the settling time.
@@ -145,11 +229,32 @@
            with_.time.now() < confirmed_until_;
 }
 
-limits::share_amounts share_link::allowance_of(const limits::row_order::owned &key, const row_state &row) const {
+limits::share_amounts share_link::allowance_of(const limits::row_order::owned &key, const row_state &row) {
+    const auto name = internal::key_of(key);
+    limits::share_amounts out{};
     if (owns_all() || (!epoch_ && epoch_absent_ && with_.alone())) {
-        return row.limit;
+        out = row.limit;
+    } else if (epoch_) {
+        out = holder_.allowance(name);
+    }
+    const auto reserved = lender_.reserve(name, holder_.floor(name));
+    const auto borrowed = loans_ ? loans_->allowance(name) : limits::share_amounts{};
+    for (std::size_t n = 0; n < limits::resource_count; ++n) {
+        out[n] += borrowed[n];
+        out[n] -= std::min(out[n], reserved[n]);
+    }
+    return out;
+}
+
+void share_link::offer_loans(const load_source &load) {
+    const std::scoped_lock lock{mutex_};
+    if (lender_.idle()) {
+        return;
+    }
+    for (const auto &[name, row] : rows_) {
+        const auto key = internal::key_of(name);
+        lender_.offer(key, holder_.floor(key), {load(key).running});
     }
-    return epoch_ ? holder_.allowance(internal::key_of(key)) : limits::share_amounts{};
 }
 
 void share_link::apply_shares(const share_sink &apply) {
@@ -161,8 +266,10 @@
         expiry_ = now < confirmed_until_ ? confirmed_until_ : base::instant::max();
         for (auto &[name, row] : rows_) {
             const auto allowance = allowance_of(name, row);
-            if (now < row.expires) {
-                expiry_ = std::min(expiry_, row.expires);
+            for (const auto expires : {row.grants.expires, row.loans.expires}) {
+                if (now < expires) {
+                    expiry_ = std::min(expiry_, expires);
+                }
             }
             if (row.applied != allowance) {
                 row.applied = allowance;
@@ -177,63 +284,83 @@
 }
 
 void share_link::send(const std::vector<addressed_demand> &demands) {
-    std::map<std::string, json> bodies;
+    std::map<std::pair<std::string, demand_kind>, json> bodies;
     for (const auto &it : demands) {
-        if (it.coordinator == options_.incarnation) {
-            if (const auto grant = answer(it.row, it.demand)) {
-                take_grant(it.row, *grant);
+        if (it.to_self) {
+            if (const auto grant = answer(it.kind, it.row, it.demand)) {
+                take_grant(it.kind, 0, it.row, *grant);
             }
-            continue;
-        }
-        auto &rows = bodies.try_emplace(it.coordinator, json::array()).first->second;
-        rows.push_back({{"organisation", it.row.first}, {"service", it.row.second}, {"demand", to_json(it.demand)}});
-    }
-    for (auto &[coordinator, rows] : bodies) {
-        std::string address;
-        {
-            const std::scoped_lock lock{mutex_};
-            const auto found = epoch_->places.find(coordinator);
-            address = found == epoch_->places.end() ? std::string{} : found->second.address;
-        }
-        if (address.empty()) {
-            continue;
+        } else if (!it.address.empty()) {
+            auto &rows = bodies.try_emplace({it.address, it.kind}, json::array()).first->second;
+            rows.push_back(
+                {{"organisation", it.row.first}, {"service", it.row.second}, {"demand", to_json(it.demand)}});
         }
+    }
+    std::uint64_t term = 0;
+    {
+        const std::scoped_lock lock{mutex_};
+        term = lender_term_;
+    }
+    for (auto &[to, rows] : bodies) {
+        const auto kind = to.second;
         const json body{{"rows", std::move(rows)}};
-        with_.calls.call(address, {"POST", "/shares/demand", {{"content-type", "application/json"}}, body.dump()},
-                         [this](const base::result<http::response> &got) {
-                             if (got && got.value().status == 200) {
-                                 take_grants(got.value().body);
-                             }
-                         });
+        http::request message{"POST",
+                              std::string{kind == demand_kind::loan ? internal::loan_path : internal::demand_path},
+                              {{"content-type", "application/json"}},
+                              body.dump()};
+        with_.calls.call(to.first, std::move(message), [this, kind, term](const base::result<http::response> &got) {
+            if (got && got.value().status == 200) {
+                take_grants(kind, term, got.value().body);
+            }
+        });
     }
 }
 
-std::optional<limits::share_grant> share_link::answer(const limits::row_order::owned &row,
+std::optional<limits::share_grant> share_link::answer(demand_kind kind, const limits::row_order::owned &row,
                                                       const limits::share_demand &demand) {
     const std::scoped_lock lock{mutex_};
+    if (kind == demand_kind::loan) {
+        if (!holder_.has_floors()) {
+            return std::nullopt;
+        }
+        // The dispatcher's thread sets aside what the next demand is granted.
+        mark_changed();
+        return lender_.answer(internal::key_of(row), demand);
+    }
     lends_ = true;
     return ledger_.answer(internal::key_of(row), demand);
 }
 
-void share_link::take_grant(const limits::row_order::owned &row, const limits::share_grant &grant) {
+void share_link::take_grant(demand_kind kind, std::uint64_t term, const limits::row_order::owned &row,
+                            const limits::share_grant &grant) {
     const std::scoped_lock lock{mutex_};
     const auto found = rows_.find(row);
-    if (found == rows_.end() || !holder_.apply(internal::key_of(row), grant)) {
+    if (found == rows_.end()) {
         return;
     }
-    auto &sent = found->second.sent;
-    if (const auto at = sent.find(grant.sequence); at != sent.end()) {
-        found->second.expires = at->second + limits::grant_lifetime;
-        sent.erase(sent.begin(), std::next(at));
+    const auto key = internal::key_of(row);
+    if (kind == demand_kind::loan) {
+        if (!loans_ || term != lender_term_ || !loans_->apply(key, grant)) {
+            return;
+        }
+        found->second.loans.on_grant(grant.sequence);
+        if (internal::any(grant.lent)) {
+            lender_until_ = with_.time.now() + options_.lender_patience;
+        }
+    } else {
+        if (!holder_.apply(key, grant)) {
+            return;
+        }
+        found->second.grants.on_grant(grant.sequence);
     }
     mark_changed();
 }
 
-void share_link::take_grants(std::string_view body) {
+void share_link::take_grants(demand_kind kind, std::uint64_t term, std::string_view body) {
     try {
         const auto value = json::parse(body);
         for (const auto &it : value.at("grants")) {
-            take_grant({it.at("organisation").get<std::string>(), it.at("service").get<std::string>()},
+            take_grant(kind, term, {it.at("organisation").get<std::string>(), it.at("service").get<std::string>()},
                        grant_of(it.at("grant")));
         }
     } catch (const json::exception &) {
@@ -243,13 +370,14 @@
 }
 
 http::response share_link::on_demand(const http::request &message) {
+    const auto kind = message.path() == internal::loan_path ? demand_kind::loan : demand_kind::grant;
     auto grants = json::array();
     try {
         const auto value = json::parse(message.body);
         for (const auto &it : value.at("rows")) {
             const limits::row_order::owned row{it.at("organisation").get<std::string>(),
                                                it.at("service").get<std::string>()};
-            if (const auto grant = answer(row, demand_of(it.at("demand")))) {
+            if (const auto grant = answer(kind, row, demand_of(it.at("demand")))) {
                 grants.push_back({{"organisation", row.first}, {"service", row.second}, {"grant", to_json(*grant)}});
             }
         }
@@ -278,6 +406,16 @@
     if (epoch_ && (found.version <= epoch_->version || found.epoch.number < epoch_->epoch.number)) {
         return;
     }
+    if (pending_ && found.epoch.number < pending_->epoch.number) {
+        return;
+    }
+    if (epoch_ && found.epoch.number > epoch_->epoch.number && !lender_.idle()) {
+        pending_ = found;
+        lender_.set_open(false);
+        return;
+    }
+    pending_.reset();
+    lender_.set_open(true);
     if (!epoch_ || found.epoch.number > epoch_->epoch.number) {
         holder_.set_epoch(found.epoch);
         ledger_.set_epoch(found.epoch);
@@ -288,6 +426,18 @@
     mark_changed();
 }
 
+void share_link::adopt_pending() {
+    std::optional<epoch_object> found;
+    {
+        const std::scoped_lock lock{mutex_};
+        if (!pending_ || !lender_.idle()) {
+            return;
+        }
+        found = std::exchange(pending_, std::nullopt);
+    }
+    adopt(*found);
+}
+
 void share_link::mark_changed() {
     changed_ = true;
     // Only wakes the dispatcher's thread; when the ring is full it is awake.
@@ -297,11 +447,14 @@
 void share_link::read_epoch() {
     const auto found = with_.store.get(share_epoch_key);
     if (!found) {
+        const std::scoped_lock lock{mutex_};
+        started_without_store_ = started_without_store_ || (!epoch_ && !epoch_absent_);
         return;
     }
     if (!found.value()) {
         const std::scoped_lock lock{mutex_};
         epoch_absent_ = true;
+        started_without_store_ = false;
         return;
     }
     if (const auto parsed = parse_epoch(*found.value())) {
@@ -360,6 +513,7 @@
         if (now >= read_due) {
             read_due = now + options_.epoch_every;
             read_epoch();
+            adopt_pending();
             // Floors that grow with time and a host list that has changed come into force here.
             mark_changed();
         }
--- a/src/entry/share_link.hpp
+++ b/src/entry/share_link.hpp
@@ -16,6 +16,7 @@
 #include "entry/peer_port.hpp"
 #include "entry/share_epoch_object.hpp"
 #include "lease/authority_check.hpp"
+#include "limits/floor_lender.hpp"
 #include "limits/share_holder.hpp"
 #include "limits/share_ledger.hpp"
 #include "limits/share_units.hpp"
@@ -28,6 +29,7 @@
     std::string incarnation;                                     /**< Member of the epoch. */
     base::duration demand_every{std::chrono::milliseconds{250}}; /**< A grant lives 2 s: seven may be lost. */
     base::duration epoch_every{std::chrono::seconds{1}};         /**< Reading `shares/epoch` and confirming it. */
+    base::duration lender_patience{std::chrono::seconds{1}};     /**< Without a loan, another entry is asked. */
 };
 
 /**
@@ -35,6 +37,9 @@
  *
  * Demands are built and shares are applied on the dispatcher's thread, so that no request is admitted between a lent
  * amount being given back and the message that says so. A thread of its own reads the epoch and confirms it.
+ *
+ * An entry that starts while the store is away is in no epoch and has no floors. It borrows from the floors of one
+ * other entry until it has floors of its own.
  */
 class share_link {
 public:
@@ -44,6 +49,8 @@
     using alone_check = std::function<bool()>;
     /** @brief Check of the lease `shares`, when this entry holds it and has written the epoch under it. */
     using authority_source = std::function<std::optional<lease::authority_check>()>;
+    /** @brief The other entries. */
+    using peer_source = std::function<std::vector<peer_entry>()>;
 
     /** @brief Collaborators; all must outlive the link. */
     struct dependencies {
@@ -53,6 +60,7 @@
         peer_port &calls;
         alone_check alone;
         authority_source authority;
+        peer_source peers;
     };
 
     share_link(share_link_options options, dependencies with);
@@ -71,10 +79,13 @@
     /** @brief Applies what has changed and sends demands when they are due. Call before each event; returns at once. */
     void tick(const load_source &load, const share_sink &apply);
 
-    /** @brief Applies an epoch read from the store; an older version is ignored. */
+    /**
+     * @brief Applies an epoch read from the store; an older version is ignored. While floors of the epoch before are
+     * lent, it waits: a smaller floor might no longer cover the loans.
+     */
     void adopt(const epoch_object &found);
 
-    /** @brief Answers `POST /shares/demand`. */
+    /** @brief Answers `POST /shares/demand`, and `POST /shares/loan` of an entry without floors. */
     [[nodiscard]] http::response on_demand(const http::request &message);
 
     /** @brief Answers `GET /shares/epoch`: whether this entry holds the lease and which epoch is current. */
@@ -84,32 +95,56 @@
     [[nodiscard]] std::uint64_t epoch() const noexcept { return applied_epoch_; }
 
 private:
+    /** @brief When demands were sent, and how long the grant in force lasts. */
+    struct grant_times {
+        std::map<std::uint64_t, base::instant> sent{}; /**< Demands without answer. */
+        base::instant expires{};                       /**< End of the grant in force, or an earlier instant. */
+
+        void on_sent(std::uint64_t sequence, base::instant at);
+        void on_grant(std::uint64_t sequence);
+    };
+
     struct row_state {
         limits::share_amounts limit{};
         limits::row_status seen{};
         base::instant seen_at{};
-        bool active{false};                             /**< The last demand asked for something. */
-        base::instant expires{};                        /**< End of the grant in force, or an earlier instant. */
-        std::map<std::uint64_t, base::instant> sent{};  /**< Demands without answer. */
+        bool active{false}; /**< The last demand asked for something. */
+        grant_times grants{};
+        grant_times loans{};
         std::optional<limits::share_amounts> applied{}; /**< Allowance that the dispatcher has. */
     };
 
+    /** @brief Where a demand goes. */
+    enum class demand_kind : std::uint8_t {
+        grant, /**< To the coordinator of the row. */
+        loan   /**< To the lender of this entry. */
+    };
+
     struct addressed_demand {
-        std::string coordinator;
+        demand_kind kind{demand_kind::grant};
+        bool to_self{false};
+        std::string address;
         limits::row_order::owned row;
         limits::share_demand demand;
     };
 
     [[nodiscard]] std::vector<addressed_demand> build_demands(const load_source &load);
     [[nodiscard]] std::optional<limits::row_use> take_use(row_state &row, const limits::row_status &status) const;
+    [[nodiscard]] std::optional<addressed_demand> build_demand(demand_kind kind, const limits::row_order::owned &name,
+                                                               row_state &row, const limits::row_use &use);
     void apply_shares(const share_sink &apply);
-    [[nodiscard]] limits::share_amounts allowance_of(const limits::row_order::owned &key, const row_state &row) const;
+    [[nodiscard]] limits::share_amounts allowance_of(const limits::row_order::owned &key, const row_state &row);
+    void offer_loans(const load_source &load);
     void send(const std::vector<addressed_demand> &demands);
-    void take_grants(std::string_view body);
-    [[nodiscard]] std::optional<limits::share_grant> answer(const limits::row_order::owned &row,
+    void take_grants(demand_kind kind, std::uint64_t term, std::string_view body);
+    [[nodiscard]] std::optional<limits::share_grant> answer(demand_kind kind, const limits::row_order::owned &row,
                                                             const limits::share_demand &demand);
-    void take_grant(const limits::row_order::owned &row, const limits::share_grant &grant);
+    void take_grant(demand_kind kind, std::uint64_t term, const limits::row_order::owned &row,
+                    const limits::share_grant &grant);
     [[nodiscard]] bool owns_all() const;
+    void borrow_or_stop();
+    void choose_lender();
+    void adopt_pending();
     void read_epoch();
     [[nodiscard]] bool is_confirmed() const;
     void confirm_epoch();
@@ -131,7 +166,14 @@
     limits::share_ledger ledger_;
     std::map<limits::row_order::owned, row_state, limits::row_order> rows_;
     std::optional<epoch_object> epoch_;
-    bool epoch_absent_{false};        /**< The store was read and has no epoch. */
+    std::optional<epoch_object> pending_; /**< Newer than `epoch_`; waits for the end of loans. */
+    bool epoch_absent_{false};            /**< The store was read and has no epoch. */
+    bool started_without_store_{false};   /**< Until this entry has floors. */
+    limits::floor_lender lender_;
+    std::optional<limits::share_holder> loans_; /**< What this entry has borrowed from floors. */
+    std::string lender_address_;
+    std::uint64_t lender_term_{0};    /**< Changes with the lender; grants of an earlier one are ignored. */
+    base::instant lender_until_{};    /**< Another lender is chosen then, unless this one grants something. */
     base::instant confirmed_until_{}; /**< No other epoch can have granted anything before it. */
     bool lends_{false};               /**< A demand has reached this entry as a coordinator. */
     std::jthread thread_;
--- a/src/limits/share_holder.hpp
+++ b/src/limits/share_holder.hpp
@@ -55,6 +55,9 @@
     /** @return The floors of a row, which are in force even without any contact. */
     [[nodiscard]] share_amounts floor(row_key row) const;
 
+    /** @return True while this entry has floors in force. */
+    [[nodiscard]] bool has_floors() const noexcept { return divisor() != 0; }
+
     /** @return Number of the applied epoch, 0 before the first. */
     [[nodiscard]] std::uint64_t epoch() const noexcept { return epoch_; }
 
--- a/src/limits/share_ledger.hpp
+++ b/src/limits/share_ledger.hpp
@@ -5,9 +5,9 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <vector>
 
 #include "base/clock.hpp"
+#include "limits/loan_book.hpp"
 #include "limits/row.hpp"
 #include "limits/share_epoch.hpp"
 
@@ -53,26 +53,10 @@
     [[nodiscard]] std::uint64_t epoch() const noexcept { return epoch_; }
 
 private:
-    struct sent_grant {
-        std::uint64_t sequence;
-        share_amounts lent;
-        base::instant expires;
-    };
-
-    struct borrower {
-        std::uint64_t sequence{0};
-        share_amounts wanted{};
-        share_amounts in_use{};
-        base::instant expires{}; /**< Of `wanted` and `in_use`; the time of the last demand, extended. */
-        std::vector<sent_grant> grants;
-        std::array<base::instant, resource_count> turn_start{}; /**< Of the extra unit that this entry has or had. */
-        std::array<base::instant, resource_count> last_extra{};
-    };
-
     struct row_state {
         share_amounts limit{};
-        base::instant lends_from{};      /**< Grants of a removed row that had the same key have expired then. */
-        std::vector<borrower> borrowers; /**< By the member's index; empty until the first demand. */
+        base::instant lends_from{}; /**< Grants of a removed row that had the same key have expired then. */
+        loan_book loans;            /**< By the member's index; empty until the first demand. */
         share_amounts lendable{};
         std::uint64_t lendable_version{0};
     };
@@ -83,16 +67,7 @@
         std::optional<std::size_t> index; /**< Absent for entries that have left the epoch. */
     };
 
-    struct entitlement {
-        std::uint64_t amount{0};
-        bool extra{false}; /**< The amount contains a unit left over by rounding. */
-    };
-
     [[nodiscard]] const share_amounts &lendable(row_state &row) const;
-    [[nodiscard]] static std::uint64_t counted(const borrower &it, std::size_t resource, base::instant now);
-    [[nodiscard]] static bool in_turn(const borrower &it, std::size_t resource, base::instant now) noexcept;
-    [[nodiscard]] static entitlement entitled(const std::vector<borrower> &all, std::size_t self, std::size_t resource,
-                                              std::uint64_t available, base::instant now);
 
     const base::clock &clock_;
     std::uint64_t epoch_{0};
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -91,6 +91,8 @@
     {1503, "overloaded", severity::warning, "A queue was full and a request was refused.",
      "Add entries or backend servers, or lower the limits."},
     {1504, "ring_dropped", severity::warning, "A full ring dropped elements.", "Check the consumer of the ring."},
+    {1505, "floor_lender_chosen", severity::warning,
+     "This entry started without the store and borrows from the limits of another one.", "Restore the store."},
     // Routing and retries
     {1601, "request_resumed", severity::info, "A response continues on another backend server.", "none"},
     {1602, "request_given_up", severity::warning, "A request failed on every permitted attempt.",
--- a/test/entry/share_link.cpp
+++ b/test/entry/share_link.cpp
@@ -88,6 +88,7 @@
     std::shared_ptr<lease::internal::authority_state> authority{std::make_shared<lease::internal::authority_state>()};
     std::atomic<bool> alone{false};
     std::map<std::string, std::unique_ptr<node>> nodes;
+    std::vector<std::string> known; /**< Entries that may be asked for loans. */
     limits::share_epoch epoch;
 
     fixture() {
@@ -113,16 +114,27 @@
                 clock, store, out->events, calls, [this] { return alone.load(); },
                 [this, name] {
                     return name == "a" ? std::optional{lease::authority_check{authority, clock, 7}} : std::nullopt;
-                }});
+                },
+                [this, name] { return others_of(name); }});
         out->link->set_config(*limited_state());
         out->tick();
         out->link->start();
         calls.set(name, [&to = *out->link](const http::request &message) {
-            return message.target == "/shares/demand" ? to.on_demand(message) : to.on_epoch_question();
+            return message.target == "/shares/epoch" ? to.on_epoch_question() : to.on_demand(message);
         });
         return *out;
     }
 
+    std::vector<entry::peer_entry> others_of(const std::string &name) const {
+        std::vector<entry::peer_entry> out;
+        for (const auto &it : known) {
+            if (it != name) {
+                out.push_back({it, it, "x", true});
+            }
+        }
+        return out;
+    }
+
     void write_epoch(const std::vector<std::string> &entries) {
         std::vector<std::string> applied;
         for (const auto &[name, it] : nodes) {
@@ -252,6 +264,32 @@
     CHECK(b.running.size() == floor);
 }
 
+// Guards against an entry that serves nothing until the store is back, and against a lender that goes on using what it
+// has lent, also when a new epoch makes its floor smaller.
+TEST_CASE("an entry that starts while the store is down borrows from the floors of another one") {
+    fixture it;
+    it.known = {"a", "gone", "c"};
+    auto &a = it.start("a");
+    it.write_epoch({"a"});
+    CHECK(it.step_until(20, [&] { return a.running.size() == limit; }));
+    it.store.set_faults({.outage = true});
+    it.authority->valid_until = 0;
+    auto &c = it.start("c");
+    // Requests end at once, so that shares can change hands.
+    const auto after_end = [&](bool met) {
+        a.finish_all();
+        c.finish_all();
+        return met;
+    };
+    CHECK(it.step_until(20, [&] { return after_end(!c.running.empty()); }));
+    CHECK(it.step_until(20, [&] { return after_end(!a.running.empty() && !c.running.empty()); }));
+    it.store.set_faults({});
+    it.authority->valid_until = std::numeric_limits<base::duration::rep>::max();
+    it.write_epoch({"a", "c"});
+    CHECK(it.step_until(
+        20, [&] { return after_end(a.link->epoch() == 2 && c.link->epoch() == 2 && it.running() == limit); }));
+}
+
 // Guards against members that are missing from the epoch, and against a restarted entry that counts twice.
 TEST_CASE("the lease holder writes the entries that answer into the epoch") {
     const base::boottime_clock clock;
