Infer the unread prompts of other gateways from the reported load

Cause of many refusals in floods: a gateway took its own unread tokens at an engine times the number of gateways as those of all. With six gateways, an engine where it happened to have one draft looked six times as loaded, and one where it had none looked idle.

The others' part is now their number of requests there, as the load header tells, times the mean of unread tokens of an own request.

Test: "unread prompts of other gateways are inferred from the reported load", against the naive product.

--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -10,6 +10,8 @@
 
 // Attempts assumed to have succeeded besides the recent ones, so that one failure alone does not condemn.
 constexpr double assumed_successes = 2;
+// Weight of the newest look at own requests in their mean of unread tokens.
+constexpr double unread_gain = 0.02;
 
 } // namespace internal
 
@@ -54,8 +56,15 @@
     return std::ranges::any_of(states_, [](const auto &it) { return !it.second.facts.draining; });
 }
 
+void backend_table::learn_unread(const backend_state &it) noexcept {
+    if (it.facts.stage == engine_stage::decode && it.own > 0) {
+        mean_unread_ += internal::unread_gain * (it.own_prefill_tokens / it.own - mean_unread_);
+    }
+}
+
 void backend_table::started(std::string_view id, double prefill_tokens) {
     if (auto *it = find_mutable(id)) {
+        learn_unread(*it);
         ++it->own;
         ++it->change;
         it->own_prefill_tokens += prefill_tokens;
@@ -134,6 +143,10 @@
     return std::max(static_cast<double>(it.own), reported);
 }
 
+double backend_table::unread_tokens(const backend_state &it) const {
+    return it.own_prefill_tokens + std::max(0.0, outstanding(it) - it.own) * mean_unread_;
+}
+
 double backend_table::failure_rate(const backend_state &it) const {
     const double kept = decay(it);
     return it.failures * kept / (it.attempts * kept + internal::assumed_successes);
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -73,18 +73,26 @@
     /** @return Requests there, from all callers, as far as known. */
     [[nodiscard]] double outstanding(const backend_state &it) const;
 
+    /**
+     * @return Tokens of prompts that the backend server has still to read: those of own requests, and for each request
+     * of other gateways as many as an own one has on average.
+     */
+    [[nodiscard]] double unread_tokens(const backend_state &it) const;
+
     /** @return Part of recent attempts that failed, from 0 to 1. */
     [[nodiscard]] double failure_rate(const backend_state &it) const;
 
 private:
     [[nodiscard]] backend_state *find_mutable(std::string_view id);
     [[nodiscard]] double decay(const backend_state &it) const;
+    void learn_unread(const backend_state &it) noexcept;
     void note(backend_state &it, double failure);
     void pause(backend_state &it);
 
     const base::clock &time_;
     const health_settings settings_;
     std::map<std::string, backend_state, std::less<>> states_;
+    double mean_unread_{0}; /**< Of own requests at engines that decode, over time. */
 };
 
 } // namespace dotterelstack::gateway
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -130,7 +130,7 @@
                                        const backend_state *home, double rank) const {
     const double tokens = request.prompt_tokens - (home == nullptr ? 0 : shared_tokens(request));
     const double reading = tokens / settings_.decode_tokens_per_ms;
-    const double pending = engine.own_prefill_tokens * gateways_ / settings_.decode_tokens_per_ms;
+    const double pending = table_.unread_tokens(engine) / settings_.decode_tokens_per_ms;
     candidate out{{nullptr, &engine, home == &engine ? nullptr : home, tokens}, 0, 0, 0};
     const double factor = home == nullptr ? 1 : direct_factor_;
     out.own_ms = factor * (fetch_ms(request, engine, home) + reading);
--- a/test/gateway/backend_table.cpp
+++ b/test/gateway/backend_table.cpp
@@ -54,6 +54,34 @@
     CHECK(it.subject.open("desk").size() == 2);
 }
 
+// Pattern: a flood of long prompts through six gateways. Guards against an estimate of the others' unread prompts that
+// is six times the own ones: where this gateway happens to have one, the engine looks overloaded, elsewhere idle.
+TEST_CASE("unread prompts of other gateways are inferred from the reported load") {
+    base::manual_clock clock;
+    gateway::backend_table it{clock};
+    it.update({test::server("busy", "llm", gateway::engine_stage::decode, 12),
+               test::server("idle", "llm", gateway::engine_stage::decode, 12)});
+    // Half of the own requests at any time have a prompt of 4,000 tokens to be read.
+    for (int n = 0; n < 400; ++n) {
+        it.started("idle", 4000);
+        it.started("idle", 4000);
+        it.prompt_read("idle", 4000);
+        it.started("idle", 0);
+        it.prompt_read("idle", 4000);
+        for (int k = 0; k < 3; ++k) {
+            it.ended("idle", gateway::attempt_outcome::answered);
+        }
+    }
+    it.reported("busy", {.running = 6, .waiting = 0, .slots = 12});
+    it.reported("idle", {.running = 0, .waiting = 0, .slots = 12});
+    const auto busy = it.unread_tokens(*it.find("busy"));
+    CHECK(busy > 6 * 1000);
+    CHECK(busy < 6 * 4000);
+    CHECK(it.unread_tokens(*it.find("idle")) == 0);
+    it.started("idle", 4000);
+    CHECK(it.unread_tokens(*it.find("idle")) == 4000);
+}
+
 // Pattern: half of the answers of one server are errors while its health check is good.
 TEST_CASE("the failure rate follows recent answers and fades") {
     fixture it;
