Count shared prefixes that nobody has read yet as work

A gateway sees a sixth of the traffic and cannot know which prefixes others have sent. prefix_warmth infers it from how often prefixes come back here, times the number of gateways, since the engine is known. The expected part of the prefix counts as tokens to read, in the estimate and in the queue; not in the estimate that decides on refusal, since all of the first drafts are cold.

Ruled out: a directory of prefixes shared between gateways (a call for each draft); /kv-events (long polls to every engine from every gateway).

--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -21,9 +21,11 @@
     std::set<std::string_view> seen;
     for (const auto &it : all) {
         seen.insert(it.id);
-        auto &state = states_[it.id];
-        if (state.facts.born != it.born || state.facts.address != it.address) {
+        const auto [found, is_new] = states_.try_emplace(it.id);
+        auto &state = found->second;
+        if (is_new || state.facts.born != it.born || state.facts.address != it.address) {
             state = {};
+            state.known_since = time_.now();
         }
         state.facts = it;
     }
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -27,6 +27,7 @@
 /** @brief Belief about one backend server: facts, load and health. */
 struct backend_state {
     backend_server facts;
+    base::instant known_since{};  /**< First sight of the incarnation. */
     std::uint32_t own{0};         /**< Attempts of this gateway that have not ended. */
     double own_prefill_tokens{0}; /**< Of attempts that have had no event yet. */
     reported_load report;
--- a/src/gateway/fwd.hpp
+++ b/src/gateway/fwd.hpp
@@ -12,6 +12,7 @@
 class opaque_exchange;
 class placement;
 class prefix_memory;
+class prefix_warmth;
 class start_counter;
 class traffic_config;
 struct backend_server;
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -83,7 +83,8 @@
                                             .prompt_tokens = facts.prompt_tokens,
                                             .failure_domain = tools_.failure_domain,
                                             .excluded = tried_,
-                                            .may_split = may_split_ && first && !started_ && !facts.last_event});
+                                            .may_split = may_split_ && first && !started_ && !facts.last_event,
+                                            .is_new = !std::exchange(placed_before_, true)});
     if (seen.obstacle != placement_obstacle::none) {
         return wait_or_refuse(seen);
     }
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -100,6 +100,7 @@
     const opaque_request request_;
 
     // Attempts
+    bool placed_before_{false}; /**< A place was looked for. */
     bool may_split_{true};
     bool prefilling_{false}; /**< One engine reads the prompt for another. */
     std::vector<std::string> tried_;
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -31,7 +31,7 @@
 placement::placement(const base::clock &time, const backend_table &table, random_source random,
                      placement_settings settings)
     : table_{table}, random_{std::move(random)}, settings_{settings}, prefixes_{time, settings.prefix_life},
-      mean_prefill_tokens_{settings.first_prompt_tokens} {}
+      warmth_{time}, mean_prefill_tokens_{settings.first_prompt_tokens} {}
 
 double placement::slot_ms(std::string_view service) const {
     const auto it = slot_ms_.find(service);
@@ -116,41 +116,53 @@
     return out;
 }
 
-double placement::fetch_ms(const placement_request &request, const backend_state &engine,
-                           const backend_state *home) const {
-    if (home == nullptr || home == &engine) {
-        return 0;
+placement::reading placement::reading_at(const placement_request &request, const backend_state &engine,
+                                         const backend_state *home) const {
+    reading out{.own = request.prompt_tokens - (home == nullptr ? 0 : shared_tokens(request))};
+    if (home == nullptr) {
+        return out;
     }
-    const double missing = std::max(0.0, shared_tokens(request) - prefixes_.cached(engine.facts.id, request.prompt));
-    const bool near = engine.facts.failure_domain == home->facts.failure_domain;
-    return missing / settings_.transfer_tokens_per_ms * (near ? 1 : internal::far_transfer_factor);
+    const double shared = shared_tokens(request);
+    const double missing = std::max(0.0, shared - prefixes_.cached(engine.facts.id, request.prompt));
+    const bool seen = prefixes_.cached(home->facts.id, request.prompt) >= shared;
+    const double warm = seen ? 1 : warmth_.used_since(home->known_since);
+    out.cold = (1 - warm) * missing;
+    if (home != &engine) {
+        const bool near = engine.facts.failure_domain == home->facts.failure_domain;
+        out.fetch_ms = warm * missing / settings_.transfer_tokens_per_ms * (near ? 1 : internal::far_transfer_factor);
+    }
+    return out;
 }
 
 placement::candidate placement::direct(const placement_request &request, const backend_state &engine,
                                        const backend_state *home, double rank) const {
-    const double tokens = request.prompt_tokens - (home == nullptr ? 0 : shared_tokens(request));
-    const double reading = tokens / settings_.decode_tokens_per_ms;
-    const double pending = table_.unread_tokens(engine) / settings_.decode_tokens_per_ms;
-    candidate out{{nullptr, &engine, home == &engine ? nullptr : home, tokens}, 0, 0, 0};
+    const auto work = reading_at(request, engine, home);
+    const double tokens = work.own + work.cold;
+    const double reading_ms = tokens / settings_.decode_tokens_per_ms;
+    const double pending_ms = table_.unread_tokens(engine) / settings_.decode_tokens_per_ms;
+    candidate out{.plan = {.run = &engine, .fetch_from = home == &engine ? nullptr : home, .prefill_tokens = tokens}};
     const double factor = home == nullptr ? 1 : direct_factor_;
-    out.own_ms = factor * (fetch_ms(request, engine, home) + reading);
-    out.expected_ms = factor * (wait_ms(engine) + pending) + out.own_ms;
+    out.own_ms = factor * (work.fetch_ms + reading_ms);
+    out.usual_ms = factor * (work.fetch_ms + work.own / settings_.decode_tokens_per_ms);
+    out.expected_ms = factor * (wait_ms(engine) + pending_ms) + out.own_ms;
     // Other generations of the engine slow down with its load and while it reads.
-    out.cost_ms = out.expected_ms + table_.outstanding(engine) + settings_.disturbance * reading +
+    out.cost_ms = out.expected_ms + table_.outstanding(engine) + settings_.disturbance * reading_ms +
                   penalty_ms(engine, request) + (home == nullptr ? 0 : settings_.spill_ms * rank);
     return out;
 }
 
 placement::candidate placement::split(const placement_request &request, const backend_state &reader, double rank,
                                       const candidate &decoder, const backend_state *home) const {
-    const double tokens = request.prompt_tokens - shared_tokens(request);
+    const auto work = reading_at(request, reader, home);
+    const double tokens = work.own + work.cold;
     const double ahead = table_.outstanding(reader) * mean_prefill_tokens_;
     const bool near = reader.facts.failure_domain == decoder.plan.run->facts.failure_domain;
-    candidate out{{&reader, decoder.plan.run, home, tokens}, 0, 0, 0};
-    out.own_ms =
-        split_factor_ *
-        (fetch_ms(request, reader, home) + tokens / settings_.prefill_tokens_per_ms + settings_.transfer_setup_ms +
-         request.prompt_tokens / settings_.transfer_tokens_per_ms * (near ? 1 : internal::far_transfer_factor));
+    candidate out{.plan = {.prefill = &reader, .run = decoder.plan.run, .fetch_from = home, .prefill_tokens = tokens}};
+    const double moving_ms =
+        work.fetch_ms + settings_.transfer_setup_ms +
+        request.prompt_tokens / settings_.transfer_tokens_per_ms * (near ? 1 : internal::far_transfer_factor);
+    out.own_ms = split_factor_ * (moving_ms + tokens / settings_.prefill_tokens_per_ms);
+    out.usual_ms = split_factor_ * (moving_ms + work.own / settings_.prefill_tokens_per_ms);
     out.expected_ms =
         split_factor_ * (ahead / settings_.prefill_tokens_per_ms + wait_ms(*decoder.plan.run)) + out.own_ms;
     out.cost_ms = out.expected_ms + penalty_ms(reader, request) + settings_.spill_ms * rank;
@@ -161,6 +173,9 @@
     const auto key = shared_prefix_key(request.prompt, settings_.least_shared_tokens);
     auto order = from;
     if (key != 0) {
+        if (request.is_new) {
+            warmth_.on_request(key);
+        }
         std::ranges::sort(order, std::ranges::greater{},
                           [key](const auto *it) { return rendezvous_rank(key, it->facts.id); });
     }
@@ -179,7 +194,7 @@
             // Where a generation runs after a split: near the home, wherever there are free slots.
             const double place = wait_ms(*it) + settings_.spill_ms * rank + penalty_ms(*it, request);
             if (!decoder || place < decoder->cost_ms) {
-                decoder = candidate{now.plan, place, 0, 0};
+                decoder = candidate{.plan = now.plan, .cost_ms = place};
             }
         }
         rank += 1;
@@ -198,9 +213,9 @@
     best->plan.expected = internal::milliseconds(best->expected_ms);
     best->plan.typical = best->plan.expected;
     if (key != 0) {
-        const double mean = mean_own_ms_.value_or(best->own_ms);
-        mean_own_ms_ = mean + internal::slot_time_gain * (best->own_ms - mean);
-        best->plan.typical = internal::milliseconds(best->expected_ms - best->own_ms + *mean_own_ms_);
+        const double mean = mean_usual_ms_.value_or(best->usual_ms);
+        mean_usual_ms_ = mean + internal::slot_time_gain * (best->usual_ms - mean);
+        best->plan.typical = internal::milliseconds(best->expected_ms - best->own_ms + *mean_usual_ms_);
     }
     best->plan.has_home = key != 0;
     if (best->plan.prefill != nullptr) {
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -12,6 +12,7 @@
 #include "base/clock.hpp"
 #include "gateway/backend_table.hpp"
 #include "gateway/prefix_memory.hpp"
+#include "gateway/prefix_warmth.hpp"
 #include "gateway/request_facts.hpp"
 
 namespace dotterelstack::gateway {
@@ -41,6 +42,7 @@
     std::string_view failure_domain;         /**< Of this gateway. */
     std::span<const std::string> excluded{}; /**< Backend servers that were tried. */
     bool may_split{true};                    /**< Prefill and decode may happen at two engines. */
+    bool is_new{true};                       /**< It has not been tried to place before. */
 };
 
 /** @brief Where a request goes. Pointers are valid until the table changes. */
@@ -48,10 +50,10 @@
     const backend_state *prefill{nullptr}; /**< Null when `run` reads the prompt, too. */
     const backend_state *run{nullptr};
     const backend_state *fetch_from{nullptr}; /**< Engine that probably keeps the shared parts; null for none. */
-    double prefill_tokens{0};                 /**< Tokens to be read at the engine that reads the prompt. */
-    base::duration expected{0};               /**< Until the answer or its first event. */
-    base::duration typical{0};                /**< As `expected`, for a request of mean size. */
-    bool has_home{false};                     /**< The prompt shares enough to have a home. */
+    double prefill_tokens{0};   /**< Tokens to be read at the engine that reads the prompt, as far as expected. */
+    base::duration expected{0}; /**< Until the answer or its first event. */
+    base::duration typical{0};  /**< As `expected`, for a request of mean size with a cached prefix. */
+    bool has_home{false};       /**< The prompt shares enough to have a home. */
 };
 
 /** @brief Why there is no place. */
@@ -74,7 +76,8 @@
  * The cheapest place by estimated time to the answer wins. A long shared prefix has a home, the decode engine that all
  * gateways agree on without talking to each other: its generations run there, so that the prefix stays cached, and
  * whichever engine reads a prompt with that prefix fetches it from the home instead of reading it again. The next
- * engines of that order follow when the home is busy.
+ * engines of that order follow when the home is busy. While engines are new, a prefix has probably not been read yet,
+ * and the estimates count it as part of the prompt.
  */
 class placement {
 public:
@@ -99,11 +102,14 @@
     /** @brief Learns how long requests of a service hold a slot. */
     void on_slot_time(std::string_view service, base::duration held);
 
-    /** @brief Sets the number of gateways, by which own unread prompts are scaled to those of all. */
-    void set_gateways(std::uint32_t n) noexcept { gateways_ = n == 0 ? 1 : n; }
+    /** @brief Sets the number of gateways, by which the use of prefixes here is scaled to that of all. */
+    void set_gateways(std::uint32_t n) noexcept { warmth_.set_gateways(n); }
 
     /** @brief Periodic work; call it about once a second. */
-    void expire() { prefixes_.expire(); }
+    void expire() {
+        prefixes_.expire();
+        warmth_.expire();
+    }
 
 private:
     /** A choice of engines and its cost. */
@@ -111,7 +117,15 @@
         placement_plan plan;
         double cost_ms{0};
         double expected_ms{0};
-        double own_ms{0}; /**< Part of `expected_ms` that grows with the request. */
+        double own_ms{0};   /**< Part of `expected_ms` that grows with the request. */
+        double usual_ms{0}; /**< As `own_ms`, if the shared prefix is cached at its home. */
+    };
+
+    /** Tokens of a prompt that an engine has to read, and those that it fetches. */
+    struct reading {
+        double own{0};  /**< Behind the shared prefix. */
+        double cold{0}; /**< Of the shared prefix, weighted by the probability that its home has not read it. */
+        double fetch_ms{0};
     };
 
     using state_list = std::vector<const backend_state *>;
@@ -127,20 +141,20 @@
                                    const backend_state *home, double rank) const;
     [[nodiscard]] candidate split(const placement_request &request, const backend_state &reader, double rank,
                                   const candidate &decoder, const backend_state *home) const;
-    [[nodiscard]] double fetch_ms(const placement_request &request, const backend_state &engine,
-                                  const backend_state *home) const;
+    [[nodiscard]] reading reading_at(const placement_request &request, const backend_state &engine,
+                                     const backend_state *home) const;
     [[nodiscard]] base::duration free_in(const state_list &from) const;
 
     const backend_table &table_;
     const random_source random_;
     const placement_settings settings_;
     prefix_memory prefixes_;
-    std::uint32_t gateways_{1};
+    prefix_warmth warmth_;
     std::map<std::string, double, std::less<>> slot_ms_;
     double mean_prefill_tokens_; /**< Of prompts that were read apart. */
     // Times taken relative to estimates, for long prompts.
     double direct_factor_{1};
-    std::optional<double> mean_own_ms_; /**< Of long prompts: the part of the estimate that grows with the request. */
+    std::optional<double> mean_usual_ms_; /**< Of long prompts: `candidate::usual_ms`. */
     double split_factor_{1};
 };
 
--- /dev/null
+++ b/src/gateway/prefix_warmth.cpp
@@ -0,0 +1,64 @@
+#include "gateway/prefix_warmth.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dotterelstack::gateway {
+
+namespace internal {
+
+// Before anything is counted: a prefix comes back every 5 s somewhere, which is the order of the usual reuse.
+constexpr double assumed_interval_s = 5;
+// Repeats that the assumption weighs as much as.
+constexpr double assumed_repeats = 2;
+// Prefixes that are not used for so long are taken to be given up.
+constexpr auto prefix_life = std::chrono::seconds{60};
+// Largest number of prefixes remembered; more do not change the estimate.
+constexpr std::size_t most_prefixes = 4096;
+// Factor a second: counts lose half of their weight in 30 s.
+const double decay_factor = std::exp2(-1.0 / 30);
+
+double seconds(base::duration value) noexcept {
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace internal
+
+void prefix_warmth::advance() noexcept {
+    const auto now = time_.now();
+    exposure_s_ += static_cast<double>(last_use_.size()) * internal::seconds(now - advanced_at_);
+    advanced_at_ = now;
+}
+
+void prefix_warmth::on_request(std::uint64_t key) {
+    advance();
+    begun_ = begun_.value_or(advanced_at_);
+    const auto it = last_use_.find(key);
+    if (it != last_use_.end()) {
+        repeats_ += 1;
+        it->second = advanced_at_;
+    } else if (last_use_.size() < internal::most_prefixes) {
+        last_use_.emplace(key, advanced_at_);
+    }
+}
+
+double prefix_warmth::used_since(base::instant since) const noexcept {
+    if (!begun_) {
+        return 0;
+    }
+    const double age = internal::seconds(time_.now() - std::max(since, *begun_));
+    const double gateways = gateways_;
+    const double assumed_exposure = internal::assumed_repeats * internal::assumed_interval_s * gateways;
+    const double rate = (repeats_ + internal::assumed_repeats) / (exposure_s_ + assumed_exposure);
+    return 1 - std::exp(-rate * gateways * age);
+}
+
+void prefix_warmth::expire() {
+    advance();
+    repeats_ *= internal::decay_factor;
+    exposure_s_ *= internal::decay_factor;
+    const auto oldest = advanced_at_ - internal::prefix_life;
+    std::erase_if(last_use_, [oldest](const auto &it) { return it.second < oldest; });
+}
+
+} // namespace dotterelstack::gateway
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -193,9 +193,46 @@
     it.engines(1, 0);
     for (int n = 0; n < 200; ++n) {
         (void)it.choose(draft(1, 2));
+        // The prefix has been read long ago.
+        it.clock.advance(1s);
     }
     const auto mean = it.choose(draft(1, 2)).plan;
     const auto large = it.choose({{1, 13'000}, {9, 30'000}}).plan;
     CHECK(large.expected > 5 * mean.expected);
     CHECK(large.typical < 2 * mean.typical);
 }
+
+// Pattern: a fleet starts with empty caches, so that every draft reads its whole register. Guards against several of
+// them at one engine because each was counted as its own part only: with that count the busiest engine has twice the
+// work.
+TEST_CASE("registers that nobody has read yet count as work of the engine that reads them") {
+    fixture it;
+    it.engines(9, 0);
+    std::map<std::string, int> drafts;
+    std::map<std::string, int> naive;
+    for (std::uint64_t n = 1; n <= 18; ++n) {
+        const auto plan = it.choose(draft(n, 1000 + n)).plan;
+        CHECK(plan.prefill_tokens > 16'000);
+        it.table.started(plan.run->facts.id, plan.prefill_tokens);
+        ++drafts[plan.run->facts.id];
+        // The home alone decides when every engine looks idle.
+        std::string home;
+        for (int k = 0; k < 9; ++k) {
+            const auto id = "decode-" + std::to_string(k);
+            const auto key = gateway::shared_prefix_key(draft(n, 1000 + n), 1000);
+            if (home.empty() || gateway::rendezvous_rank(key, id) > gateway::rendezvous_rank(key, home)) {
+                home = id;
+            }
+        }
+        ++naive[home];
+    }
+    const auto most = [](const auto &of) {
+        return std::ranges::max_element(of, {}, [](const auto &each) { return each.second; })->second;
+    };
+    CHECK(most(drafts) <= 3);
+    CHECK(most(naive) > most(drafts));
+    // What this gateway has sent there itself is known to be cached.
+    const auto again = draft(1, 3000);
+    it.subject.on_prompt_read(it.choose(again).plan.run->facts.id, again);
+    CHECK(it.choose(again).plan.prefill_tokens < 4'000);
+}
