Measure the queue at a prefill engine in tokens

Cause: the queue was the number of requests times a mean of prompt lengths that follows slowly and begins at 2,000 tokens.

Own requests there count with their own tokens, those of other gateways with the mean of an own one at engines of that stage.

--- a/src/gateway/backend_server.hpp
+++ b/src/gateway/backend_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -14,6 +15,7 @@
     prefill, /**< Reads prompts; the generation goes on at a decode engine. */
     decode
 };
+inline constexpr std::size_t engine_stages = 3;
 
 /** @brief What service discovery tells about one backend server. */
 struct backend_server {
--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -10,8 +10,8 @@
 
 // Attempts assumed to have succeeded besides the recent ones, so that one failure alone does not condemn.
 constexpr double assumed_successes = 2;
-// Weight of the newest look at own requests in their mean of unread tokens.
-constexpr double unread_gain = 0.02;
+// Looks at own requests over which their unread tokens are averaged.
+constexpr std::uint32_t unread_samples = 50;
 
 } // namespace internal
 
@@ -58,9 +58,14 @@
     return std::ranges::any_of(states_, [](const auto &it) { return !it.second.facts.draining; });
 }
 
+void backend_table::running_mean::add(double sample) noexcept {
+    samples = std::min(samples + 1, internal::unread_samples);
+    value += (sample - value) / samples;
+}
+
 void backend_table::learn_unread(const backend_state &it) noexcept {
-    if (it.facts.stage == engine_stage::decode && it.own > 0) {
-        mean_unread_ += internal::unread_gain * (it.own_prefill_tokens / it.own - mean_unread_);
+    if (it.own > 0) {
+        unread_.at(static_cast<std::size_t>(it.facts.stage)).add(it.own_prefill_tokens / it.own);
     }
 }
 
@@ -146,7 +151,8 @@
 }
 
 double backend_table::unread_tokens(const backend_state &it) const {
-    return it.own_prefill_tokens + std::max(0.0, outstanding(it) - it.own) * mean_unread_;
+    const auto &mean = unread_.at(static_cast<std::size_t>(it.facts.stage));
+    return it.own_prefill_tokens + std::max(0.0, outstanding(it) - it.own) * mean.value;
 }
 
 double backend_table::failure_rate(const backend_state &it) const {
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -85,6 +86,14 @@
 
 private:
     [[nodiscard]] backend_state *find_mutable(std::string_view id);
+    /** A mean that follows its newest samples; the first ones weigh alike. */
+    struct running_mean {
+        double value{0};
+        std::uint32_t samples{0};
+
+        void add(double sample) noexcept;
+    };
+
     [[nodiscard]] double decay(const backend_state &it) const;
     void learn_unread(const backend_state &it) noexcept;
     void note(backend_state &it, double failure);
@@ -93,7 +102,7 @@
     const base::clock &time_;
     const health_settings settings_;
     std::map<std::string, backend_state, std::less<>> states_;
-    double mean_unread_{0}; /**< Of own requests at engines that decode, over time. */
+    std::array<running_mean, engine_stages> unread_{}; /**< Unread tokens of an own request, by stage of the engine. */
 };
 
 } // namespace dotterelstack::gateway
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -31,7 +31,7 @@
 placement::placement(const base::clock &time, const backend_table &table, random_source random,
                      placement_settings settings)
     : table_{table}, random_{std::move(random)}, settings_{settings}, prefixes_{time, settings.prefix_life},
-      warmth_{time}, mean_prefill_tokens_{settings.first_prompt_tokens} {}
+      warmth_{time} {}
 
 double placement::slot_ms(std::string_view service) const {
     const auto it = slot_ms_.find(service);
@@ -155,7 +155,7 @@
                                       const candidate &decoder, const backend_state *home) const {
     const auto work = reading_at(request, reader, home);
     const double tokens = work.own + work.cold;
-    const double ahead = table_.outstanding(reader) * mean_prefill_tokens_;
+    const double ahead = table_.unread_tokens(reader);
     const bool near = reader.facts.failure_domain == decoder.plan.run->facts.failure_domain;
     candidate out{.plan = {.prefill = &reader, .run = decoder.plan.run, .fetch_from = home, .prefill_tokens = tokens}};
     const double moving_ms =
@@ -218,9 +218,6 @@
         best->plan.typical = internal::milliseconds(best->expected_ms - best->own_ms + *mean_usual_ms_);
     }
     best->plan.has_home = key != 0;
-    if (best->plan.prefill != nullptr) {
-        mean_prefill_tokens_ += internal::slot_time_gain * (best->plan.prefill_tokens - mean_prefill_tokens_);
-    }
     return {best->plan, placement_obstacle::none, {}};
 }
 
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -28,7 +28,6 @@
     double failure_ms{400};              /**< Price of a backend server that fails every attempt. */
     double disturbance{0.5};             /**< Price of reading a prompt at a decode engine, as a part of its time. */
     std::uint32_t least_shared_tokens{1000}; /**< Prompts that share less go wherever there is room. */
-    double first_prompt_tokens{2000};        /**< Mean of the prompts that are read apart, until there are any. */
     base::duration prefix_life{std::chrono::seconds{10}};
     /** Requests that may wait at a backend server, for each of its slots. */
     double queue_per_slot{1.0};
@@ -151,7 +150,6 @@
     prefix_memory prefixes_;
     prefix_warmth warmth_;
     std::map<std::string, double, std::less<>> slot_ms_;
-    double mean_prefill_tokens_; /**< Of prompts that were read apart. */
     // Times taken relative to estimates, for long prompts.
     double direct_factor_{1};
     std::optional<double> mean_usual_ms_; /**< Of long prompts: `candidate::usual_ms`. */
