Count attempts without an answer as starts in usage

A start was counted when a first event or an answer came, so runs whose answer was lost were not.

An attempt that ends without an answer, or in time-out, was mostly preceded by a run and is counted; one that was rejected or never sent is not, nor is a stream that was cancelled before its first event.

Test: "an attempt without an answer counts as a start, once, and a rejected one does not".

--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -146,6 +146,7 @@
     address_ = target.facts.address;
     attempt_started_ = now;
     first_event_seen_ = false;
+    start_counted_ = false;
     head_ = {};
     events_ = {};
     body_.clear();
@@ -159,6 +160,9 @@
         tools_.table.prompt_read(backend_, prefill_tokens_);
     }
     tools_.table.ended(backend_, how);
+    if (probably_began(how)) {
+        count_start();
+    }
     if (how == attempt_outcome::answered) {
         if (!prefilling_) {
             tools_.places.on_slot_time(identity().service, tools_.time.now() - attempt_started_);
@@ -170,6 +174,21 @@
     may_split_ = may_split_ && !prefilling_;
 }
 
+bool opaque_exchange::probably_began(attempt_outcome how) const noexcept {
+    if (prefilling_) {
+        return false;
+    }
+    // An answer that is lost or late was mostly preceded by a run. A cancelled stream without an event has none.
+    const bool no_answer = how == attempt_outcome::broken || how == attempt_outcome::silent;
+    return no_answer || (how == attempt_outcome::cancelled && request_.route->kind != work_kind::stream);
+}
+
+void opaque_exchange::count_start() {
+    if (!std::exchange(start_counted_, true)) {
+        tools_.starts.on_start(identity().organisation);
+    }
+}
+
 void opaque_exchange::release_state() {
     if (!handle_.empty()) {
         tools_.backends.post(handle_address_, tools_.protocol.release_handle(handle_));
@@ -213,7 +232,7 @@
         first_event_seen_ = true;
         tools_.table.prompt_read(backend_, prefill_tokens_);
         tools_.places.on_prompt_read(backend_, request_.content.facts.prompt);
-        tools_.starts.on_start(of.organisation);
+        count_start();
         // The state was used up by this run.
         handle_.clear();
     }
@@ -317,7 +336,7 @@
     if (head_.other_request || (success && !head_.genuine)) {
         return call_failed{unknown_outcome(), attempt_outcome::broken};
     }
-    tools_.starts.on_start(identity().organisation);
+    count_start();
     server_answer_ = {head_.status, head_.fields, answer.body};
     if (head_.status >= internal::first_server_error) {
         return call_failed{unknown_outcome(), attempt_outcome::server_error};
@@ -337,7 +356,7 @@
         begin_answer();
         of.caller->finish();
     } else {
-        tools_.starts.on_start(of.organisation);
+        count_start();
         of.caller->respond({head_.status, with_close(head_.fields), body_});
     }
     finish(head_.status, "served");
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -90,6 +90,8 @@
     [[nodiscard]] dispatch::refusal refusal_with(std::string_view code, dispatch::ran_claim ran) const;
     [[nodiscard]] retry::evidence unknown_outcome() const noexcept;
     [[nodiscard]] bool deliver(const stream_event &event);
+    [[nodiscard]] bool probably_began(dispatch::attempt_outcome how) const noexcept;
+    void count_start();
     void begin_answer();
     void pass_on();
     void release_state();
@@ -115,6 +117,7 @@
     base::duration expected_{0}; /**< To the first event, as estimated when the request was placed. */
     base::instant attempt_started_{};
     bool first_event_seen_{false}; /**< Of this attempt. */
+    bool start_counted_{false};    /**< Of this attempt, for usage. */
 
     // Answer
     answer_head head_;
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -281,6 +281,34 @@
     CHECK(caller->status() == 503);
 }
 
+// Pattern: answers of backend servers are lost. Guards against usage that leaves out runs nobody has heard of; found on
+// a day on which a window was off by a tenth.
+TEST_CASE("an attempt without an answer counts as a start, once, and a rejected one does not") {
+    forwarder_fixture it;
+    it.configure();
+    it.populate();
+    (void)it.send("/book/1");
+    it.end(call_end::broken);
+    CHECK(it.starts.organisations.size() == 1);
+    (void)it.send("/book/1");
+    it.clock.advance(3s);
+    it.subject.tick();
+    CHECK(it.starts.organisations.size() == 2);
+    (void)it.send("/query/1");
+    it.begin_stream();
+    it.event(1);
+    it.end(call_end::broken);
+    CHECK(it.starts.organisations.size() == 3);
+    (void)it.send("/query/1");
+    it.answer(503, test::not_executed);
+    (void)it.send("/query/1");
+    it.end(call_end::not_sent);
+    const auto gone = it.send("/query/1");
+    gone->has_gone = true;
+    it.subject.tick();
+    CHECK(it.starts.organisations.size() == 3);
+}
+
 // Guards against work that is taken on while the process is about to end.
 TEST_CASE("a stopping gateway first asks callers to close, then refuses") {
     forwarder_fixture it;
