Let refused callers come back one after the other

Pattern: in a flood of seconds the wait followed the time until a place is free, spread over twice that, so callers came back within 100 to 200 ms, while the flood lasted, and most were refused again.

return_schedule gives each refused caller the next turn of its service, at half of the rate at which places are given, and never beyond a third of the time that the caller has left.

--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -95,6 +95,7 @@
     dependencies with_;
     backend_table table_;
     placement placement_;
+    return_schedule returns_;
     retry::retry_window budget_;
     retry::retry_policy retries_;
     forward_stop stop_{forward_stop::none};
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -22,9 +22,8 @@
 constexpr auto failure_wait = std::chrono::milliseconds{250};
 // Part of the latency objective within which an answer must be expected; the rest is for what estimates do not see.
 constexpr int admission_percent = 70;
-// Retry-After is spread over this part of itself, so that callers do not return together.
-constexpr double retry_spread = 1.0;
-constexpr auto shortest_retry_after = std::chrono::milliseconds{50};
+// Callers of the platform do not wait longer than this part of the time they have left.
+constexpr int return_divisor = 3;
 constexpr int first_server_error = 500;
 
 /** @return True for statuses that promise that the request has not run. */
@@ -40,12 +39,6 @@
             .most_attempts = route.most_attempts};
 }
 
-base::duration spread_retry_after(const exchange_tools &tools, base::duration free_in) {
-    const double spread = 1 + internal::retry_spread * tools.random();
-    const auto wait = std::chrono::duration_cast<base::duration>(free_in * spread);
-    return std::max<base::duration>(wait, internal::shortest_retry_after);
-}
-
 void refuse_caller(const exchange_tools &tools, http::caller_port &caller, std::string_view request,
                    std::uint64_t config_version, const dispatch::refusal &why) {
     tools.metrics.count("refusals_total", "reason=\"" + why.code + "\"");
@@ -109,10 +102,18 @@
     const auto wait = full ? seen.free_in : base::duration{internal::unknown_wait};
     return dispatch::refusal{503, full ? "busy" : "no_backend",
                              "the backend servers of the service are busy; retry later", ran_claim::no,
-                             spread_retry_after(tools_, wait)};
+                             retry_after(wait)};
+}
+
+base::duration opaque_exchange::retry_after(base::duration free_in) const {
+    const auto left = std::max<base::duration>(identity().deadline - tools_.time.now(), base::duration{0});
+    return tools_.returns.next_turn(identity().service, free_in, left / internal::return_divisor);
 }
 
 dispatch::outgoing_call opaque_exchange::start(const placement_plan &plan) {
+    if (history().attempt() == 1) {
+        tools_.returns.on_placed(identity().service);
+    }
     prefill_tokens_ = plan.prefill_tokens;
     placed_after_ = tools_.time.now() - identity().received;
     was_split_ = plan.prefill != nullptr;
@@ -403,8 +404,7 @@
         return {late ? 504 : 502, std::string{code},
                 "it is not known whether the request ran; check before repeating it", ran};
     }
-    return {503, std::string{code}, "the request has not run; retry later", ran,
-            spread_retry_after(tools_, internal::failure_wait)};
+    return {503, std::string{code}, "the request has not run; retry later", ran, retry_after(internal::failure_wait)};
 }
 
 bool opaque_exchange::ends_with_caller() const noexcept {
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -16,6 +16,7 @@
 #include "gateway/forward_stop.hpp"
 #include "gateway/placement.hpp"
 #include "gateway/request_facts.hpp"
+#include "gateway/return_schedule.hpp"
 #include "gateway/start_counter.hpp"
 #include "gateway/traffic_config.hpp"
 #include "metrics/registry.hpp"
@@ -34,6 +35,7 @@
     const forward_stop &stop;
     backend_table &table;
     placement &places;
+    return_schedule &returns;
 };
 
 /** @brief A caller's request with what the configuration says about it. */
@@ -55,9 +57,6 @@
 void refuse_caller(const exchange_tools &tools, http::caller_port &caller, std::string_view request,
                    std::uint64_t config_version, const dispatch::refusal &why);
 
-/** @return Time after which a refused caller may come back, spread so that callers do not return together. */
-[[nodiscard]] base::duration spread_retry_after(const exchange_tools &tools, base::duration free_in);
-
 /**
  * @brief A request that goes to a backend server unchanged.
  *
@@ -83,6 +82,7 @@
 
 private:
     [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &seen) const;
+    [[nodiscard]] base::duration retry_after(base::duration free_in) const;
     [[nodiscard]] dispatch::outgoing_call start(const placement_plan &plan);
     [[nodiscard]] dispatch::outgoing_call call_to(const backend_state &target, attempt_facts facts);
     [[nodiscard]] dispatch::call_step after_prefill(dispatch::call_end how, const http::response &answer);
--- /dev/null
+++ b/test/gateway/return_schedule.cpp
@@ -0,0 +1,77 @@
+#include "gateway/return_schedule.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace dotterelstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct outcome {
+    int refused_again{0};
+    int served{0};
+};
+
+/**
+ * Plays a flood: 200 arrivals a second for one second at a service that gives 40 places a second, then 20 a second.
+ * Refused callers come back once, after `wait`.
+ */
+template<typename Wait>
+outcome play_flood(base::manual_clock &clock, gateway::return_schedule &schedule, Wait wait) {
+    outcome out;
+    std::vector<base::instant> returns;
+    const auto begin = clock.now();
+    double places = 0;
+    for (int ms = 0; ms < 6000; ms += 5) {
+        clock.advance(5ms);
+        places = std::min(4.0, places + 0.2);
+        const int fresh = ms < 1000 ? 1 : (ms % 50 == 0 ? 1 : 0);
+        const auto now = clock.now();
+        const auto back = std::count_if(returns.begin(), returns.end(), [now](auto at) { return at <= now; });
+        std::erase_if(returns, [now](auto at) { return at <= now; });
+        for (int n = 0; n < fresh + back; ++n) {
+            const bool again = n >= fresh;
+            if (places >= 1) {
+                places -= 1;
+                schedule.on_placed("llm");
+                ++out.served;
+            } else if (again) {
+                ++out.refused_again;
+            } else {
+                returns.push_back(now + wait());
+            }
+        }
+    }
+    CHECK(clock.now() - begin == 6s);
+    return out;
+}
+
+} // namespace
+
+// Pattern: a flood of one second at five times the capacity. Guards against callers that come back while it lasts and
+// are refused again: compared with a wait that follows the free places only, fewer of them are.
+TEST_CASE("callers that were refused in a flood come back one after the other") {
+    base::manual_clock clock;
+    gateway::return_schedule naive{clock};
+    const auto at_once = play_flood(clock, naive, [] { return 75ms; });
+    gateway::return_schedule subject{clock};
+    const auto in_turn = play_flood(clock, subject, [&subject] { return subject.next_turn("llm", 75ms, 1600ms); });
+    CHECK(in_turn.refused_again < at_once.refused_again * 9 / 10);
+    CHECK(in_turn.served > at_once.served);
+}
+
+// Guards against a wait that no caller accepts, and against one that is longer than needed when few are refused.
+TEST_CASE("a turn is not beyond the caller's patience, nor before a place is free") {
+    base::manual_clock clock;
+    gateway::return_schedule it{clock};
+    CHECK(it.next_turn("llm", 200ms, 1s) == 200ms);
+    for (int n = 0; n < 20; ++n) {
+        CHECK(it.next_turn("llm", 200ms, 1s) <= 1s);
+    }
+    CHECK(it.next_turn("llm", 200ms, 1s) == 1s);
+    CHECK(it.next_turn("desk", 30ms, 1s) == 50ms);
+    clock.advance(5s);
+    CHECK(it.next_turn("llm", 200ms, 1s) == 200ms);
+}
