Release the usage lease as soon as the store is back, and do not wait for removed gateways

The record of a machine that was removed held two windows back until shortly before their reports were due, and then the store was away; a gateway that has not published since the window before the last is now taken to have ended. The stopping holder wrote its release once, during the outage, and its successor waited 4.5 s after it; the release is now repeated until it is known to be written, or the stop ends.

Ruled out: a shorter wait of the successor (a call of the former holder may still be on its way), and sealing without the gateway that was cut off (its window is then off by a tenth).

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -236,20 +236,19 @@
     const auto serve_until =
         begun + std::max<base::duration>(grace / internal::serving_divisor,
                                          std::min<base::duration>(internal::balancer_delay, grace));
+    stop_limit_ = begun + grace - grace / internal::grace_reserve_divisor;
     // Calls to the store may take longer than what is left later, so the feeds end while requests are still served.
     stop_feeds();
     while (with_.time.now() < serve_until) {
         std::this_thread::sleep_for(internal::stop_poll);
     }
     events_.push(stop_event{forward_stop::refusing});
-    const auto last = begun + grace - grace / internal::grace_reserve_divisor;
     do {
         std::this_thread::sleep_for(internal::stop_poll);
-    } while (active_ > 0 && with_.time.now() < last);
+    } while (active_ > 0 && with_.time.now() < stop_limit_);
     if (active_ > 0) {
         log::write("stop_deadline_passed", {{"active", active_.load()}});
     }
-    stop_limit_ = last;
     stop_threads();
 }
 
@@ -258,7 +257,8 @@
     server_feed_->request_stop();
     if (duty_thread_) {
         duty_thread_->stop();
-        lease_->stop();
+        // A successor need not wait for the end of the term, also when the store is away for a part of the grace.
+        lease_->request_stop(stop_limit_);
     }
     config_feed_->stop();
     server_feed_->stop();
@@ -274,6 +274,9 @@
     if (members_) {
         members_->stop(stop_limit_);
     }
+    if (lease_) {
+        lease_->stop();
+    }
     callers_.quiesce();
     events_.close();
     if (forward_thread_.joinable()) {
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -104,7 +104,7 @@
     std::thread forward_thread_;
     std::atomic<std::size_t> active_{0};
     std::atomic<bool> ready_{false};
-    base::instant stop_limit_{}; /**< Until then the last counts may be published. */
+    base::instant stop_limit_{}; /**< End of the stop: until then the store is written to. */
     bool stopped_{false};
 };
 
--- a/src/gateway/usage_duty.cpp
+++ b/src/gateway/usage_duty.cpp
@@ -11,8 +11,9 @@
 
 namespace internal {
 
-// A gateway that has published nothing for so many windows has ended, or can no longer publish in time.
-constexpr std::uint64_t silent_windows = 2;
+// A gateway that has published nothing since the window before the last one has ended, or is cut off for so long that
+// waiting for it would endanger the reports.
+constexpr std::uint64_t silent_windows = 1;
 
 /** @brief A record with the store version of its last change. */
 struct known_member {
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -78,7 +78,9 @@
     case phase::holding:
         return next_as_holder(now);
     case phase::releasing: {
-        phase_ = phase::stopped;
+        if (read_needed_) {
+            return {lease_step::read, lease_key(settings_.name), {}, 0, {}};
+        }
         auto record = own_;
         record.released = true;
         return write_record(std::move(record));
@@ -112,10 +114,15 @@
     version_ = version;
     observed_ = record;
     read_needed_ = false;
+    const bool ours = record && record->holder == settings_.holder && record->fence == own_.fence && !record->released;
+    if (phase_ == phase::releasing) {
+        phase_ = ours ? phase::releasing : phase::stopped;
+        return;
+    }
     if (phase_ != phase::holding) {
         return;
     }
-    if (record && record->holder == settings_.holder && record->fence == own_.fence && !record->released) {
+    if (ours) {
         own_ = *record;
     } else {
         lose();
@@ -133,6 +140,10 @@
         return;
     }
     version_ = written.value();
+    if (phase_ == phase::releasing) {
+        phase_ = phase::stopped;
+        return;
+    }
     if (phase_ == phase::candidate) {
         own_.fence = version_;
         authority_->fence = version_;
@@ -147,7 +158,7 @@
 void lease_keeper::release() {
     authority_->valid_until = 0;
     retry_due_ = base::instant{};
-    phase_ = phase_ == phase::holding && !read_needed_ ? phase::releasing : phase::stopped;
+    phase_ = phase_ == phase::holding ? phase::releasing : phase::stopped;
 }
 
 lease_action drive_lease(lease_keeper &keeper, store::object_store &store, base::id_source &ids) {
--- a/src/lease/lease_keeper.hpp
+++ b/src/lease/lease_keeper.hpp
@@ -58,9 +58,12 @@
     /** @brief Outcome of a `write` (`store::settled_write`). */
     void on_written(const base::result<std::uint64_t> &written);
 
-    /** @brief Gives the authority up at once; `next` then writes the release and waits for ever after. */
+    /** @brief Gives the authority up at once; `next` then writes the release, repeats it, and waits for ever after. */
     void release();
 
+    /** @return True while a record of this process may be in the store, whether or not it is still valid. */
+    [[nodiscard]] bool owns_record() const noexcept { return phase_ == phase::holding || phase_ == phase::releasing; }
+
     /** @return True while the lease may be relied upon. */
     [[nodiscard]] bool held() const noexcept;
 
--- a/src/lease/lease_thread.cpp
+++ b/src/lease/lease_thread.cpp
@@ -38,6 +38,11 @@
     }
 }
 
+void lease_thread::request_stop(base::instant last) {
+    release_until_ = last;
+    thread_.request_stop();
+}
+
 std::optional<authority_check> lease_thread::authority() const {
     const std::scoped_lock lock{mutex_};
     return authority_ && (*authority_)() ? authority_ : std::nullopt;
@@ -70,14 +75,14 @@
             base::wait_unless_stopped(token, wait);
         }
     }
-    const bool held = keeper_.held();
+    const bool owned = keeper_.owns_record();
     keeper_.release();
     {
         const std::scoped_lock lock{mutex_};
         authority_.reset();
     }
-    const auto limit = clock_.now() + internal::lease_stop_limit;
-    while (held && clock_.now() < limit) {
+    const auto limit = std::max<base::instant>(clock_.now() + internal::lease_stop_limit, release_until_);
+    while (owned && clock_.now() < limit) {
         const auto action = drive_lease(keeper_, store_, ids_);
         if (action.step == lease_step::wait && action.until == base::instant::max()) {
             log::write("lease_released", {{"lease", name_}});
--- a/src/lease/lease_thread.hpp
+++ b/src/lease/lease_thread.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <mutex>
 #include <optional>
@@ -28,6 +29,9 @@
     /** @brief Gives the lease up and ends the thread. */
     void stop();
 
+    /** @brief Gives the lease up and returns at once. @param last Until then a release that failed is repeated. */
+    void request_stop(base::instant last);
+
     /** @return Check of the lease when it is held. Callable from any thread. */
     [[nodiscard]] std::optional<authority_check> authority() const;
 
@@ -44,6 +48,7 @@
     bool was_held_{false};
     mutable std::mutex mutex_;
     std::optional<authority_check> authority_;
+    std::atomic<base::instant> release_until_{};
     std::jthread thread_;
 };
 
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -263,6 +263,12 @@
     REQUIRE(it.of_window(19).size() == 1);
     CHECK(it.of_window(19).front().counts.at("sangh") == 6);
 
+    usage_fixture removed;
+    removed.now = 100'500;
+    removed.publish("g2", {{17, {{"sangh", 2}}}}, 17);
+    removed.subject.work(*removed.keeper.authority());
+    CHECK(removed.of_window(19).size() == 1);
+
     usage_fixture other;
     other.now = 101'000;
     other.publish("g2", {{19, {{"sangh", 2}}}}, 19);
