Take engines without a recent report as usually loaded, not as idle

With 31 gateways, each hears from one of 44 engines less than once a second, so mostly there was no recent report, and the others' requests counted as none.

Without a recent report the others are taken to have as many requests at an engine as this gateway has at one of that stage on average.

Test: "unread prompts of other gateways are inferred from the reported load", with thirty gateways.

--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -30,6 +30,14 @@
         state.facts = it;
     }
     std::erase_if(states_, [&seen](const auto &it) { return !seen.contains(it.first); });
+    for (auto &it : stages_) {
+        it.servers = 0;
+        it.own = 0;
+    }
+    for (const auto &[id, it] : states_) {
+        ++totals_of(it).servers;
+        totals_of(it).own += it.own;
+    }
 }
 
 const backend_state *backend_table::find(std::string_view id) const {
@@ -65,13 +73,14 @@
 
 void backend_table::learn_unread(const backend_state &it) noexcept {
     if (it.own > 0) {
-        unread_.at(static_cast<std::size_t>(it.facts.stage)).add(it.own_prefill_tokens / it.own);
+        totals_of(it).unread.add(it.own_prefill_tokens / it.own);
     }
 }
 
 void backend_table::started(std::string_view id, double prefill_tokens) {
     if (auto *it = find_mutable(id)) {
         learn_unread(*it);
+        ++totals_of(*it).own;
         ++it->own;
         ++it->change;
         it->own_prefill_tokens += prefill_tokens;
@@ -117,7 +126,10 @@
     if (it == nullptr) {
         return;
     }
-    it->own -= it->own > 0 ? 1 : 0;
+    if (it->own > 0) {
+        --it->own;
+        --totals_of(*it).own;
+    }
     --it->change;
     switch (how) {
     case attempt_outcome::answered:
@@ -142,8 +154,12 @@
     it->trial = false;
 }
 
+bool backend_table::has_report(const backend_state &it) const {
+    return it.reported_at && time_.now() - *it.reported_at <= settings_.report_life;
+}
+
 double backend_table::outstanding(const backend_state &it) const {
-    if (!it.reported_at || time_.now() - *it.reported_at > settings_.report_life) {
+    if (!has_report(it)) {
         return it.own;
     }
     const auto reported = static_cast<double>(it.report.running + it.report.waiting) + static_cast<double>(it.change);
@@ -151,8 +167,10 @@
 }
 
 double backend_table::unread_tokens(const backend_state &it) const {
-    const auto &mean = unread_.at(static_cast<std::size_t>(it.facts.stage));
-    return it.own_prefill_tokens + std::max(0.0, outstanding(it) - it.own) * mean.value;
+    const auto &all = stages_.at(stage_index(it));
+    const double usual = static_cast<double>(all.own) / std::max(1U, all.servers) * (gateways_ - 1);
+    const double others = has_report(it) ? outstanding(it) - it.own : usual;
+    return it.own_prefill_tokens + std::max(0.0, others) * all.unread.value;
 }
 
 double backend_table::failure_rate(const backend_state &it) const {
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -53,6 +53,9 @@
     /** @brief Replaces the set; state of incarnations that stay is kept. */
     void update(const std::vector<backend_server> &all);
 
+    /** @brief Sets the number of gateways that send requests. */
+    void set_gateways(std::uint32_t n) noexcept { gateways_ = n == 0 ? 1 : n; }
+
     /** @return The state of a backend server, or null. */
     [[nodiscard]] const backend_state *find(std::string_view id) const;
 
@@ -77,7 +80,8 @@
 
     /**
      * @return Tokens of prompts that the backend server has still to read: those of own requests, and for each request
-     * of other gateways as many as an own one has on average.
+     * of other gateways as many as an own one has on average. Without a recent report the others are taken to have
+     * as many requests there as this gateway has at a server of that stage on average.
      */
     [[nodiscard]] double unread_tokens(const backend_state &it) const;
 
@@ -94,6 +98,18 @@
         void add(double sample) noexcept;
     };
 
+    /** Servers of one stage, and own requests at all of them. */
+    struct stage_totals {
+        std::uint32_t servers{0};
+        std::uint32_t own{0};
+        running_mean unread; /**< Tokens of an own request that are still to be read. */
+    };
+
+    [[nodiscard]] bool has_report(const backend_state &it) const;
+    [[nodiscard]] stage_totals &totals_of(const backend_state &it) { return stages_.at(stage_index(it)); }
+    [[nodiscard]] static std::size_t stage_index(const backend_state &it) noexcept {
+        return static_cast<std::size_t>(it.facts.stage);
+    }
     [[nodiscard]] double decay(const backend_state &it) const;
     void learn_unread(const backend_state &it) noexcept;
     void note(backend_state &it, double failure);
@@ -102,7 +118,8 @@
     const base::clock &time_;
     const health_settings settings_;
     std::map<std::string, backend_state, std::less<>> states_;
-    std::array<running_mean, engine_stages> unread_{}; /**< Unread tokens of an own request, by stage of the engine. */
+    std::array<stage_totals, engine_stages> stages_{}; /**< By stage. */
+    std::uint32_t gateways_{1};
 };
 
 } // namespace dotterelstack::gateway
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -118,6 +118,7 @@
 
 void forwarder::set_gateways(std::uint32_t n) {
     budget_.set_gateways(n);
+    table_.set_gateways(n);
     placement_.set_gateways(n);
 }
 
--- a/test/gateway/backend_table.cpp
+++ b/test/gateway/backend_table.cpp
@@ -80,6 +80,12 @@
     CHECK(it.unread_tokens(*it.find("idle")) == 0);
     it.started("idle", 4000);
     CHECK(it.unread_tokens(*it.find("idle")) == 4000);
+    // Pattern: thirty gateways, so that none hears from an engine often. Guards against taking silence for idleness.
+    it.set_gateways(31);
+    clock.advance(2s);
+    const auto silent = it.unread_tokens(*it.find("busy"));
+    CHECK(silent > 15 * 1000);
+    CHECK(silent < 15 * 4000);
 }
 
 // Pattern: half of the answers of one server are errors while its health check is good.
