--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -12,6 +12,8 @@
 constexpr double assumed_successes = 2;
 // Looks at own requests over which their unread tokens are averaged.
 constexpr std::uint32_t unread_samples = 50;
+// Load that is assumed at a server without a recent report, as a part of the usual one: silence means idleness, too.
+constexpr double silent_part = 0.25;
 
 } // namespace internal
 
@@ -168,7 +170,8 @@
 
 double backend_table::unread_tokens(const backend_state &it) const {
     const auto &all = stages_.at(stage_index(it));
-    const double usual = static_cast<double>(all.own) / std::max(1U, all.servers) * (gateways_ - 1);
+    const double usual =
+        static_cast<double>(all.own) / std::max(1U, all.servers) * (gateways_ - 1) * internal::silent_part;
     const double others = has_report(it) ? outstanding(it) - it.own : usual;
     return it.own_prefill_tokens + std::max(0.0, others) * all.unread.value;
 }
