Share store calls, stable hashes and seconds in place of copies

The adapter's store client repeated the transport part of http_store: the call limits, the reading of a lost answer as a time-out, and the error for an answer that is none. Both now call store/http_calls, and the adapter has no deadlines of its own: the connect timeout of 300 ms is the setting timings.store_connect_timeout_ms.

FNV-1a stood in four places (base/stable_hash), the conversion between durations and seconds in ten (base/seconds). Values are unchanged.

--- a/src/dispatch/refusal.cpp
+++ b/src/dispatch/refusal.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "base/seconds.hpp"
+
 namespace dotterelstack::dispatch {
 
 namespace internal {
@@ -16,7 +18,7 @@
         return std::to_string(std::max<std::int64_t>(1, seconds));
     }
     std::array<char, 32> buf{};
-    const int n = std::snprintf(buf.data(), buf.size(), "%.3f", std::chrono::duration<double>(value).count());
+    const int n = std::snprintf(buf.data(), buf.size(), "%.3f", base::to_seconds(value));
     return {buf.data(), static_cast<std::size_t>(n)};
 }
 
--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -5,6 +5,8 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "base/stable_hash.hpp"
+
 namespace dotterelstack::entry {
 
 using nlohmann::json;
@@ -164,15 +166,12 @@
 
 std::vector<std::uint64_t> prefix_hashes(std::string_view model, std::string_view prompt, std::uint32_t block_tokens) {
     std::vector<std::uint64_t> out;
-    // FNV-1a; the chain makes each hash stand for the whole prefix.
-    constexpr std::uint64_t prime = 0x100000001b3ULL;
-    std::uint64_t hash = 0xcbf29ce484222325ULL;
-    const auto mix = [&hash](char it) { hash = (hash ^ static_cast<unsigned char>(it)) * prime; };
-    std::ranges::for_each(model, mix);
+    // The chain makes each hash stand for the whole prefix.
+    auto hash = base::fnv1a(model);
     std::uint64_t tokens = 0;
     bool in_word = false;
     for (const char it : prompt) {
-        mix(it);
+        hash = base::fnv1a(it, hash);
         const bool space = it == ' ' || it == '\n' || it == '\t' || it == '\r';
         if (space && in_word) {
             ++tokens;
--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <set>
 
+#include "base/seconds.hpp"
+
 namespace dotterelstack::gateway {
 
 namespace internal {
@@ -105,9 +107,7 @@
 }
 
 double backend_table::decay(const backend_state &it) const {
-    const std::chrono::duration<double> passed = time_.now() - it.decayed_at;
-    const std::chrono::duration<double> half_life = settings_.failure_half_life;
-    return std::exp2(-passed.count() / half_life.count());
+    return std::exp2(-base::to_seconds(time_.now() - it.decayed_at) / base::to_seconds(settings_.failure_half_life));
 }
 
 void backend_table::note(backend_state &it, double failure) {
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -22,7 +22,7 @@
     base::duration first_pause{std::chrono::milliseconds{300}}; /**< After a failed connection; doubled each time. */
     base::duration longest_pause{std::chrono::seconds{3}};
     base::duration failure_half_life{std::chrono::seconds{3}};
-    base::duration report_life{std::chrono::milliseconds{1000}}; /**< Then only own requests are counted. */
+    base::duration report_life{std::chrono::milliseconds{1000}}; /**< Age up to which a report counts. */
 };
 
 /** @brief Belief about one backend server: facts, load and health. */
@@ -89,7 +89,6 @@
     [[nodiscard]] double failure_rate(const backend_state &it) const;
 
 private:
-    [[nodiscard]] backend_state *find_mutable(std::string_view id);
     /** A mean that follows its newest samples; the first ones weigh alike. */
     struct running_mean {
         double value{0};
@@ -105,6 +104,7 @@
         running_mean unread; /**< Tokens of an own request that are still to be read. */
     };
 
+    [[nodiscard]] backend_state *find_mutable(std::string_view id);
     [[nodiscard]] bool has_report(const backend_state &it) const;
     [[nodiscard]] stage_totals &totals_of(const backend_state &it) { return stages_.at(stage_index(it)); }
     [[nodiscard]] static std::size_t stage_index(const backend_state &it) noexcept {
--- a/src/gateway/prefix_memory.cpp
+++ b/src/gateway/prefix_memory.cpp
@@ -1,24 +1,18 @@
 #include "gateway/prefix_memory.hpp"
 
+#include "base/stable_hash.hpp"
+
 namespace dotterelstack::gateway {
 
 namespace internal {
 
-// Finaliser of splitmix64 and offset of FNV-1a: all gateways must compute the same values.
+// Finaliser of splitmix64: all gateways must compute the same values.
 constexpr std::uint64_t mix(std::uint64_t it) noexcept {
     it = (it ^ (it >> 30U)) * 0xbf58476d1ce4e5b9U;
     it = (it ^ (it >> 27U)) * 0x94d049bb133111ebU;
     return it ^ (it >> 31U);
 }
 
-constexpr std::uint64_t text_hash(std::string_view text) noexcept {
-    std::uint64_t out = 0xcbf29ce484222325U;
-    for (const char it : text) {
-        out = (out ^ static_cast<unsigned char>(it)) * 0x100000001b3U;
-    }
-    return out;
-}
-
 } // namespace internal
 
 prefix_memory::prefix_memory(const base::clock &time, base::duration life) : time_{time}, life_{life} {}
@@ -78,7 +72,7 @@
 }
 
 std::uint64_t rendezvous_rank(std::uint64_t key, std::string_view engine) noexcept {
-    return internal::mix(key ^ internal::mix(internal::text_hash(engine)));
+    return internal::mix(key ^ internal::mix(base::fnv1a(engine)));
 }
 
 } // namespace dotterelstack::gateway
--- a/src/gateway/prefix_warmth.cpp
+++ b/src/gateway/prefix_warmth.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/seconds.hpp"
+
 namespace dotterelstack::gateway {
 
 namespace internal {
@@ -18,15 +20,11 @@
 // Factor a second: counts lose half of their weight in 30 s.
 const double decay_factor = std::exp2(-1.0 / 30);
 
-double seconds(base::duration value) noexcept {
-    return std::chrono::duration<double>(value).count();
-}
-
 } // namespace internal
 
 void prefix_warmth::advance() noexcept {
     const auto now = time_.now();
-    exposure_s_ += static_cast<double>(last_use_.size()) * internal::seconds(now - advanced_at_);
+    exposure_s_ += static_cast<double>(last_use_.size()) * base::to_seconds(now - advanced_at_);
     advanced_at_ = now;
 }
 
@@ -46,7 +44,7 @@
     if (!begun_) {
         return 0;
     }
-    const double age = internal::seconds(time_.now() - std::max(since, *begun_));
+    const double age = base::to_seconds(time_.now() - std::max(since, *begun_));
     const double gateways = gateways_;
     const double assumed_exposure = internal::assumed_repeats * internal::assumed_interval_s * gateways;
     const double rate = (repeats_ + internal::assumed_repeats) / (exposure_s_ + assumed_exposure);
--- a/src/gateway/return_schedule.cpp
+++ b/src/gateway/return_schedule.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/seconds.hpp"
+
 namespace dotterelstack::gateway {
 
 namespace internal {
@@ -15,10 +17,6 @@
 constexpr double least_rate = 1;
 constexpr auto shortest_wait = std::chrono::milliseconds{50};
 
-base::duration to_duration(double seconds) {
-    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>{seconds});
-}
-
 } // namespace internal
 
 return_schedule::turns &return_schedule::refreshed(std::string_view service) {
@@ -28,7 +26,7 @@
         found = services_.emplace(std::string{service}, turns{.decayed_at = now}).first;
     }
     auto &it = found->second;
-    const double passed = std::chrono::duration<double>(now - it.decayed_at).count();
+    const double passed = base::to_seconds(now - it.decayed_at);
     it.placed *= std::exp(-passed / internal::rate_window_s);
     it.decayed_at = now;
     return it;
@@ -44,7 +42,7 @@
     const double rate = std::max(internal::least_rate, it.placed / internal::rate_window_s * internal::returning_part);
     const auto first = now + std::max<base::duration>(free_in, internal::shortest_wait);
     // Turns beyond the patience of callers are not taken, so the schedule does not run away from them.
-    const auto next = it.last ? std::max(first, *it.last + internal::to_duration(1 / rate)) : first;
+    const auto next = it.last ? std::max(first, *it.last + base::from_seconds(1 / rate)) : first;
     const auto turn = std::min(next, std::max(first, now + longest));
     it.last = turn;
     return turn - now;
--- a/src/limits/share_epoch.cpp
+++ b/src/limits/share_epoch.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <map>
 
+#include "base/stable_hash.hpp"
+
 namespace dotterelstack::limits {
 
 namespace {
@@ -23,9 +25,7 @@
 
 /** @brief FNV-1a with a final mix, the same in every process. */
 std::uint64_t stable_hash(std::string_view text, std::uint64_t hash) noexcept {
-    for (const char it : text) {
-        hash = (hash ^ static_cast<unsigned char>(it)) * 0x100000001b3ULL;
-    }
+    hash = base::fnv1a(text, hash);
     hash = (hash ^ (hash >> 33U)) * 0xff51afd7ed558ccdULL;
     return hash ^ (hash >> 33U);
 }
@@ -86,11 +86,11 @@
 }
 
 std::string_view coordinator_of(const share_epoch &epoch, row_key row) noexcept {
-    constexpr std::uint64_t seed = 0xcbf29ce484222325ULL;
     std::string_view best;
     std::uint64_t best_hash = 0;
     for (const auto &it : epoch.members) {
-        const auto hash = stable_hash(it.entry, stable_hash(row.service, stable_hash(row.organisation, seed)));
+        const auto hash =
+            stable_hash(it.entry, stable_hash(row.service, stable_hash(row.organisation, base::fnv_offset)));
         if (best.empty() || hash > best_hash || (hash == best_hash && it.entry < best)) {
             best = it.entry;
             best_hash = hash;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -108,9 +108,7 @@
     base::boottime_clock clock;
     base::id_source ids;
     http::curl_client client;
-    platform::store_limits limits;
-    limits.timeout = with.timings.store_timeout;
-    platform::object_store store{client, with.store, limits};
+    platform::object_store store{client, with.store, {with.timings.store_connect_timeout, with.timings.store_timeout}};
     const platform::http_protocol protocol;
     const platform::object_codec codec;
     platform::http_duties duties{client, with.duties, with.name, with.timings.store_timeout};
--- a/src/retry/retry_budget.cpp
+++ b/src/retry/retry_budget.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/seconds.hpp"
+
 namespace dotterelstack::retry {
 
 namespace {
@@ -10,10 +12,6 @@
 /** @brief Rounding that a balance of one whole retry may have lost. */
 constexpr double tolerance = 1e-9;
 
-double seconds(base::duration span) noexcept {
-    return std::chrono::duration<double>(span).count();
-}
-
 } // namespace
 
 retry_budget::retry_budget(const base::clock &clock, budget_options options) : clock_{clock}, options_{options} {}
@@ -26,8 +24,8 @@
         it = from.emplace(name, account{0, stock, now}).first;
     }
     auto &out = it->second;
-    const double elapsed = seconds(now - out.updated);
-    out.earned *= std::exp(-elapsed / seconds(options_.window));
+    const double elapsed = base::to_seconds(now - out.updated);
+    out.earned *= std::exp(-elapsed / base::to_seconds(options_.window));
     out.minimum = std::min(stock, out.minimum + elapsed * options_.minimum_per_second);
     out.updated = now;
     return out;
--- a/src/roles/role_planner.cpp
+++ b/src/roles/role_planner.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <tuple>
 
+#include "base/seconds.hpp"
+
 namespace dotterelstack::roles {
 
 namespace internal {
@@ -23,10 +25,6 @@
     return index(a) + index(b) - 1;
 }
 
-double seconds(base::duration it) noexcept {
-    return std::chrono::duration<double>(it).count();
-}
-
 double share(double part, double whole) noexcept {
     return whole > 0 ? part / whole : (part > 0 ? 2.0 : 0.0);
 }
@@ -99,9 +97,9 @@
 
 void role_planner::set_demand(const role_demand &demand) noexcept {
     const auto now = time_.now();
-    const auto constant = internal::seconds(settings_.smoothing);
+    const auto constant = base::to_seconds(settings_.smoothing);
     const auto weight =
-        has_demand_ && constant > 0 ? 1 - std::exp(-internal::seconds(now - demand_at_) / constant) : 1.0;
+        has_demand_ && constant > 0 ? 1 - std::exp(-base::to_seconds(now - demand_at_) / constant) : 1.0;
     for (const auto field : internal::demand_fields) {
         demand_.*field += weight * (demand.*field - demand_.*field);
     }
@@ -201,10 +199,10 @@
     auto changed = after;
     --changed[internal::index(from)];
     ++changed[internal::index(to)];
-    const auto away = internal::seconds(settings_.change_time);
+    const auto away = base::to_seconds(settings_.change_time);
     const auto saved = expected_misses(after, demand) - expected_misses(changed, demand);
     const auto lost = expected_misses(absent, demand) - expected_misses(now, demand);
-    const auto gain = saved * (internal::seconds(settings_.horizon) - away);
+    const auto gain = saved * (base::to_seconds(settings_.horizon) - away);
     const auto cost = std::max(0.0, lost) * away + settings_.fixed_cost;
     return {from, to, gain > settings_.gain_factor * cost ? gain - cost : 0.0};
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -5,6 +5,8 @@
 #include <limits>
 #include <utility>
 
+#include "base/seconds.hpp"
+
 namespace dotterelstack::routing {
 
 namespace internal {
@@ -24,14 +26,6 @@
     return from > n ? from - n : 0;
 }
 
-double seconds(base::duration it) noexcept {
-    return std::chrono::duration<double>(it).count();
-}
-
-base::duration to_duration(double seconds) noexcept {
-    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
-}
-
 bool role_fits(backend_role role, request_phase phase) noexcept {
     switch (role) {
     case backend_role::prefill:
@@ -290,7 +284,7 @@
         return 0;
     }
     return it.failures *
-           std::exp2(-internal::seconds(now - it.failures_at) / internal::seconds(settings_.failure_half_life));
+           std::exp2(-base::to_seconds(now - it.failures_at) / base::to_seconds(settings_.failure_half_life));
 }
 
 router::wait_estimate router::wait_of(const slot &it, const route_request &request,
@@ -394,8 +388,8 @@
         return state.any ? refusal{refusal_kind::no_memory, !state.any_large} : refusal{refusal_kind::no_backend};
     }
     const auto &best = state.best;
-    return selection{&slots_[best.slot].facts, best.hit_tokens, internal::to_duration(best.wait.queue),
-                     internal::to_duration(best.wait.queue + best.wait.own)};
+    return selection{&slots_[best.slot].facts, best.hit_tokens, base::from_seconds(best.wait.queue),
+                     base::from_seconds(best.wait.queue + best.wait.own)};
 }
 
 void router::started(std::string_view id, std::string_view backend, const route_request &request) {
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "base/seconds.hpp"
 #include "settings/file.hpp"
 #include "settings/reader.hpp"
 
@@ -40,6 +41,7 @@
 
 constexpr auto gateway_times = std::to_array<time_field<gateway_timings>>({
     {"store_timeout_ms", &gateway_timings::store_timeout, {50, 60'000}},
+    {"store_connect_timeout_ms", &gateway_timings::store_connect_timeout, {10, 60'000}},
     {"store_retry_ms", &gateway_timings::store_retry, {10, 60'000}},
     {"watch_wait_ms", &gateway_timings::watch_wait, {50, 30'000}},
     {"connect_timeout_ms", &gateway_timings::connect_timeout, {10, 60'000}},
@@ -57,9 +59,9 @@
         in.optional(it.name, out.*it.member, it.milliseconds);
     }
     for (const auto &it : bounds_in_seconds) {
-        double seconds = std::chrono::duration<double>(out.*it.member).count();
+        double seconds = base::to_seconds(out.*it.member);
         in.optional(it.name, seconds, it.seconds);
-        out.*it.member = std::chrono::duration_cast<base::duration>(std::chrono::duration<double>{seconds});
+        out.*it.member = base::from_seconds(seconds);
     }
     in.optional("retry_ratio", out.retry_ratio, retry_ratio_range);
     in.optional("retry_allowance", out.retry_allowance, retry_allowance_range);
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -28,6 +28,7 @@
 /** @brief Times of one gateway; in the file as whole milliseconds with the suffix `_ms`. */
 struct gateway_timings {
     base::duration store_timeout{std::chrono::seconds{1}};
+    base::duration store_connect_timeout{std::chrono::milliseconds{300}};
     base::duration store_retry{std::chrono::milliseconds{200}};
     /** Longest wait of a watch; see `watch_wait_of`. */
     base::duration watch_wait{std::chrono::seconds{10}};
--- a/src/spread/topology.cpp
+++ b/src/spread/topology.cpp
@@ -4,20 +4,12 @@
 #include <map>
 #include <utility>
 
+#include "base/stable_hash.hpp"
+
 namespace dotterelstack::spread {
 
 namespace internal {
 
-constexpr std::uint64_t fnv_offset = 14695981039346656037ULL;
-constexpr std::uint64_t fnv_prime = 1099511628211ULL;
-
-std::uint64_t fnv(std::uint64_t state, std::string_view text) noexcept {
-    for (const auto it : text) {
-        state = (state ^ static_cast<unsigned char>(it)) * fnv_prime;
-    }
-    return state;
-}
-
 // FNV alone leaves similar names with similar high bits; the finaliser of MurmurHash3 spreads them.
 std::uint64_t finalise(std::uint64_t it) noexcept {
     it = (it ^ (it >> 33U)) * 0xff51afd7ed558ccdULL;
@@ -43,7 +35,7 @@
 } // namespace internal
 
 std::uint64_t rendezvous_score(std::string_view key, std::string_view candidate) noexcept {
-    const auto state = internal::fnv(internal::fnv(internal::fnv_offset, key) * internal::fnv_prime, candidate);
+    const auto state = base::fnv1a(candidate, base::fnv1a(key) * base::fnv_prime);
     return internal::finalise(state);
 }
 
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -37,17 +37,6 @@
     return whole && out != absent ? std::optional{out} : std::nullopt;
 }
 
-base::error bad_answer(base::error_kind kind, const std::string &what) {
-    return {kind, "bad_store_answer", "the store sent " + what + "; check that the address names the object store"};
-}
-
-base::error read_error(base::error cause) {
-    if (cause.kind == base::error_kind::unknown_outcome) {
-        cause.kind = base::error_kind::timeout;
-    }
-    return cause;
-}
-
 base::error status_error(int status, bool writing) {
     const std::string text = "status " + std::to_string(status);
     if (status == 429) {
@@ -90,10 +79,9 @@
 }
 
 base::result<http::response> http_store::read(const std::string &target, base::duration extra) {
-    const http::call_options limits{options_.connect_timeout, options_.timeout + extra, base::duration{0}};
-    auto answer = client_.call(address_, {"GET", target, {}, ""}, limits);
+    auto answer = call_read(client_, address_, target, options_, extra);
     if (!answer) {
-        return boost::outcome_v2::failure(internal::read_error(answer.error()));
+        return answer;
     }
     const int status = answer.value().status;
     if (status != 200 && status != 404) {
@@ -103,8 +91,7 @@
 }
 
 base::result<http::response> http_store::write(const http::request &message) {
-    const http::call_options limits{options_.connect_timeout, options_.timeout, base::duration{0}};
-    auto answer = client_.call(address_, message, limits);
+    auto answer = call_write(client_, address_, message, options_);
     if (!answer) {
         return answer;
     }
@@ -126,8 +113,7 @@
     }
     const auto version = internal::parse_version(answer);
     if (!version) {
-        return boost::outcome_v2::failure(
-            internal::bad_answer(base::error_kind::unavailable, "an object without ETag"));
+        return boost::outcome_v2::failure(bad_answer(base::error_kind::unavailable, "an object without ETag"));
     }
     return std::optional<object>{object{std::string{key}, *version, std::move(answer.body)}};
 }
@@ -138,8 +124,7 @@
     BOOST_OUTCOME_TRY(answer, write(message));
     const auto version = internal::parse_version(answer);
     if (!version) {
-        return boost::outcome_v2::failure(
-            internal::bad_answer(base::error_kind::unknown_outcome, "a write answer without ETag"));
+        return boost::outcome_v2::failure(bad_answer(base::error_kind::unknown_outcome, "a write answer without ETag"));
     }
     return *version;
 }
@@ -163,7 +148,7 @@
         }
         return out;
     } catch (const nlohmann::json::exception &ec) {
-        return boost::outcome_v2::failure(internal::bad_answer(base::error_kind::unavailable, ec.what()));
+        return boost::outcome_v2::failure(bad_answer(base::error_kind::unavailable, ec.what()));
     }
 }
 
@@ -181,7 +166,7 @@
         }
         return out;
     } catch (const nlohmann::json::exception &ec) {
-        return boost::outcome_v2::failure(internal::bad_answer(base::error_kind::unavailable, ec.what()));
+        return boost::outcome_v2::failure(bad_answer(base::error_kind::unavailable, ec.what()));
     }
 }
 
--- a/src/store/http_store.hpp
+++ b/src/store/http_store.hpp
@@ -3,16 +3,11 @@
 #include <string>
 
 #include "http/client.hpp"
+#include "store/http_calls.hpp"
 #include "store/object_store.hpp"
 
 namespace dotterelstack::store {
 
-/** @brief Deadlines of the store client. */
-struct http_store_options {
-    base::duration connect_timeout{std::chrono::milliseconds{500}};
-    base::duration timeout{std::chrono::seconds{2}}; /**< Whole call; a watch adds its own wait to it. */
-};
-
 /**
  * @brief `object_store` over the platform's HTTP protocol (docs/design.md, section 5).
  *
