Do once what exchanges, placement and the usage duty did repeatedly

opaque_exchange kept state that its base has (the start of an attempt, whether it was placed before), read the head of a prefill answer twice, mapped calls that were not sent and rejections in two places each, and recognised cuts by their code; a refusal now says itself that the connection is cut. Connection: close is added in one place.

placement worked out the shared prefix, its home and how probably it is cached for each engine; now once for each request. usage_duty listed the records of all gateways for each open window; now once in a step. The events of calls exist once for entries and gateways, and so does the faked caller of their tests, whose assertions are unchanged. Unused: the clock of config_source, the random source of exchange_tools, forwarder::backends.

One effect beside the calls saved: the load in the head of a prefill answer counts when it arrives, and not a second time at the end of the answer.

--- a/src/dispatch/engine.hpp
+++ b/src/dispatch/engine.hpp
@@ -70,10 +70,10 @@
     void end_all(const refusal &why);
 
     [[nodiscard]] exchange *find(exchange_number number) const;
-    [[nodiscard]] std::vector<exchange_number> numbers() const;
     [[nodiscard]] std::size_t size() const noexcept { return exchanges_.size(); }
 
 private:
+    [[nodiscard]] std::vector<exchange_number> numbers() const;
     void attempt(exchange_number number, exchange &it);
     void open_call(exchange_number number, exchange &it, outgoing_call what);
     void close_call(exchange &it, attempt_outcome how, bool still_open);
--- a/src/dispatch/exchange.hpp
+++ b/src/dispatch/exchange.hpp
@@ -135,6 +135,10 @@
     /** @return Rank among waiting requests, 0 first. */
     [[nodiscard]] virtual unsigned int priority() const noexcept { return 0; }
 
+protected:
+    /** @return When the call under way, or the last one, was made. */
+    [[nodiscard]] base::instant attempt_started() const noexcept { return attempt_started_; }
+
 private:
     friend class engine;
 
--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -36,7 +36,7 @@
             const std::scoped_lock lock{mutex_};
             sent_.erase(call);
         }
-        events_.push(end_event{call, internal::to_call_end(outcome)});
+        events_.push(end_event{call, internal::to_call_end(outcome), {}});
     };
     const std::scoped_lock lock{mutex_};
     sent_[call] = client_.send(address, std::move(message), std::move(handlers));
--- a/src/entry/events.hpp
+++ b/src/entry/events.hpp
@@ -9,30 +9,21 @@
 #include "base/ring.hpp"
 #include "claim/claim_book.hpp"
 #include "config/config_state.hpp"
+#include "dispatch/events.hpp"
 #include "entry/caller_request.hpp"
 #include "entry/dispatcher.hpp"
 #include "entry/ports.hpp"
-#include "http/message.hpp"
 
 namespace dotterelstack::entry {
 
+using dispatch::data_event;
+using dispatch::end_event;
+using dispatch::head_event;
+
 struct arrival_event {
     std::shared_ptr<caller_port> caller;
     caller_request request;
 };
-struct head_event {
-    call_id call{0};
-    int status{0};
-    http::field_list fields;
-};
-struct data_event {
-    call_id call{0};
-    std::string part;
-};
-struct end_event {
-    call_id call{0};
-    call_end how{call_end::broken};
-};
 struct cancel_event {
     std::string request;
     std::string outcome;
--- a/src/gateway/config_source.hpp
+++ b/src/gateway/config_source.hpp
@@ -7,7 +7,6 @@
 #include <string_view>
 #include <vector>
 
-#include "base/clock.hpp"
 #include "gateway/site_codec.hpp"
 #include "gateway/traffic_config.hpp"
 #include "http/client.hpp"
@@ -24,7 +23,6 @@
 class config_source {
 public:
     struct dependencies {
-        const base::clock &time;
         const site_codec &codec;
         http::client &client;
         std::function<std::vector<std::string>()> peers; /**< Addresses of other gateways. */
--- a/src/gateway/events.hpp
+++ b/src/gateway/events.hpp
@@ -7,7 +7,7 @@
 
 #include "base/clock.hpp"
 #include "base/ring.hpp"
-#include "gateway/backend_port.hpp"
+#include "dispatch/events.hpp"
 #include "gateway/backend_server.hpp"
 #include "gateway/forward_stop.hpp"
 #include "gateway/traffic_config.hpp"
@@ -17,25 +17,15 @@
 
 namespace dotterelstack::gateway {
 
+using dispatch::data_event;
+using dispatch::end_event;
+using dispatch::head_event;
+
 struct arrival_event {
     std::shared_ptr<http::caller_port> caller;
     http::request message;
     base::instant received{};
 };
-struct head_event {
-    call_id call{0};
-    int status{0};
-    http::field_list fields;
-};
-struct data_event {
-    call_id call{0};
-    std::string part;
-};
-struct end_event {
-    call_id call{0};
-    call_end how{call_end::broken};
-    http::response answer;
-};
 struct config_event {
     traffic_config_ptr config;
 };
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -25,19 +25,10 @@
 
 forwarder::forwarder(forwarder_settings settings, dependencies with)
     : settings_{std::move(settings)}, with_{std::move(with)}, table_{with_.time, settings_.health},
-      placement_{with_.time, table_, with_.random, settings_.places}, returns_{with_.time}, budget_{with_.time,
-                                                                                                    settings_.retries},
-      retries_{with_.time, budget_, with_.random, internal::retry_options}, tools_{with_.time,
-                                                                                   with_.metrics,
-                                                                                   with_.backends,
-                                                                                   with_.protocol,
-                                                                                   with_.starts,
-                                                                                   with_.random,
-                                                                                   settings_.failure_domain,
-                                                                                   stop_,
-                                                                                   table_,
-                                                                                   placement_,
-                                                                                   returns_},
+      placement_{with_.time, table_, with_.random, settings_.places}, returns_{with_.time},
+      budget_{with_.time, settings_.retries}, retries_{with_.time, budget_, with_.random, internal::retry_options},
+      tools_{with_.time, with_.metrics, with_.backends, with_.protocol, with_.starts, settings_.failure_domain,
+             stop_,      table_,        placement_,     returns_},
       engine_{{with_.time, with_.metrics, with_.backends, retries_}} {}
 
 void forwarder::refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const {
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -78,14 +78,15 @@
     void stop(forward_stop how) noexcept { stop_ = how; }
 
     /** @brief Breaks all open requests off; for the end of the process. */
-    void abandon() { engine_.end_all({502, std::string{stopped_code}, "this gateway has stopped"}); }
+    void abandon() {
+        engine_.end_all({.status = 502, .code = "stopped", .message = "this gateway has stopped", .cut = true});
+    }
 
     /** @return True while requests can be served: a configuration and a backend server are known. */
     [[nodiscard]] bool ready() const noexcept { return stop_ == forward_stop::none && config_ && table_.any_live(); }
 
     [[nodiscard]] std::size_t active() const noexcept { return engine_.size(); }
     [[nodiscard]] std::uint64_t config_version() const noexcept { return config_ ? config_->version() : 0; }
-    [[nodiscard]] const backend_table &backends() const noexcept { return table_; }
 
 private:
     void refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -66,7 +66,7 @@
       link_{transfers_, events_, settings_.timings.connect_timeout},
       forwarder_{{.failure_domain = settings_.failure_domain, .retries = internal::retries_of(settings_.bounds)},
                  {with_.time, metrics_, link_, with_.protocol, starts_, internal::uniform_source()}},
-      config_{{with_.time, with_.codec, with_.client, [this] { return peers(); },
+      config_{{with_.codec, with_.client, [this] { return peers(); },
                [this](traffic_config_ptr it) { events_.push(config_event{std::move(it)}); }}},
       servers_{{with_.time, with_.codec, with_.client, [this] { return peers(); },
                 [this](std::vector<backend_server> all) { events_.push(backends_event{std::move(all)}); }}} {
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -31,6 +31,24 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/** @return The fields of an answer, which asks the caller to close its connection while the gateway stops. */
+http::field_list with_close(const exchange_tools &tools, http::field_list fields) {
+    if (tools.stop != forward_stop::none) {
+        fields.push_back({"Connection", "close"});
+    }
+    return fields;
+}
+
+call_step unreachable() {
+    return call_failed{{evidence_kind::never_sent}, attempt_outcome::unreachable};
+}
+
+/** @param head Of an answer which says that nothing has run. */
+call_step rejected(const answer_head &head) {
+    const auto how = head.other_server ? attempt_outcome::misdirected : attempt_outcome::full;
+    return call_failed{{evidence_kind::refused_before_handover}, how};
+}
+
 } // namespace internal
 
 retry::work_facts work_of(const traffic_route &route) noexcept {
@@ -48,22 +66,13 @@
                                    {"config_version", config_version},
                                    {"retry_after_ms", why.retry_after ? base::to_milliseconds(*why.retry_after) : 0}});
     auto answer = dispatch::to_response(why, dispatch::seconds_form::fractional);
-    if (tools.stop != forward_stop::none) {
-        answer.fields.push_back({"Connection", "close"});
-    }
+    answer.fields = internal::with_close(tools, std::move(answer.fields));
     caller.respond(answer);
 }
 
 opaque_exchange::opaque_exchange(const exchange_tools &tools, dispatch::request_identity of, opaque_request request)
     : exchange{std::move(of)}, tools_{tools}, request_{std::move(request)} {}
 
-http::field_list opaque_exchange::with_close(http::field_list fields) const {
-    if (tools_.stop != forward_stop::none) {
-        fields.push_back({"Connection", "close"});
-    }
-    return fields;
-}
-
 dispatch::place_result opaque_exchange::place() {
     // Events without an id cannot be told apart from those of another run.
     if (started_ && !last_event_) {
@@ -77,7 +86,7 @@
                                             .failure_domain = tools_.failure_domain,
                                             .excluded = tried_,
                                             .may_split = may_split_ && first && !started_ && !facts.last_event,
-                                            .is_new = !std::exchange(placed_before_, true)});
+                                            .is_new = stage() == dispatch::exchange_stage::held});
     if (seen.obstacle != placement_obstacle::none) {
         return wait_or_refuse(seen);
     }
@@ -137,15 +146,13 @@
 }
 
 dispatch::outgoing_call opaque_exchange::call_to(const backend_state &target, attempt_facts facts) {
-    const auto now = tools_.time.now();
-    const auto left = identity().deadline - now;
+    const auto left = identity().deadline - tools_.time.now();
     facts.backend = target.facts.id;
     facts.organisation = identity().organisation;
     facts.priority = request_.priority;
     facts.time_left = left;
     backend_ = target.facts.id;
     address_ = target.facts.address;
-    attempt_started_ = now;
     first_event_seen_ = false;
     start_counted_ = false;
     head_ = {};
@@ -166,7 +173,7 @@
     }
     if (how == attempt_outcome::answered) {
         if (!prefilling_) {
-            tools_.places.on_slot_time(identity().service, tools_.time.now() - attempt_started_);
+            tools_.places.on_slot_time(identity().service, tools_.time.now() - attempt_started());
         }
         return;
     }
@@ -197,11 +204,15 @@
     }
 }
 
-call_step opaque_exchange::on_head(int status, const http::field_list &fields) {
+void opaque_exchange::read_head(int status, const http::field_list &fields) {
     head_ = tools_.protocol.decode_head(status, fields, identity().id);
     if (head_.load) {
         tools_.table.reported(backend_, *head_.load);
     }
+}
+
+call_step opaque_exchange::on_head(int status, const http::field_list &fields) {
+    read_head(status, fields);
     return dispatch::call_goes_on{};
 }
 
@@ -222,7 +233,7 @@
 void opaque_exchange::begin_answer() {
     if (!started_) {
         started_ = true;
-        identity().caller->start(head_.status, with_close(head_.fields));
+        identity().caller->start(head_.status, internal::with_close(tools_, head_.fields));
     }
 }
 
@@ -264,58 +275,53 @@
 }
 
 call_step opaque_exchange::on_end(call_end how, const http::response &answer) {
+    if (how == call_end::not_sent || how == call_end::not_started) {
+        return internal::unreachable();
+    }
+    const bool complete = how == call_end::complete;
+    // The head of an answer with status 200 came before its body.
+    if (complete && answer.status != 200) {
+        read_head(answer.status, answer.fields);
+    }
     if (prefilling_) {
-        return after_prefill(how, answer);
-    }
-    switch (how) {
-    case call_end::complete:
-        return after_answer(answer);
-    case call_end::not_sent:
-    case call_end::not_started:
-        return call_failed{{evidence_kind::never_sent}, attempt_outcome::unreachable};
-    case call_end::broken:
-    case call_end::cancelled:
-        break;
-    }
-    return call_failed{unknown_outcome(), attempt_outcome::broken};
-}
-
-call_step opaque_exchange::after_prefill(call_end how, const http::response &answer) {
-    const auto head = tools_.protocol.decode_head(answer.status, answer.fields, identity().id);
-    if (head.load) {
-        tools_.table.reported(backend_, *head.load);
-    }
-    const bool answered = how == call_end::complete;
-    const auto handle = answered && answer.status == 200
-                            ? tools_.protocol.decode_handle(body_.empty() ? answer.body : body_)
-                            : base::result<std::string>{std::string{}};
-    if (answered && handle && !handle.value().empty()) {
-        first_event_seen_ = true;
-        tools_.table.prompt_read(backend_, prefill_tokens_);
-        tools_.places.on_prompt_read(backend_, request_.content.facts.prompt);
-        prefilled_after_ = tools_.time.now() - identity().received;
-        handle_ = handle.value();
-        handle_address_ = address_;
-        prefill_tokens_ = 0;
-        const auto *decoder = tools_.table.find(decoder_);
-        if (decoder != nullptr && !decoder->facts.draining) {
-            on_attempt_end(attempt_outcome::answered);
-            prefilling_ = false;
-            return dispatch::call_followed{
-                call_to(*decoder, {.state_source = tools_.protocol.state_source(handle_address_, handle_)})};
+        return after_prefill(complete, answer);
+    }
+    return complete ? after_answer(answer) : call_failed{unknown_outcome(), attempt_outcome::broken};
+}
+
+call_step opaque_exchange::after_prefill(bool complete, const http::response &answer) {
+    // Reading a prompt is no run, whatever became of it.
+    if (!complete) {
+        return call_failed{{evidence_kind::refused_before_handover}, attempt_outcome::broken};
+    }
+    if (answer.status == 200) {
+        auto handle = tools_.protocol.decode_handle(body_.empty() ? answer.body : body_);
+        if (handle && !handle.value().empty()) {
+            return after_handle(std::move(handle.value()));
         }
+    }
+    return head_.other_server || head_.not_run
+               ? internal::rejected(head_)
+               : call_failed{{evidence_kind::refused_before_handover}, attempt_outcome::server_error};
+}
+
+call_step opaque_exchange::after_handle(std::string handle) {
+    first_event_seen_ = true;
+    tools_.table.prompt_read(backend_, prefill_tokens_);
+    tools_.places.on_prompt_read(backend_, request_.content.facts.prompt);
+    prefilled_after_ = tools_.time.now() - identity().received;
+    handle_ = std::move(handle);
+    handle_address_ = address_;
+    prefill_tokens_ = 0;
+    const auto *decoder = tools_.table.find(decoder_);
+    if (decoder == nullptr || decoder->facts.draining) {
         // The engine has read the prompt, but its state has no use.
         return call_failed{{evidence_kind::never_sent}, attempt_outcome::cancelled};
     }
-    if (how == call_end::not_sent || how == call_end::not_started) {
-        return call_failed{{evidence_kind::never_sent}, attempt_outcome::unreachable};
-    }
-    // Reading a prompt is no run, whatever became of it.
-    const auto outcome = !answered           ? attempt_outcome::broken
-                         : head.other_server ? attempt_outcome::misdirected
-                         : head.not_run      ? attempt_outcome::full
-                                             : attempt_outcome::server_error;
-    return call_failed{{evidence_kind::refused_before_handover}, outcome};
+    on_attempt_end(attempt_outcome::answered);
+    prefilling_ = false;
+    return dispatch::call_followed{
+        call_to(*decoder, {.state_source = tools_.protocol.state_source(handle_address_, handle_)})};
 }
 
 call_step opaque_exchange::after_answer(const http::response &answer) {
@@ -325,13 +331,8 @@
         }
         return call_failed{unknown_outcome(), attempt_outcome::broken};
     }
-    head_ = tools_.protocol.decode_head(answer.status, answer.fields, identity().id);
-    if (head_.load) {
-        tools_.table.reported(backend_, *head_.load);
-    }
     if (head_.not_run) {
-        const auto how = head_.other_server ? attempt_outcome::misdirected : attempt_outcome::full;
-        return call_failed{{evidence_kind::refused_before_handover}, how};
+        return internal::rejected(head_);
     }
     const bool success = head_.status >= 200 && head_.status < 300;
     if (head_.other_request || (success && !head_.genuine)) {
@@ -358,7 +359,7 @@
         of.caller->finish();
     } else {
         count_start();
-        of.caller->respond({head_.status, with_close(head_.fields), body_});
+        of.caller->respond({head_.status, internal::with_close(tools_, head_.fields), body_});
     }
     finish(head_.status, "served");
     return true;
@@ -375,14 +376,14 @@
                       {502, "backend_failed", "the backend server failed; check its records", ran_claim::unknown});
         return finish(502, "backend_failed");
     }
-    identity().caller->respond({server_answer_->status, with_close(server_answer_->fields), server_answer_->body});
+    identity().caller->respond(
+        {server_answer_->status, internal::with_close(tools_, server_answer_->fields), server_answer_->body});
     finish(server_answer_->status, "passed_on");
 }
 
 void opaque_exchange::refuse(const dispatch::refusal &why) {
     auto &caller = *identity().caller;
-    const bool cut = started_ || why.code == stopped_code || why.code == to_string(dispatch::end_reason::caller_gone);
-    if (cut) {
+    if (started_ || why.cut) {
         caller.abort();
     } else if (server_answer_) {
         return pass_on();
@@ -393,9 +394,14 @@
 }
 
 dispatch::refusal opaque_exchange::refusal_for(dispatch::end_reason why, ran_claim ran) const {
-    return why == dispatch::end_reason::caller_gone
-               ? dispatch::refusal{499, std::string{to_string(why)}, "the caller closed the connection", ran}
-               : refusal_with(to_string(why), ran);
+    if (why == dispatch::end_reason::caller_gone) {
+        return {.status = 499,
+                .code = std::string{to_string(why)},
+                .message = "the caller closed the connection",
+                .ran = ran,
+                .cut = true};
+    }
+    return refusal_with(to_string(why), ran);
 }
 
 dispatch::refusal opaque_exchange::refusal_with(std::string_view code, ran_claim ran) const {
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -30,7 +30,6 @@
     backend_port &backends;
     const backend_protocol &protocol;
     start_counter &starts;
-    const placement::random_source &random;
     const std::string &failure_domain;
     const forward_stop &stop;
     backend_table &table;
@@ -47,9 +46,6 @@
     base::instant wait_until{}; /**< Latest time for which it is kept waiting for a place. */
 };
 
-/** @brief Code of requests that are cut at the end of the process. */
-inline constexpr std::string_view stopped_code = "stopped";
-
 /** @return What a failed attempt of the route's requests allows. */
 [[nodiscard]] retry::work_facts work_of(const traffic_route &route) noexcept;
 
@@ -85,7 +81,9 @@
     [[nodiscard]] base::duration retry_after(base::duration free_in) const;
     [[nodiscard]] dispatch::outgoing_call start(const placement_plan &plan);
     [[nodiscard]] dispatch::outgoing_call call_to(const backend_state &target, attempt_facts facts);
-    [[nodiscard]] dispatch::call_step after_prefill(dispatch::call_end how, const http::response &answer);
+    void read_head(int status, const http::field_list &fields);
+    [[nodiscard]] dispatch::call_step after_prefill(bool complete, const http::response &answer);
+    [[nodiscard]] dispatch::call_step after_handle(std::string handle);
     [[nodiscard]] dispatch::call_step after_answer(const http::response &answer);
     [[nodiscard]] dispatch::refusal refusal_with(std::string_view code, dispatch::ran_claim ran) const;
     [[nodiscard]] retry::evidence unknown_outcome() const noexcept;
@@ -96,13 +94,11 @@
     void pass_on();
     void release_state();
     void finish(int status, std::string_view code);
-    [[nodiscard]] http::field_list with_close(http::field_list fields) const;
 
     const exchange_tools &tools_;
     const opaque_request request_;
 
     // Attempts
-    bool placed_before_{false}; /**< A place was looked for. */
     bool may_split_{true};
     bool prefilling_{false}; /**< One engine reads the prompt for another. */
     std::vector<std::string> tried_;
@@ -112,10 +108,9 @@
     std::string handle_;  /**< Of prefilled state that no engine has taken yet. */
     std::string handle_address_;
     double prefill_tokens_{0};
-    bool was_split_{false};      /**< The prompt was to be read by a prefill engine. */
-    bool long_prompt_{false};    /**< It shares enough to have a home. */
-    base::duration expected_{0}; /**< To the first event, as estimated when the request was placed. */
-    base::instant attempt_started_{};
+    bool was_split_{false};        /**< The prompt was to be read by a prefill engine. */
+    bool long_prompt_{false};      /**< It shares enough to have a home. */
+    base::duration expected_{0};   /**< To the first event, as estimated when the request was placed. */
     bool first_event_seen_{false}; /**< Of this attempt. */
     bool start_counted_{false};    /**< Of this attempt, for usage. */
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -22,6 +22,16 @@
 // Random part of a cost, which keeps gateways from choosing alike.
 constexpr double jitter_ms = 2;
 
+double shared_tokens(const placement_request &request) {
+    double out = 0;
+    if (!request.prompt.empty()) {
+        for (const auto &part : request.prompt.first(request.prompt.size() - 1)) {
+            out += part.tokens;
+        }
+    }
+    return std::min<double>(out, request.prompt_tokens);
+}
+
 base::duration milliseconds(double value) {
     return std::chrono::duration_cast<base::duration>(std::chrono::duration<double, std::milli>{value});
 }
@@ -70,16 +80,6 @@
     return table_.outstanding(it) < slots * (1 + settings_.queue_per_slot);
 }
 
-double placement::shared_tokens(const placement_request &request) const {
-    double out = 0;
-    if (!request.prompt.empty()) {
-        for (const auto &part : request.prompt.first(request.prompt.size() - 1)) {
-            out += part.tokens;
-        }
-    }
-    return std::min<double>(out, request.prompt_tokens);
-}
-
 double placement::penalty_ms(const backend_state &it, const placement_request &request) const {
     const double far = it.facts.failure_domain == request.failure_domain ? 0 : settings_.far_ms;
     return far + settings_.failure_ms * table_.failure_rate(it) + internal::jitter_ms * random_();
@@ -116,48 +116,60 @@
     return out;
 }
 
+placement::shared_prefix placement::prefix_of(const placement_request &request, const state_list &order) const {
+    const auto home =
+        std::ranges::find_if(order, [](const auto *it) { return it->facts.stage != engine_stage::prefill; });
+    if (home == order.end()) {
+        return {};
+    }
+    const double tokens = internal::shared_tokens(request);
+    const bool seen = prefixes_.cached((*home)->facts.id, request.prompt) >= tokens;
+    return {*home, tokens, seen ? 1 : warmth_.used_since((*home)->known_since)};
+}
+
 placement::reading placement::reading_at(const placement_request &request, const backend_state &engine,
-                                         const backend_state *home) const {
-    reading out{.own = request.prompt_tokens - (home == nullptr ? 0 : shared_tokens(request))};
-    if (home == nullptr) {
+                                         const shared_prefix &prefix) const {
+    reading out{.own = request.prompt_tokens - prefix.tokens};
+    if (prefix.home == nullptr) {
         return out;
     }
-    const double shared = shared_tokens(request);
-    const double missing = std::max(0.0, shared - prefixes_.cached(engine.facts.id, request.prompt));
-    const bool seen = prefixes_.cached(home->facts.id, request.prompt) >= shared;
-    const double warm = seen ? 1 : warmth_.used_since(home->known_since);
-    out.cold = (1 - warm) * missing;
-    if (home != &engine) {
-        const bool near = engine.facts.failure_domain == home->facts.failure_domain;
-        out.fetch_ms = warm * missing / settings_.transfer_tokens_per_ms * (near ? 1 : internal::far_transfer_factor);
+    const double missing = std::max(0.0, prefix.tokens - prefixes_.cached(engine.facts.id, request.prompt));
+    out.cold = (1 - prefix.warm) * missing;
+    if (prefix.home != &engine) {
+        const bool near = engine.facts.failure_domain == prefix.home->facts.failure_domain;
+        out.fetch_ms =
+            prefix.warm * missing / settings_.transfer_tokens_per_ms * (near ? 1 : internal::far_transfer_factor);
     }
     return out;
 }
 
 placement::candidate placement::direct(const placement_request &request, const backend_state &engine,
-                                       const backend_state *home, double rank) const {
-    const auto work = reading_at(request, engine, home);
+                                       const shared_prefix &prefix, double rank) const {
+    const auto work = reading_at(request, engine, prefix);
     const double tokens = work.own + work.cold;
     const double reading_ms = tokens / settings_.decode_tokens_per_ms;
     const double pending_ms = table_.unread_tokens(engine) / settings_.decode_tokens_per_ms;
-    candidate out{.plan = {.run = &engine, .fetch_from = home == &engine ? nullptr : home, .prefill_tokens = tokens}};
-    const double factor = home == nullptr ? 1 : direct_factor_;
+    candidate out{.plan = {.run = &engine,
+                           .fetch_from = prefix.home == &engine ? nullptr : prefix.home,
+                           .prefill_tokens = tokens}};
+    const double factor = prefix.home == nullptr ? 1 : direct_factor_;
     out.own_ms = factor * (work.fetch_ms + reading_ms);
     out.usual_ms = factor * (work.fetch_ms + work.own / settings_.decode_tokens_per_ms);
     out.expected_ms = factor * (wait_ms(engine) + pending_ms) + out.own_ms;
     // Other generations of the engine slow down with its load and while it reads.
     out.cost_ms = out.expected_ms + table_.outstanding(engine) + settings_.disturbance * reading_ms +
-                  penalty_ms(engine, request) + (home == nullptr ? 0 : settings_.spill_ms * rank);
+                  penalty_ms(engine, request) + (prefix.home == nullptr ? 0 : settings_.spill_ms * rank);
     return out;
 }
 
 placement::candidate placement::split(const placement_request &request, const backend_state &reader, double rank,
-                                      const candidate &decoder, const backend_state *home) const {
-    const auto work = reading_at(request, reader, home);
+                                      const candidate &decoder, const shared_prefix &prefix) const {
+    const auto work = reading_at(request, reader, prefix);
     const double tokens = work.own + work.cold;
     const double ahead = table_.unread_tokens(reader);
     const bool near = reader.facts.failure_domain == decoder.plan.run->facts.failure_domain;
-    candidate out{.plan = {.prefill = &reader, .run = decoder.plan.run, .fetch_from = home, .prefill_tokens = tokens}};
+    candidate out{
+        .plan = {.prefill = &reader, .run = decoder.plan.run, .fetch_from = prefix.home, .prefill_tokens = tokens}};
     const double moving_ms =
         work.fetch_ms + settings_.transfer_setup_ms +
         request.prompt_tokens / settings_.transfer_tokens_per_ms * (near ? 1 : internal::far_transfer_factor);
@@ -179,7 +191,7 @@
         std::ranges::sort(order, std::ranges::greater{},
                           [key](const auto *it) { return rendezvous_rank(key, it->facts.id); });
     }
-    const backend_state *home = nullptr;
+    const auto prefix = key == 0 ? shared_prefix{} : prefix_of(request, order);
     std::optional<candidate> best;
     std::optional<candidate> decoder;
     double rank = 0;
@@ -187,9 +199,8 @@
         if (it->facts.stage == engine_stage::prefill) {
             continue;
         }
-        home = home == nullptr && key != 0 ? it : home;
         if (has_room(*it)) {
-            const auto now = direct(request, *it, home, rank);
+            const auto now = direct(request, *it, prefix, rank);
             best = !best || now.cost_ms < best->cost_ms ? now : best;
             // Where a generation runs after a split: near the home, wherever there are free slots.
             const double place = wait_ms(*it) + settings_.spill_ms * rank + penalty_ms(*it, request);
@@ -202,7 +213,7 @@
     rank = 0;
     for (const auto *it : order) {
         if (it->facts.stage == engine_stage::prefill && request.may_split && key != 0 && decoder) {
-            const auto now = split(request, *it, rank, *decoder, home);
+            const auto now = split(request, *it, rank, *decoder, prefix);
             best = now.cost_ms < best->cost_ms ? now : best;
             rank += 1;
         }
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -120,6 +120,13 @@
         double usual_ms{0}; /**< As `own_ms`, if the shared prefix is cached at its home. */
     };
 
+    /** The long shared prefix of a request; no home when there is none. */
+    struct shared_prefix {
+        const backend_state *home{nullptr};
+        double tokens{0};
+        double warm{0}; /**< Probability that the home has read it. */
+    };
+
     /** Tokens of a prompt that an engine has to read, and those that it fetches. */
     struct reading {
         double own{0};  /**< Behind the shared prefix. */
@@ -131,17 +138,17 @@
 
     [[nodiscard]] double slot_ms(std::string_view service) const;
     [[nodiscard]] double wait_ms(const backend_state &it) const;
-    [[nodiscard]] double shared_tokens(const placement_request &request) const;
     [[nodiscard]] double penalty_ms(const backend_state &it, const placement_request &request) const;
     [[nodiscard]] bool has_room(const backend_state &it) const;
     [[nodiscard]] placement_result choose_plain(const placement_request &request, const state_list &from);
     [[nodiscard]] placement_result choose_engine(const placement_request &request, const state_list &from);
+    [[nodiscard]] shared_prefix prefix_of(const placement_request &request, const state_list &order) const;
     [[nodiscard]] candidate direct(const placement_request &request, const backend_state &engine,
-                                   const backend_state *home, double rank) const;
+                                   const shared_prefix &prefix, double rank) const;
     [[nodiscard]] candidate split(const placement_request &request, const backend_state &reader, double rank,
-                                  const candidate &decoder, const backend_state *home) const;
+                                  const candidate &decoder, const shared_prefix &prefix) const;
     [[nodiscard]] reading reading_at(const placement_request &request, const backend_state &engine,
-                                     const backend_state *home) const;
+                                     const shared_prefix &prefix) const;
     [[nodiscard]] base::duration free_in(const state_list &from) const;
 
     const backend_table &table_;
--- a/src/gateway/usage_duty.cpp
+++ b/src/gateway/usage_duty.cpp
@@ -1,7 +1,7 @@
 #include "gateway/usage_duty.hpp"
 
 #include <algorithm>
-#include <vector>
+#include <span>
 
 #include "base/interruptible_wait.hpp"
 #include "log/event.hpp"
@@ -15,14 +15,8 @@
 // waiting for it would endanger the reports.
 constexpr std::uint64_t silent_windows = 1;
 
-/** @brief A record with the store version of its last change. */
-struct known_member {
-    std::uint64_t version{0};
-    member_record record;
-};
-
 /** @return True when the counts of a gateway for a window may still grow in its record. */
-bool may_still_count(const known_member &it, const std::vector<known_member> &all, std::uint64_t window) {
+bool may_still_count(const known_member &it, std::span<const known_member> all, std::uint64_t window) {
     if (it.record.window > window || it.record.window + silent_windows < window) {
         return false;
     }
@@ -40,26 +34,38 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(1, base::to_milliseconds(settings_.window)));
 }
 
-std::optional<start_counts> usage_duty::sum(std::uint64_t window) const {
+const std::vector<known_member> *usage_duty::list_members(step_members &members) const {
+    if (members.listed) {
+        return members.records ? &*members.records : nullptr;
+    }
+    members.listed = true;
     const auto items = with_.store.list(members_prefix);
     if (!items) {
         log::write("member_list_failed", {{"reason", items.error().code}});
-        return std::nullopt;
+        return nullptr;
     }
-    std::vector<internal::known_member> members;
+    auto &out = members.records.emplace();
     for (const auto &item : items.value()) {
         if (auto record = parse_member(item)) {
-            members.push_back({item.version, std::move(record.value())});
+            out.push_back({item.version, std::move(record.value())});
         } else {
             log::write("member_unreadable", {{"object", item.key}, {"reason", record.error().message}});
         }
     }
+    return &out;
+}
+
+std::optional<start_counts> usage_duty::sum(std::uint64_t window, step_members &members) const {
+    const auto *all = list_members(members);
+    if (all == nullptr) {
+        return std::nullopt;
+    }
     const auto latest = (window + 1) * window_ms() +
                         static_cast<std::uint64_t>(base::to_milliseconds(settings_.due - settings_.reserve));
     const bool late = with_.now() >= latest;
     start_counts out;
-    for (const auto &it : members) {
-        if (!late && internal::may_still_count(it, members, window)) {
+    for (const auto &it : *all) {
+        if (!late && internal::may_still_count(it, *all, window)) {
             return std::nullopt;
         }
         const auto counts = it.record.starts.find(window);
@@ -72,7 +78,8 @@
     return out;
 }
 
-std::optional<start_counts> usage_duty::seal(std::uint64_t window, const lease::authority_check &authority) {
+std::optional<start_counts> usage_duty::seal(std::uint64_t window, const lease::authority_check &authority,
+                                             step_members &members) {
     const auto key = sealed_starts_key(window);
     const auto found = with_.store.get(key);
     if (!found) {
@@ -82,7 +89,7 @@
         const auto counts = parse_counts(*found.value());
         return counts ? std::optional{counts.value()} : std::nullopt;
     }
-    auto counts = sum(window);
+    auto counts = sum(window, members);
     if (!counts || !authority()) {
         return std::nullopt;
     }
@@ -96,9 +103,9 @@
     return counts;
 }
 
-void usage_duty::report(std::uint64_t window, const lease::authority_check &authority) {
+void usage_duty::report(std::uint64_t window, const lease::authority_check &authority, step_members &members) {
     if (!sealed_.contains(window)) {
-        auto counts = seal(window, authority);
+        auto counts = seal(window, authority, members);
         if (!counts) {
             return;
         }
@@ -158,9 +165,10 @@
     const auto current = now / window_ms();
     // Reports that are overdue are sent, too: late figures are better than none.
     const auto oldest = current - std::min(current, settings_.keep_windows / 2);
+    step_members members;
     for (auto window = oldest; window < current && !outranked_ && authority(); ++window) {
         if (!reported_.contains(window)) {
-            report(window, authority);
+            report(window, authority, members);
         }
     }
     if (!outranked_ && authority()) {
--- a/src/gateway/usage_duty.hpp
+++ b/src/gateway/usage_duty.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "base/clock.hpp"
 #include "base/id.hpp"
@@ -16,6 +17,12 @@
 
 namespace dotterelstack::gateway {
 
+/** @brief A gateway's record with the store version of its last change. */
+struct known_member {
+    std::uint64_t version{0};
+    member_record record;
+};
+
 /** @brief Times of a `usage_duty`. */
 struct duty_settings {
     base::duration window{std::chrono::seconds{5}};
@@ -52,9 +59,17 @@
 
 private:
     [[nodiscard]] std::uint64_t window_ms() const noexcept;
-    [[nodiscard]] std::optional<start_counts> seal(std::uint64_t window, const lease::authority_check &authority);
-    [[nodiscard]] std::optional<start_counts> sum(std::uint64_t window) const;
-    void report(std::uint64_t window, const lease::authority_check &authority);
+    /** The gateways' records, listed once for all windows of a step. */
+    struct step_members {
+        bool listed{false};
+        std::optional<std::vector<known_member>> records; /**< Empty when the list failed. */
+    };
+
+    [[nodiscard]] std::optional<start_counts> seal(std::uint64_t window, const lease::authority_check &authority,
+                                                   step_members &members);
+    [[nodiscard]] const std::vector<known_member> *list_members(step_members &members) const;
+    [[nodiscard]] std::optional<start_counts> sum(std::uint64_t window, step_members &members) const;
+    void report(std::uint64_t window, const lease::authority_check &authority, step_members &members);
     void clean_up(std::uint64_t current);
 
     const duty_settings settings_;
--- a/test/entry/dispatcher.cpp
+++ b/test/entry/dispatcher.cpp
@@ -9,6 +9,7 @@
 
 #include "answer/chunk.hpp"
 #include "config/sample.hpp"
+#include "support/fake_caller.hpp"
 
 using namespace dotterelstack;
 using namespace std::chrono_literals;
@@ -17,26 +18,8 @@
 
 namespace {
 
-/** What the caller of one request has received. */
-struct fake_caller final : entry::caller_port {
-    std::vector<http::response> answers;
-    std::string stream;
-    bool started{false};
-    bool finished{false};
-    bool aborted{false};
-    bool has_gone{false};
-
-    void respond(const http::response &answer) override { answers.push_back(answer); }
-    void start(int, const http::field_list &) override { started = true; }
-    bool write(std::string_view part) override {
-        stream.append(part);
-        return !has_gone;
-    }
-    void finish() override { finished = true; }
-    void abort() override { aborted = true; }
-    [[nodiscard]] bool gone() const override { return has_gone; }
-
-    [[nodiscard]] bool ended() const { return !answers.empty() || finished || aborted; }
+/** A caller that reads the answers of an entry. */
+struct fake_caller final : test::fake_caller {
     [[nodiscard]] std::string ran() const {
         const auto it = answers.empty() ? json{} : json::parse(answers.back().body, nullptr, false);
         return it.is_object() && it.contains("error") ? it["error"].value("ran", "") : "";
--- a/test/gateway/fixture.hpp
+++ b/test/gateway/fixture.hpp
@@ -8,44 +8,14 @@
 
 #include "base/clock.hpp"
 #include "gateway/forwarder.hpp"
-#include "http/caller_port.hpp"
 #include "metrics/registry.hpp"
 #include "platform/http_protocol.hpp"
+#include "support/fake_caller.hpp"
 
 namespace dotterelstack::test {
 
 using namespace std::chrono_literals;
 
-/** @brief What the caller of one request has received. */
-struct gateway_caller final : http::caller_port {
-    std::vector<http::response> answers;
-    http::field_list head;
-    std::string stream;
-    bool started{false};
-    bool finished{false};
-    bool aborted{false};
-    bool has_gone{false};
-
-    void respond(const http::response &answer) override { answers.push_back(answer); }
-    void start(int, const http::field_list &fields) override {
-        started = true;
-        head = fields;
-    }
-    bool write(std::string_view part) override {
-        stream.append(part);
-        return !has_gone;
-    }
-    void finish() override { finished = true; }
-    void abort() override { aborted = true; }
-    [[nodiscard]] bool gone() const override { return has_gone; }
-
-    [[nodiscard]] int status() const { return answers.empty() ? 0 : answers.back().status; }
-    [[nodiscard]] std::string field(std::string_view name) const {
-        const auto &from = answers.empty() ? head : answers.back().fields;
-        return std::string{http::find_field(from, name).value_or("")};
-    }
-};
-
 /** @brief Calls that the forwarder has made to backend servers. */
 struct fake_backends final : gateway::backend_port {
     struct sent_call {
@@ -139,8 +109,8 @@
                              server("engine-2", "llm", gateway::engine_stage::decode, 12)});
     }
 
-    std::shared_ptr<gateway_caller> send(std::string path, http::field_list more = {}, std::string key = "key-sangh") {
-        auto caller = std::make_shared<gateway_caller>();
+    std::shared_ptr<fake_caller> send(std::string path, http::field_list more = {}, std::string key = "key-sangh") {
+        auto caller = std::make_shared<fake_caller>();
         http::request message{"POST", std::move(path), std::move(more), "body"};
         message.fields.push_back({"Host", "site.example"});
         message.fields.push_back({"Attempt-Id", "a1"});
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -306,12 +306,12 @@
     const platform::object_codec codec;
     http::curl_client client;
     std::vector<std::uint64_t> adopted;
-    gateway::config_source informed{{clock, codec, client, [] { return std::vector<std::string>{}; }, [](auto) {}}};
+    gateway::config_source informed{{codec, client, [] { return std::vector<std::string>{}; }, [](auto) {}}};
     http::server server;
     const auto address = server.start(
         "127.0.0.1:0", http::answer_with([&](const auto &message) { return informed.answer_peer(message); }));
     REQUIRE(address);
-    gateway::config_source cut_off{{clock, codec, client, [&] { return std::vector<std::string>{address.value()}; },
+    gateway::config_source cut_off{{codec, client, [&] { return std::vector<std::string>{address.value()}; },
                                     [&](const auto &it) { adopted.push_back(it->version()); }}};
     cut_off.ask_peers();
     CHECK(adopted.empty());
