--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -41,7 +41,7 @@
     for (std::size_t n = 1; n < arguments.size(); ++n) {
         std::ifstream file{arguments[n]};
         if (!file) {
-            return base::fail(base::error_kind::invalid_argument, "unreadable_log",
+            return base::fail(base::error_kind::not_found, "file_unreadable",
                               arguments[n] + " cannot be read; check its name and permissions");
         }
         read_lines(file, arguments[n], request, lines);
--- a/src/entry/share_link.cpp
+++ b/src/entry/share_link.cpp
@@ -22,25 +22,10 @@
     return {status, {{"content-type", "application/json"}}, body.dump()};
 }
 
-bool any(const limits::share_amounts &amounts) noexcept {
-    return std::ranges::any_of(amounts, [](std::uint64_t it) { return it > 0; });
-}
-
 limits::row_key key_of(const limits::row_order::owned &row) noexcept {
     return {row.first, row.second};
 }
 
-/** Demands that follow the use of a rate need a floor to grow from, which a borrower does not have. */
-limits::share_amounts loan_wanted(const limits::share_amounts &limit, const limits::row_use &use) {
-    if (!any(use.wanted)) {
-        return {};
-    }
-    auto out = limit;
-    constexpr auto concurrency = static_cast<std::size_t>(limits::resource::concurrency);
-    out[concurrency] = use.wanted[concurrency];
-    return out;
-}
-
 limits::share_amounts amounts_of_row(const config::row &row) {
     limits::row_limits out;
     out.max_concurrency = static_cast<std::uint32_t>(row.concurrency);
@@ -54,7 +39,7 @@
 
 share_link::share_link(share_link_options options, dependencies with)
     : options_{std::move(options)}, with_{std::move(with)}, holder_{with_.time, options_.incarnation},
-      ledger_{with_.time}, lender_{with_.time} {}
+      ledger_{with_.time}, lender_{with_.time}, borrower_{with_.time, options_.incarnation, options_.lender_patience} {}
 
 share_link::~share_link() {
     stop();
@@ -92,9 +77,7 @@
             known.limit = limit;
             holder_.set_limit({row.organisation, row.service}, limit);
             ledger_.set_limit({row.organisation, row.service}, limit);
-            if (loans_) {
-                loans_->set_limit({row.organisation, row.service}, limit);
-            }
+            borrower_.set_limit({row.organisation, row.service}, limit);
         }
     }
     changed_ = true;
@@ -145,18 +128,18 @@
     std::vector<addressed_demand> out;
     const std::scoped_lock lock{mutex_};
     borrow_or_stop();
-    if (!epoch_ && !loans_) {
+    if (!epoch_ && !borrower_.active()) {
         return out;
     }
     for (auto &[name, row] : rows_) {
-        const auto use = internal::any(row.limit) ? take_use(row, load(internal::key_of(name))) : std::nullopt;
+        const auto use = limits::any(row.limit) ? take_use(row, load(internal::key_of(name))) : std::nullopt;
         if (!use) {
             continue;
         }
         row.active = false;
         for (const auto kind : {demand_kind::grant, demand_kind::loan}) {
             if (auto demand = build_demand(kind, name, row, *use)) {
-                row.active = row.active || internal::any(demand->demand.wanted) || internal::any(demand->demand.in_use);
+                row.active = row.active || limits::any(demand->demand.wanted) || limits::any(demand->demand.in_use);
                 out.push_back(std::move(*demand));
             }
         }
@@ -169,56 +152,37 @@
                                                                      row_state &row, const limits::row_use &use) {
     const auto key = internal::key_of(name);
     const auto before = with_.time.now();
-    if (kind == demand_kind::loan) {
-        const auto demand =
-            loans_ ? loans_->demand(key, internal::loan_wanted(row.limit, use), use.in_use) : std::nullopt;
-        if (!demand) {
-            return std::nullopt;
-        }
-        row.loans.on_sent(demand->sequence, before);
-        return addressed_demand{kind, false, lender_address_, name, *demand};
-    }
-    const auto demand = epoch_ ? holder_.demand(key, use.wanted, use.in_use) : std::nullopt;
+    const bool loan = kind == demand_kind::loan;
+    auto demand = loan     ? borrower_.demand(key, row.limit, use)
+                  : epoch_ ? holder_.demand(key, use.wanted, use.in_use)
+                           : std::nullopt;
     if (!demand) {
         return std::nullopt;
     }
-    row.grants.on_sent(demand->sequence, before);
+    times_of(row, kind).on_sent(demand->sequence, before);
+    if (loan) {
+        return addressed_demand{kind, false, borrower_.lender(), name, *demand};
+    }
     const std::string coordinator{limits::coordinator_of(epoch_->epoch, key)};
     const auto place = epoch_->places.find(coordinator);
     return addressed_demand{kind, coordinator == options_.incarnation,
                             place == epoch_->places.end() ? "" : place->second.address, name, *demand};
 }
 
+share_link::grant_times &share_link::times_of(row_state &row, demand_kind kind) noexcept {
+    return kind == demand_kind::loan ? row.loans : row.grants;
+}
+
 void share_link::borrow_or_stop() {
     started_without_store_ = started_without_store_ && !holder_.has_floors();
     if (!started_without_store_) {
-        // Loans that are given up need no message: they expire at the lender.
-        loans_.reset();
-        lender_address_.clear();
-    } else if (!loans_ || with_.time.now() >= lender_until_) {
-        choose_lender();
-    }
-}
-
-void share_link::choose_lender() {
-    auto peers = with_.peers();
-    std::erase_if(peers, [](const peer_entry &it) { return !it.live; });
-    if (peers.empty()) {
-        return;
-    }
-    // Entries that start at the same time begin with different lenders.
-    ++lender_term_;
-    const auto first = std::hash<std::string>{}(options_.incarnation);
-    const auto &chosen = peers[(first + lender_term_) % peers.size()];
-    lender_address_ = chosen.address;
-    lender_until_ = with_.time.now() + options_.lender_patience;
-    loans_.emplace(with_.time, options_.incarnation);
-    loans_->set_epoch({limits::floor_loan_epoch, {}, {}});
-    for (auto &[name, row] : rows_) {
-        loans_->set_limit(internal::key_of(name), row.limit);
-        row.loans = {};
+        borrower_.stop();
+    } else if (borrower_.needs_lender() && borrower_.choose_lender(with_.peers())) {
+        for (auto &[name, row] : rows_) {
+            borrower_.set_limit(internal::key_of(name), row.limit);
+            row.loans = {};
+        }
     }
-    log::write("floor_lender_chosen", {{"peer", lender_address_}, {"term", lender_term_}});
 }
 
 bool share_link::owns_all() const {
@@ -238,7 +202,7 @@
         out = holder_.allowance(name);
     }
     const auto reserved = lender_.reserve(name, holder_.floor(name));
-    const auto borrowed = loans_ ? loans_->allowance(name) : limits::share_amounts{};
+    const auto borrowed = borrower_.allowance(name);
     for (std::size_t n = 0; n < limits::resource_count; ++n) {
         out[n] += borrowed[n];
         out[n] -= std::min(out[n], reserved[n]);
@@ -299,7 +263,7 @@
     std::uint64_t term = 0;
     {
         const std::scoped_lock lock{mutex_};
-        term = lender_term_;
+        term = borrower_.term();
     }
     for (auto &[to, rows] : bodies) {
         const auto kind = to.second;
@@ -339,20 +303,11 @@
         return;
     }
     const auto key = internal::key_of(row);
-    if (kind == demand_kind::loan) {
-        if (!loans_ || term != lender_term_ || !loans_->apply(key, grant)) {
-            return;
-        }
-        found->second.loans.on_grant(grant.sequence);
-        if (internal::any(grant.lent)) {
-            lender_until_ = with_.time.now() + options_.lender_patience;
-        }
-    } else {
-        if (!holder_.apply(key, grant)) {
-            return;
-        }
-        found->second.grants.on_grant(grant.sequence);
+    const bool taken = kind == demand_kind::loan ? borrower_.apply(term, key, grant) : holder_.apply(key, grant);
+    if (!taken) {
+        return;
     }
+    times_of(found->second, kind).on_grant(grant.sequence);
     mark_changed();
 }
 
--- a/src/entry/share_link.hpp
+++ b/src/entry/share_link.hpp
@@ -13,6 +13,7 @@
 
 #include "config/config_state.hpp"
 #include "entry/events.hpp"
+#include "entry/floor_borrower.hpp"
 #include "entry/peer_port.hpp"
 #include "entry/share_epoch_object.hpp"
 #include "lease/authority_check.hpp"
@@ -132,6 +133,7 @@
     [[nodiscard]] std::optional<limits::row_use> take_use(row_state &row, const limits::row_status &status) const;
     [[nodiscard]] std::optional<addressed_demand> build_demand(demand_kind kind, const limits::row_order::owned &name,
                                                                row_state &row, const limits::row_use &use);
+    [[nodiscard]] static grant_times &times_of(row_state &row, demand_kind kind) noexcept;
     void apply_shares(const share_sink &apply);
     [[nodiscard]] limits::share_amounts allowance_of(const limits::row_order::owned &key, const row_state &row);
     void offer_loans(const load_source &load);
@@ -143,7 +145,6 @@
                     const limits::share_grant &grant);
     [[nodiscard]] bool owns_all() const;
     void borrow_or_stop();
-    void choose_lender();
     void adopt_pending();
     void read_epoch();
     [[nodiscard]] bool is_confirmed() const;
@@ -170,10 +171,7 @@
     bool epoch_absent_{false};            /**< The store was read and has no epoch. */
     bool started_without_store_{false};   /**< Until this entry has floors. */
     limits::floor_lender lender_;
-    std::optional<limits::share_holder> loans_; /**< What this entry has borrowed from floors. */
-    std::string lender_address_;
-    std::uint64_t lender_term_{0};    /**< Changes with the lender; grants of an earlier one are ignored. */
-    base::instant lender_until_{};    /**< Another lender is chosen then, unless this one grants something. */
+    floor_borrower borrower_;
     base::instant confirmed_until_{}; /**< No other epoch can have granted anything before it. */
     bool lends_{false};               /**< A demand has reached this entry as a coordinator. */
     std::jthread thread_;
--- a/src/limits/share_epoch.hpp
+++ b/src/limits/share_epoch.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <span>
@@ -32,6 +33,11 @@
 /** @brief One amount per resource; the meaning of 0 depends on the use. */
 using share_amounts = std::array<std::uint64_t, resource_count>;
 
+/** @return True when some amount is not 0. */
+[[nodiscard]] constexpr bool any(const share_amounts &amounts) noexcept {
+    return std::ranges::any_of(amounts, [](std::uint64_t it) { return it > 0; });
+}
+
 /** @brief The floor of one entry: the limit divided by the divisor, rounded down. */
 struct share_member {
     std::string entry;        /**< Entry incarnation: a restarted process is another member. */
