Accept fractions in bounds and time settings of a gateway

Cause: a site of another size derives its bounds, so the retry allowance may be 38.26; the settings demanded a whole number, and every process ended with 2 before it listened. Change: times and the retry allowance are numbers; whole numbers may be written as 4100.0. Result: the new case fails before and passes after.

--- a/src/retry/retry_window.cpp
+++ b/src/retry/retry_window.cpp
@@ -31,7 +31,7 @@
 
 std::int64_t retry_window::remaining(const account &it) const noexcept {
     const double earned = settings_.ratio * static_cast<double>(it.requests.size());
-    const double shared = static_cast<double>(settings_.allowance) / static_cast<double>(gateways_);
+    const double shared = settings_.allowance / static_cast<double>(gateways_);
     return static_cast<std::int64_t>(internal::usable_share * (earned + shared)) -
            static_cast<std::int64_t>(it.retries.size());
 }
--- a/src/retry/retry_window.hpp
+++ b/src/retry/retry_window.hpp
@@ -14,8 +14,8 @@
 /** @brief Limits on the retries of all gateways together. */
 struct retry_window_settings {
     base::duration window{std::chrono::seconds{10}};
-    double ratio{0.2};           /**< Retries per request in the window. */
-    std::uint64_t allowance{20}; /**< Retries in addition to the ratio, for all gateways together. */
+    double ratio{0.2};    /**< Retries per request in the window. */
+    double allowance{20}; /**< Retries in addition to the ratio, for all gateways together. */
 };
 
 /**
--- a/src/settings/agent_settings.cpp
+++ b/src/settings/agent_settings.cpp
@@ -13,7 +13,7 @@
 struct agent_time {
     std::string_view name;
     base::duration agent_timings::*member;
-    range<std::uint64_t> milliseconds;
+    range<double> milliseconds;
 };
 
 constexpr auto agent_times = std::to_array<agent_time>({
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -14,7 +14,7 @@
 struct entry_time {
     std::string_view name;
     base::duration entry_timings::*member;
-    range<std::uint64_t> milliseconds;
+    range<double> milliseconds;
 };
 
 constexpr auto entry_times = std::to_array<entry_time>({
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -15,7 +15,7 @@
 struct time_field {
     std::string_view name;
     base::duration Group::*member{nullptr};
-    range<std::uint64_t> milliseconds{};
+    range<double> milliseconds{};
 };
 
 /** A bound that is given in seconds, as the platform states it; fractions are permitted. */
@@ -51,7 +51,7 @@
 constexpr base::duration reconnect_time = std::chrono::milliseconds{500};
 constexpr base::duration min_watch_wait = std::chrono::milliseconds{200};
 constexpr range<double> retry_ratio_range{0, 10};
-constexpr range<std::uint64_t> retry_allowance_range{0, 1'000'000};
+constexpr range<double> retry_allowance_range{0, 1'000'000};
 constexpr range<std::uint64_t> descriptor_range{64, 10'000'000};
 
 void read_bounds(object_reader &in, gateway_bounds &out) {
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -22,11 +22,11 @@
     base::duration usage_window{std::chrono::seconds{5}};
     base::duration usage_due{std::chrono::seconds{10}}; /**< Longest time from the end of a window to its report. */
     base::duration retry_window{std::chrono::seconds{10}};
-    double retry_ratio{0.2};           /**< Retries per request in a retry window, over all gateways. */
-    std::uint64_t retry_allowance{20}; /**< Retries in addition to the ratio, over all gateways. */
+    double retry_ratio{0.2};    /**< Retries per request in a retry window, over all gateways. */
+    double retry_allowance{20}; /**< Retries in addition to the ratio, over all gateways. */
 };
 
-/** @brief Intervals and time-outs of a gateway; the file has them in whole milliseconds, with the suffix `_ms`. */
+/** @brief Intervals and time-outs of a gateway; the file has them in milliseconds, with the suffix `_ms`. */
 struct gateway_timings {
     base::duration store_timeout{std::chrono::seconds{1}};
     base::duration store_connect_timeout{std::chrono::milliseconds{300}};
--- a/src/settings/reader.cpp
+++ b/src/settings/reader.cpp
@@ -4,12 +4,16 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <optional>
+
+#include "base/seconds.hpp"
 
 namespace dotterelstack::settings {
 
 namespace internal {
 
 constexpr std::size_t max_name_length = 63;
+constexpr double milliseconds_per_second = 1000;
 constexpr std::size_t max_quoted_length = 80;
 
 bool is_address(std::string_view text, unsigned int lowest_port) noexcept {
@@ -57,6 +61,16 @@
     return std::string{noun} + " from " + std::move(low) + " to " + std::move(high);
 }
 
+/** @return The value if it is a whole number, also when it is written as 40.0. */
+std::optional<std::uint64_t> whole_number(const nlohmann::json &value) {
+    if (value.is_number_unsigned()) {
+        return value.get<std::uint64_t>();
+    }
+    constexpr double limit = 1e15;
+    const double n = value.is_number_float() ? value.get<double>() : -1;
+    return n >= 0 && n <= limit && std::floor(n) == n ? std::optional{static_cast<std::uint64_t>(n)} : std::nullopt;
+}
+
 std::string number_text(double value) {
     std::array<char, 32> buf{};
     const auto [ptr, ec] = std::to_chars(buf.data(), buf.data() + buf.size(), value);
@@ -178,12 +192,9 @@
     if (found == nullptr) {
         return;
     }
-    if (found->is_number_unsigned()) {
-        const auto n = found->get<std::uint64_t>();
-        if (n >= limits.low && n <= limits.high) {
-            out = n;
-            return;
-        }
+    if (const auto n = internal::whole_number(*found); n && *n >= limits.low && *n <= limits.high) {
+        out = *n;
+        return;
     }
     report_mismatch(name, *found,
                     internal::range_text("a whole number", std::to_string(limits.low), std::to_string(limits.high)),
@@ -252,10 +263,10 @@
     }
 }
 
-void object_reader::optional(std::string_view name, base::duration &out, range<std::uint64_t> milliseconds) {
-    std::uint64_t n = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(out).count());
-    read_unsigned(name, n, milliseconds, field_presence::optional);
-    out = std::chrono::milliseconds{n};
+void object_reader::optional(std::string_view name, base::duration &out, range<double> milliseconds) {
+    double n = base::to_seconds(out) * internal::milliseconds_per_second;
+    read_double(name, n, milliseconds, field_presence::optional);
+    out = base::from_seconds(n / internal::milliseconds_per_second);
 }
 
 std::size_t object_reader::required_choice(std::string_view name, const std::vector<std::string_view> &choices) {
--- a/src/settings/reader.hpp
+++ b/src/settings/reader.hpp
@@ -81,8 +81,8 @@
     void optional(std::string_view name, double &out, range<double> limits);
     void optional(std::string_view name, bool &out);
 
-    /** @brief Reads a whole number of milliseconds. */
-    void optional(std::string_view name, base::duration &out, range<std::uint64_t> milliseconds);
+    /** @brief Reads a number of milliseconds; fractions are permitted. */
+    void optional(std::string_view name, base::duration &out, range<double> milliseconds);
 
     /** @brief Reads a string that must be one of `choices`. @return Its index, or 0 after a problem. */
     std::size_t required_choice(std::string_view name, const std::vector<std::string_view> &choices);
