Publish the changes of one answer of the store as one list of servers

Cause: each changed discovery entry put a copy of the whole list into the forwarder's queue; 1,778 entries that appear together make 1,778 copies. Processes at 300 gateways ended over their memory limit. Change: a feed passes all changes of one answer on together; the list is published once, and of several configurations only the newest is decoded. Result: the new case fails before (500 lists) and passes after (one).

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -77,9 +77,13 @@
         deps_.store, std::string{deps_.codec.config_prefix()}, feed,
         feed_handlers{
             [this](const auto &all) { std::ranges::for_each(all, [this](const auto &it) { config_.on_object(it); }); },
-            [this](const store::watch_event &it) {
-                if (!it.deleted) {
-                    config_.on_object(it.item);
+            [this](std::span<const store::watch_event> changes) {
+                // Decoding a configuration is expensive, and a newer one replaces it.
+                const auto newest = std::ranges::find_if(changes.rbegin(), changes.rend(), [this](const auto &it) {
+                    return !it.deleted && it.item.key == deps_.codec.config_key();
+                });
+                if (newest != changes.rend()) {
+                    config_.on_object(newest->item);
                 }
             },
             [this] { record_store_answer(true); },
@@ -90,7 +94,7 @@
     server_feed_ = std::make_unique<store_feed>(
         deps_.store, std::string{deps_.codec.servers_prefix()}, feed,
         feed_handlers{[this](const auto &all) { servers_.on_list(all); },
-                      [this](const auto &it) { servers_.on_change(it); }, [this] { servers_.on_answered(); },
+                      [this](const auto &it) { servers_.on_changes(it); }, [this] { servers_.on_answered(); },
                       [this] { servers_.on_failed(); },
                       [this] { return servers_.longest_wait(settings::effective_watch_wait(settings_)); }});
 }
--- a/src/gateway/server_source.cpp
+++ b/src/gateway/server_source.cpp
@@ -51,7 +51,12 @@
     publish();
 }
 
-void server_source::on_change(const store::watch_event &change) {
+void server_source::on_changes(std::span<const store::watch_event> changes) {
+    std::ranges::for_each(changes, [this](const auto &it) { apply(it); });
+    publish();
+}
+
+void server_source::apply(const store::watch_event &change) {
     const auto id = std::string_view{change.item.key}.substr(deps_.codec.servers_prefix().size());
     {
         const std::scoped_lock lock{mutex_};
@@ -74,7 +79,6 @@
                                       {"revision", entry->revision},
                                       {"taken", taken}});
     }
-    publish();
 }
 
 void server_source::on_answered() {
--- a/src/gateway/server_source.hpp
+++ b/src/gateway/server_source.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,7 +36,9 @@
     explicit server_source(dependencies deps);
 
     void on_list(const std::vector<store::object> &all);
-    void on_change(const store::watch_event &change);
+
+    /** @brief Applies changes and publishes the resulting list once: copying it for each change is quadratic. */
+    void on_changes(std::span<const store::watch_event> changes);
 
     /** @brief Handles a successful call to the store. */
     void on_answered();
@@ -52,6 +55,7 @@
 
 private:
     [[nodiscard]] std::optional<fleet_entry> to_entry(const store::object &item);
+    void apply(const store::watch_event &change);
     void ask_peers();
     void publish();
 
--- a/src/gateway/store_feed.cpp
+++ b/src/gateway/store_feed.cpp
@@ -51,8 +51,8 @@
         all.reserve(seen.events.size());
         std::ranges::transform(seen.events, std::back_inserter(all), [](const auto &it) { return it.item; });
         handlers_.on_list(all);
-    } else {
-        std::ranges::for_each(seen.events, handlers_.on_change);
+    } else if (!seen.events.empty()) {
+        handlers_.on_changes(seen.events);
     }
     since_ = std::max(since_, seen.revision);
     return seen.events.empty() ? base::duration{0} : settings_.pause_after_change;
--- a/src/gateway/store_feed.hpp
+++ b/src/gateway/store_feed.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <span>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,7 +21,8 @@
 /** @brief Callbacks, called on the thread of a feed. */
 struct feed_handlers {
     std::function<void(const std::vector<store::object> &all)> on_list; /**< All objects under the prefix. */
-    std::function<void(const store::watch_event &change)> on_change;
+    /** Changes of one answer of the store, in order. */
+    std::function<void(std::span<const store::watch_event> changes)> on_changes;
     std::function<void()> on_answered;              /**< After each successful call to the store. */
     std::function<void()> on_failed;                /**< After each failed call. */
     std::function<base::duration()> longest_wait{}; /**< Upper limit of the next watch; optional. */
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
 #include <map>
 
@@ -102,6 +104,9 @@
     }
 };
 
+const std::string server_entry =
+    R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":2,"State":"ready","Sequence":4})";
+
 const std::string config_text = R"({"Version":7,"Routes":[],"Services":[],"Tenants":[]})";
 
 } // namespace
@@ -117,7 +122,11 @@
                            "servers/",
                            {},
                            {[&](const auto &all) { lists.push_back(all.size()); },
-                            [&](const auto &change) { changes.push_back(change.item.key); }, [] {},
+                            [&](const auto &batch) {
+                                std::ranges::transform(batch, std::back_inserter(changes),
+                                                       [](const auto &change) { return change.item.key; });
+                            },
+                            [] {},
                             [&] { ++failures; }}};
     CHECK(it.step() == 0ms);
     REQUIRE(store.put("servers/b", "1", store::absent));
@@ -330,8 +339,6 @@
     base::manual_clock clock;
     const platform::object_codec codec;
     http::curl_client client;
-    const std::string entry =
-        R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":2,"State":"ready","Sequence":4})";
     gateway::server_source informed{{clock, codec, client, [] { return std::vector<std::string>{}; }, [](auto) {}}};
     http::server server;
     const auto address =
@@ -343,16 +350,34 @@
     fresh.on_failed();
     CHECK(seen.empty());
     informed.on_answered();
-    informed.on_list({{"servers/a", 5, entry}, {"servers/b", 6, "unreadable"}});
-    informed.on_change({{"servers/c", 7, entry}, false});
+    informed.on_list({{"servers/a", 5, server_entry}, {"servers/b", 6, "unreadable"}});
+    informed.on_changes(std::array{store::watch_event{{"servers/c", 7, server_entry}, false}});
     fresh.on_failed();
     fresh.on_failed();
     CHECK(seen == std::vector<std::size_t>{2});
     // A later list from the store replaces it.
     fresh.on_answered();
-    fresh.on_list({{"servers/a", 5, entry}});
+    fresh.on_list({{"servers/a", 5, server_entry}});
     CHECK(seen.back() == 2);
     clock.advance(3s);
     fresh.on_answered();
     CHECK(seen.back() == 1);
 }
+
+// Thousands of backend servers start together. Guards against a copy of the whole list for each of them: the copies
+// waited in the queue of the forwarder and took hundreds of megabytes.
+TEST_CASE("changes of discovery that arrive together are published as one list") {
+    base::manual_clock clock;
+    const platform::object_codec codec;
+    http::curl_client client;
+    std::vector<std::size_t> published;
+    gateway::server_source subject{{clock, codec, client, [] { return std::vector<std::string>{}; },
+                                    [&](const auto &all) { published.push_back(all.size()); }}};
+    subject.on_list({});
+    std::vector<store::watch_event> changes;
+    for (std::uint64_t n = 1; n <= 500; ++n) {
+        changes.push_back({{"servers/s" + std::to_string(n), n, server_entry}, false});
+    }
+    subject.on_changes(changes);
+    CHECK(published == std::vector<std::size_t>{0, 500});
+}
