--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -11,6 +11,9 @@
 
 namespace internal {
 
+// Checking whether a caller has gone takes a system call. Work for a caller that has gone ends within this time.
+constexpr auto caller_check_interval = std::chrono::milliseconds{200};
+
 end_reason to_end_reason(retry::give_up_reason why) noexcept {
     switch (why) {
     case retry::give_up_reason::not_repeatable:
@@ -254,8 +257,11 @@
         }
         return;
     }
-    if (it.identity().caller->gone() && it.ends_with_caller()) {
-        return end(number, it.refusal_for(end_reason::caller_gone, ran_claim_of(it)));
+    if (!it.caller_checked_at_ || now - *it.caller_checked_at_ >= internal::caller_check_interval) {
+        it.caller_checked_at_ = now;
+        if (it.identity().caller->gone() && it.ends_with_caller()) {
+            return end(number, it.refusal_for(end_reason::caller_gone, ran_claim_of(it)));
+        }
     }
     if (now >= it.identity().deadline) {
         auto ran = ran_claim_of(it);
--- a/src/dispatch/exchange.hpp
+++ b/src/dispatch/exchange.hpp
@@ -148,6 +148,7 @@
     exchange_stage stage_{exchange_stage::held};
     call_id call_{0}; /**< 0 if none. */
     base::instant attempt_started_{};
+    std::optional<base::instant> caller_checked_at_;
     base::instant next_step_{}; /**< While delayed: time of the next attempt. While inquiring: end of the wait. */
 };
 
