Learn the timing of engines, and place requests by the probable loss

Cause: placement used constant rates that were fitted to engines with six places; on engines with 96 places prefill engines got 1,440 of 6,818 placements and prompts without a long shared prefix were never split. Change: size_time_model learns a fixed part and a rate for prefill, direct runs and transfers, for each service; the cost of a placement is the probable loss by a late answer plus what it uses; servers that take longer than others are avoided by degrees; at most 32 engines of a stage are compared.

--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "base/seconds.hpp"
+#include "gateway/prefix_cache_tracker.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -17,6 +18,11 @@
 // Fraction of the average load that is assumed at a server without a recent report. A missing report often means that
 // the server is idle, since reports come with answers.
 constexpr double unreported_load_fraction = 0.25;
+// Weight of the newest call in the slowness of a server, and the range of its ratio.
+constexpr double slowness_gain = 0.15;
+constexpr double max_slowness = 8;
+// Measured times vary by about this factor without any server being slow.
+constexpr double usual_spread = 1.3;
 
 } // namespace internal
 
@@ -32,10 +38,15 @@
             state.facts.address != it.address) {
             state = {};
             state.known_since = time_.now();
+            state.id_hash = engine_hash(it.id);
         }
         state.facts = it;
     }
     std::erase_if(states_, [&seen](const auto &it) { return !seen.contains(it.first); });
+    services_.clear();
+    for (const auto &[id, it] : states_) {
+        services_[it.facts.service].push_back(&it);
+    }
     for (auto &it : stages_) {
         it.servers = 0;
         it.own_requests = 0;
@@ -59,10 +70,15 @@
 std::vector<const backend_state *> backend_table::available(std::string_view service) const {
     const auto now = time_.now();
     std::vector<const backend_state *> out;
-    for (const auto &[id, it] : states_) {
-        const bool paused = it.paused_until && (now < *it.paused_until || it.probing);
-        if (it.facts.service == service && !it.facts.draining && !paused) {
-            out.push_back(&it);
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return out;
+    }
+    out.reserve(found->second.size());
+    for (const auto *it : found->second) {
+        const bool paused = it->paused_until && (now < *it->paused_until || it->probing);
+        if (!it->facts.draining && !paused) {
+            out.push_back(it);
         }
     }
     return out;
@@ -184,4 +200,25 @@
     return it.failures * kept / (it.attempts * kept + internal::assumed_successes);
 }
 
+void backend_table::timed(std::string_view id, double ratio) {
+    if (auto *it = find_mutable(id)) {
+        const double limit = std::log(internal::max_slowness);
+        const double decayed = it->log_slowness *
+                               std::exp2(-base::to_seconds(time_.now() - it->timed_at) /
+                                         base::to_seconds(settings_.slowness_half_life));
+        const double seen = std::log(std::clamp(ratio, 1 / internal::max_slowness, internal::max_slowness));
+        it->log_slowness = std::clamp(decayed + internal::slowness_gain * seen, 0.0, limit);
+        it->timed_at = time_.now();
+    }
+}
+
+double backend_table::slowness(const backend_state &it) const {
+    if (it.log_slowness <= 0) {
+        return 1;
+    }
+    const double value = std::exp(it.log_slowness * std::exp2(-base::to_seconds(time_.now() - it.timed_at) /
+                                                              base::to_seconds(settings_.slowness_half_life)));
+    return std::max(1.0, value / internal::usual_spread);
+}
+
 } // namespace dotterelstack::gateway
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -23,12 +23,14 @@
         std::chrono::milliseconds{300}}; /**< Back-off after a failed connection; doubles with each failure. */
     base::duration longest_pause{std::chrono::seconds{3}};
     base::duration failure_half_life{std::chrono::seconds{3}};
+    base::duration slowness_half_life{std::chrono::seconds{4}};
     base::duration report_max_age{std::chrono::milliseconds{1000}}; /**< Older load reports are ignored. */
 };
 
 /** @brief State of one backend server: its discovery entry, load and health. */
 struct backend_state {
     backend_server facts;
+    std::uint64_t id_hash{0};      /**< For `rendezvous_rank`. */
     base::instant known_since{};   /**< When this gateway first saw the incarnation. */
     std::uint32_t own_requests{0}; /**< Attempts of this gateway that are in progress. */
     double own_prefill_tokens{0};  /**< Prompt tokens of own attempts that have not produced an event. */
@@ -38,6 +40,8 @@
     double failures{0};                  /**< Failed attempts, with exponential decay. */
     double attempts{0};                  /**< All attempts, with the same decay. */
     base::instant decayed_at{};
+    double log_slowness{0}; /**< Logarithm of measured over usual times; returns to 0 by and by. */
+    base::instant timed_at{};
     base::duration pause{0}; /**< Length of the latest back-off. */
     std::optional<base::instant> paused_until;
     bool probing{false}; /**< The single attempt that is allowed after a back-off is in progress. */
@@ -89,6 +93,12 @@
     /** @return Fraction of recent attempts that failed, from 0 to 1. */
     [[nodiscard]] double failure_rate(const backend_state &it) const;
 
+    /** @brief A call has taken this many times as long as expected, by the slowness known before. */
+    void timed(std::string_view id, double ratio);
+
+    /** @return Time of calls at the backend server relative to others of its kind, at least 1. */
+    [[nodiscard]] double slowness(const backend_state &it) const;
+
 private:
     /** Running mean: arithmetic over the first samples, then exponential. */
     struct running_mean {
@@ -119,6 +129,7 @@
     const base::clock &time_;
     const health_settings settings_;
     std::map<std::string, backend_state, std::less<>> states_;
+    std::map<std::string, std::vector<const backend_state *>, std::less<>> services_; /**< Servers by service. */
     std::array<stage_totals, engine_stages> stages_{}; /**< By stage. */
     std::uint32_t gateways_{1};
 };
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -84,10 +84,12 @@
     const auto &facts = request_.content.facts;
     const bool first = history().attempt() == 1;
     const auto placed = context_.places.choose({.service = identity().service,
+                                                .route = request_.route->name,
                                                 .prompt = facts.prompt,
                                                 .prompt_tokens = facts.prompt_tokens,
                                                 .failure_domain = context_.failure_domain,
                                                 .excluded = tried_,
+                                                .objective = objective_left(),
                                                 .may_split = may_split_ && first && !started_ && !facts.last_event,
                                                 .is_new = stage() == dispatch::exchange_stage::held});
     if (placed.rejection != placement_rejection::none) {
@@ -101,6 +103,12 @@
     return start(placed.plan);
 }
 
+base::duration opaque_exchange::objective_left() const {
+    const auto objective = request_.route->latency_objective;
+    const auto left = identity().received + objective - context_.time.now();
+    return objective > base::duration{0} ? std::max<base::duration>(left, base::duration{1}) : base::duration{0};
+}
+
 dispatch::place_result opaque_exchange::wait_or_refuse(const placement_result &placed) const {
     const auto now = context_.time.now();
     const bool may_wait = placed.rejection != placement_rejection::excluded && now < request_.wait_until;
@@ -128,9 +136,8 @@
     }
     prefill_tokens_ = plan.prefill_tokens;
     placed_after_ = context_.time.now() - identity().received;
-    split_prefill_ = plan.prefill != nullptr;
-    has_home_ = plan.has_home;
-    expected_ = plan.expected;
+    estimate_ = plan.first;
+    transfer_estimate_ = plan.second;
     log::write("request_placed", {{"request", identity().id},
                                   {"service", identity().service},
                                   {"config_version", request_.config->version()},
@@ -185,6 +192,11 @@
     may_split_ = may_split_ && !prefilling_;
 }
 
+void opaque_exchange::record_call_time() {
+    context_.table.timed(backend_, context_.places.on_call_time(identity().service, backend_, estimate_,
+                                                                context_.time.now() - attempt_started()));
+}
+
 bool opaque_exchange::probably_began(attempt_outcome how) const noexcept {
     if (prefilling_) {
         return false;
@@ -270,9 +282,7 @@
         context_.metrics.observe(metrics::timing::between_tokens, of.organisation, of.service, now - *last_event_at_);
     } else {
         first_event_after_ = now - of.received;
-        if (has_home_ && tried_.empty()) {
-            context_.places.on_first_event(split_prefill_, expected_, first_event_after_ - placed_after_);
-        }
+        record_call_time();
         context_.metrics.observe(metrics::timing::first_token, of.organisation, of.service, first_event_after_);
     }
     last_event_at_ = now;
@@ -323,6 +333,8 @@
     first_event_seen_ = true;
     context_.table.prefill_done(backend_, prefill_tokens_);
     context_.places.on_prefill_done(backend_, request_.content.facts.prompt);
+    record_call_time();
+    estimate_ = transfer_estimate_;
     prefilled_after_ = context_.time.now() - identity().received;
     handle_ = std::move(handle);
     handle_address_ = address_;
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -79,6 +79,7 @@
 private:
     [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed) const;
     [[nodiscard]] base::duration retry_after(base::duration free_in) const;
+    [[nodiscard]] base::duration objective_left() const;
     [[nodiscard]] dispatch::outgoing_call start(const placement_plan &plan);
     [[nodiscard]] dispatch::outgoing_call call_to(const backend_state &target, attempt_facts facts);
     void read_head(int status, const http::field_list &fields);
@@ -90,6 +91,7 @@
     [[nodiscard]] bool deliver(const stream_event &event);
     [[nodiscard]] bool probably_began(dispatch::attempt_outcome how) const noexcept;
     void count_start();
+    void record_call_time();
     void begin_answer();
     void forward_server_answer();
     void release_state();
@@ -108,9 +110,8 @@
     std::string handle_;         /**< Of prefilled state that no engine has fetched yet. */
     std::string handle_address_;
     double prefill_tokens_{0};
-    bool split_prefill_{false};    /**< The request was placed with a separate prefill engine. */
-    bool has_home_{false};         /**< The prompt's shared prefix has a home engine. */
-    base::duration expected_{0};   /**< Time to the first event, as estimated at placement. */
+    call_estimate estimate_{};          /**< Of the current call. */
+    call_estimate transfer_estimate_{}; /**< During a prefill: of the call that follows. */
     bool first_event_seen_{false}; /**< In this attempt. */
     bool start_counted_{false};    /**< This attempt is counted in the usage. */
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -1,8 +1,8 @@
 #include "gateway/placement.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
-#include <optional>
 
 namespace dotterelstack::gateway {
 
@@ -10,17 +10,16 @@
 
 // Assumed until the first answer: between the usual times of short calls and of streams.
 constexpr double initial_slot_ms = 100;
-// Weight of the newest sample in the moving average.
-constexpr double slot_time_gain = 0.05;
-// Transfers between failure domains are slower by this factor.
-constexpr double far_transfer_factor = 2;
-// Weight of the newest sample in the correction factors of the estimates, and the range of a sample. Limiting it keeps
-// one slow answer from diverting all requests from one kind of placement for long.
-constexpr double correction_gain = 0.05;
-constexpr double min_correction = 0.5;
-constexpr double max_correction = 4;
+// Weight of the newest sample in moving averages.
+constexpr double mean_gain = 0.05;
 // Random part of the cost, so that gateways do not all choose the same server.
-constexpr double jitter_ms = 2;
+constexpr double jitter_cost = 0.005;
+// Spread of measured around expected times: with 1/exponent as the scale of a logistic distribution of their logarithm.
+constexpr double lateness_exponent = 3;
+// Latency objective of routes that declare none.
+constexpr double default_objective_ms = 1000;
+// An objective that is almost used up must not make all placements equally bad.
+constexpr double min_objective_ms = 50;
 
 double shared_tokens(const placement_request &request) {
     double out = 0;
@@ -32,16 +31,33 @@
     return std::min<double>(out, request.prompt_tokens);
 }
 
-base::duration milliseconds(double value) {
-    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double, std::milli>{value});
+base::duration to_duration(double ms) {
+    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double, std::milli>{ms});
+}
+
+double to_ms(base::duration value) {
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+void update_mean(std::map<std::string, double, std::less<>> &means, std::string_view name, double sample) {
+    const auto it = means.find(name);
+    if (it == means.end()) {
+        means.emplace(std::string{name}, sample);
+    } else {
+        it->second += mean_gain * (sample - it->second);
+    }
+}
+
+bool same_domain(const backend_state &a, const backend_state &b) {
+    return a.facts.failure_domain == b.facts.failure_domain;
 }
 
 } // namespace internal
 
 placement::placement(const base::clock &time, const backend_table &table, random_source random,
                      placement_settings settings)
-    : table_{table}, random_{std::move(random)}, settings_{settings}, prefixes_{time, settings.prefix_ttl}, warmth_{
-                                                                                                                time} {}
+    : table_{table}, random_{std::move(random)}, settings_{settings}, prefixes_{time, settings.prefix_ttl},
+      warmth_{time} {}
 
 double placement::slot_ms(std::string_view service) const {
     const auto it = slot_ms_.find(service);
@@ -49,25 +65,38 @@
 }
 
 void placement::on_slot_time(std::string_view service, base::duration held) {
-    const double ms = std::chrono::duration<double, std::milli>(held).count();
-    const auto it = slot_ms_.find(service);
-    if (it == slot_ms_.end()) {
-        slot_ms_.emplace(std::string{service}, ms);
-    } else {
-        it->second += internal::slot_time_gain * (ms - it->second);
-    }
+    internal::update_mean(slot_ms_, service, internal::to_ms(held));
 }
 
 void placement::on_prefill_done(std::string_view engine, std::span<const prompt_part> prompt) {
     prefixes_.record(engine, prompt);
 }
 
-void placement::on_first_event(bool split, base::duration expected, base::duration taken) {
-    double &factor = split ? split_factor_ : direct_factor_;
-    const double estimate = std::max(1.0, std::chrono::duration<double, std::milli>(expected).count());
-    const double seen = factor * std::chrono::duration<double, std::milli>(taken).count() / estimate;
-    factor +=
-        internal::correction_gain * (std::clamp(seen, internal::min_correction, internal::max_correction) - factor);
+placement::engine_timing &placement::timing_of(std::string_view service) {
+    const auto it = timings_.find(service);
+    if (it != timings_.end()) {
+        return it->second;
+    }
+    engine_timing initial;
+    for (const auto &prior : {settings_.direct, settings_.prefill, settings_.near_transfer, settings_.far_transfer}) {
+        initial.emplace_back(prior);
+    }
+    return timings_.emplace(std::string{service}, std::move(initial)).first->second;
+}
+
+const size_time_model &placement::timing(std::string_view service, call_kind kind) {
+    return timing_of(service).at(static_cast<std::size_t>(kind));
+}
+
+double placement::on_call_time(std::string_view service, std::string_view engine, const call_estimate &expected,
+                               base::duration taken) {
+    auto &model = timing_of(service).at(static_cast<std::size_t>(expected.kind));
+    const auto *state = table_.find(engine);
+    const double slowness = state == nullptr ? 1 : table_.slowness(*state);
+    const double own_ms = std::max(1.0, internal::to_ms(taken) - expected.other_ms) / slowness;
+    const double ratio = own_ms / std::max(1.0, model.expected_ms(expected.tokens));
+    model.record(expected.tokens, own_ms);
+    return ratio;
 }
 
 double placement::wait_ms(const backend_state &it) const {
@@ -81,9 +110,20 @@
     return table_.outstanding(it) < slots * (1 + settings_.queue_per_slot);
 }
 
-double placement::penalty_ms(const backend_state &it, const placement_request &request) const {
-    const double distance_cost = it.facts.failure_domain == request.failure_domain ? 0 : settings_.far_ms;
-    return distance_cost + settings_.failure_ms * table_.failure_rate(it) + internal::jitter_ms * random_();
+double placement::loss(const placement_request &request, double expected_ms) const {
+    const double objective = request.objective > base::duration{0}
+                                 ? std::max(internal::min_objective_ms, internal::to_ms(request.objective))
+                                 : internal::default_objective_ms;
+    const double relative = std::max(0.0, expected_ms) / objective;
+    const double odds = std::pow(relative, internal::lateness_exponent);
+    return settings_.late_cost * odds / (1 + odds) + settings_.time_cost * relative;
+}
+
+double placement::penalty(const backend_state &it, const placement_request &request) const {
+    const double distance_cost = it.facts.failure_domain == request.failure_domain ? 0 : settings_.far_cost;
+    const double load = table_.outstanding(it) / std::max(1U, it.facts.slots);
+    return distance_cost + settings_.load_cost * load + settings_.failure_cost * table_.failure_rate(it) +
+           internal::jitter_cost * random_();
 }
 
 base::duration placement::free_in(const state_list &from) const {
@@ -93,7 +133,7 @@
         const double excess = table_.outstanding(*it) - slots * (1 + settings_.queue_per_slot) + 1;
         best = std::min(best, std::max(1.0, excess) * slot_ms(it->facts.service) / slots);
     }
-    return internal::milliseconds(best);
+    return internal::to_duration(best);
 }
 
 placement_result placement::choose_plain(const placement_request &request, const state_list &from) {
@@ -103,13 +143,12 @@
         if (!has_room(*it)) {
             continue;
         }
-        // Load adds to the cost besides the wait: some backend servers slow down when they are nearly full.
-        const double load = table_.outstanding(*it) / std::max(1U, it->facts.slots);
-        const double cost = wait_ms(*it) + load * slot_ms(request.service) / 2 + penalty_ms(*it, request);
+        const double expected_ms = (wait_ms(*it) + slot_ms(request.service)) * table_.slowness(*it);
+        const double cost = loss(request, expected_ms) + penalty(*it, request);
         if (cost < best) {
             best = cost;
             out.plan.run = it;
-            out.plan.expected = internal::milliseconds(wait_ms(*it) + slot_ms(request.service));
+            out.plan.expected = internal::to_duration(expected_ms);
             out.plan.typical = out.plan.expected;
             out.rejection = placement_rejection::none;
         }
@@ -117,121 +156,166 @@
     return out;
 }
 
-placement::shared_prefix placement::prefix_of(const placement_request &request, const state_list &order) const {
-    const auto home =
-        std::ranges::find_if(order, [](const auto *it) { return it->facts.stage != engine_stage::prefill; });
-    if (home == order.end()) {
+std::vector<placement::ranked_engine> placement::engines_of(engine_stage stage, const state_list &from,
+                                                            std::uint64_t key) {
+    state_list all;
+    for (const auto *it : from) {
+        if ((it->facts.stage == engine_stage::prefill) == (stage == engine_stage::prefill)) {
+            all.push_back(it);
+        }
+    }
+    const auto n = std::min(all.size(), settings_.max_candidates);
+    std::vector<ranked_engine> out;
+    out.reserve(n);
+    if (key == 0) {
+        // All of them, or as many as are compared, from a random position.
+        const auto first = static_cast<std::size_t>(random_() * static_cast<double>(all.size()));
+        for (std::size_t it = 0; it < n; ++it) {
+            out.push_back({all[(first + it) % all.size()], 0});
+        }
+        return out;
+    }
+    std::vector<std::pair<std::uint64_t, const backend_state *>> order;
+    order.reserve(all.size());
+    for (const auto *it : all) {
+        order.emplace_back(rendezvous_rank(key, it->id_hash), it);
+    }
+    std::ranges::partial_sort(order, order.begin() + static_cast<std::ptrdiff_t>(n), std::ranges::greater{},
+                              [](const auto &it) { return it.first; });
+    for (std::size_t it = 0; it < n; ++it) {
+        out.push_back({order[it].second, static_cast<double>(it)});
+    }
+    return out;
+}
+
+placement::shared_prefix placement::prefix_of(const placement_request &request,
+                                              std::span<const ranked_engine> decoders) const {
+    if (decoders.empty()) {
         return {};
     }
+    const auto &home = *decoders.front().engine;
     const double tokens = internal::shared_tokens(request);
-    const bool seen = prefixes_.cached((*home)->facts.id, request.prompt) >= tokens;
-    return {*home, tokens, seen ? 1 : warmth_.used_since((*home)->known_since)};
+    const bool seen = prefixes_.cached(home.facts.id, request.prompt) >= tokens;
+    return {&home, tokens, seen ? 1 : warmth_.used_since(home.known_since)};
 }
 
 placement::prefill_work placement::prefill_work_at(const placement_request &request, const backend_state &engine,
-                                                   const shared_prefix &prefix) const {
+                                                   const shared_prefix &prefix) {
     prefill_work out{.own = request.prompt_tokens - prefix.tokens};
     if (prefix.home == nullptr) {
         return out;
     }
     const double missing = std::max(0.0, prefix.tokens - prefixes_.cached(engine.facts.id, request.prompt));
     out.cold = (1 - prefix.cached_probability) * missing;
-    if (prefix.home != &engine) {
-        const bool same_domain = engine.facts.failure_domain == prefix.home->facts.failure_domain;
-        out.fetch_ms = prefix.cached_probability * missing / settings_.transfer_tokens_per_ms *
-                       (same_domain ? 1 : internal::far_transfer_factor);
+    if (prefix.home != &engine && missing > 0) {
+        const auto kind =
+            internal::same_domain(engine, *prefix.home) ? call_kind::near_transfer : call_kind::far_transfer;
+        const auto &model = timing(request.service, kind);
+        out.fetched = prefix.cached_probability * missing;
+        out.fetch_ms = model.expected_ms(out.fetched) - model.expected_ms(0);
     }
     return out;
 }
 
-placement::candidate placement::direct(const placement_request &request, const backend_state &engine,
-                                       const shared_prefix &prefix, double rank) const {
+placement::candidate placement::direct(const placement_request &request, const ranked_engine &at,
+                                       const shared_prefix &prefix) {
+    const auto &engine = *at.engine;
     const auto work = prefill_work_at(request, engine, prefix);
     const double tokens = work.own + work.cold;
-    const double prefill_ms = tokens / settings_.decode_tokens_per_ms;
-    const double pending_ms = table_.pending_prefill_tokens(engine) / settings_.decode_tokens_per_ms;
+    const double ahead = table_.pending_prefill_tokens(engine);
+    const double slowness = table_.slowness(engine);
+    const auto &model = timing(request.service, call_kind::direct);
+    const double other_ms = wait_ms(engine) + work.fetch_ms;
     candidate out{.plan = {.run = &engine,
                            .fetch_from = prefix.home == &engine ? nullptr : prefix.home,
-                           .prefill_tokens = tokens}};
-    const double factor = prefix.home == nullptr ? 1 : direct_factor_;
-    out.own_ms = factor * (work.fetch_ms + prefill_ms);
-    out.usual_ms = factor * (work.fetch_ms + work.own / settings_.decode_tokens_per_ms);
-    out.expected_ms = factor * (wait_ms(engine) + pending_ms) + out.own_ms;
-    // Load and prefill slow down the other generations of the engine.
-    out.cost_ms = out.expected_ms + table_.outstanding(engine) + settings_.disturbance * prefill_ms +
-                  penalty_ms(engine, request) + (prefix.home == nullptr ? 0 : settings_.spill_ms * rank);
+                           .prefill_tokens = tokens,
+                           .first = {call_kind::direct, ahead + tokens, other_ms}}};
+    const double idle_ms = model.expected_ms(0);
+    out.own_ms = slowness * (model.expected_ms(tokens) - idle_ms) + work.fetch_ms;
+    out.usual_ms = model.expected_ms(work.own) - idle_ms + work.fetch_ms;
+    out.expected_ms = slowness * model.expected_ms(ahead + tokens) + other_ms;
+    out.cost = loss(request, out.expected_ms) + penalty(engine, request) + settings_.spill_cost * at.rank +
+               settings_.disturbance_cost * tokens / 1000 + settings_.move_cost * work.fetched / 1000;
     return out;
 }
 
-placement::candidate placement::split(const placement_request &request, const backend_state &prefill_engine,
-                                      double rank, const candidate &decode_choice, const shared_prefix &prefix) const {
-    const auto work = prefill_work_at(request, prefill_engine, prefix);
+placement::candidate placement::split(const placement_request &request, const ranked_engine &at,
+                                      const std::pair<double, const backend_state *> &decoder,
+                                      const shared_prefix &prefix) {
+    const auto &engine = *at.engine;
+    const auto &run = *decoder.second;
+    const auto work = prefill_work_at(request, engine, prefix);
     const double tokens = work.own + work.cold;
-    const double ahead = table_.pending_prefill_tokens(prefill_engine);
-    const bool same_domain = prefill_engine.facts.failure_domain == decode_choice.plan.run->facts.failure_domain;
-    candidate out{.plan = {.prefill = &prefill_engine,
-                           .run = decode_choice.plan.run,
+    const double ahead = table_.pending_prefill_tokens(engine);
+    const double slowness = table_.slowness(engine);
+    const auto &model = timing(request.service, call_kind::prefill);
+    const auto move = internal::same_domain(engine, run) ? call_kind::near_transfer : call_kind::far_transfer;
+    const double moved = request.prompt_tokens;
+    const double move_ms = timing(request.service, move).expected_ms(moved);
+    const double waiting_ms = wait_ms(run);
+    candidate out{.plan = {.prefill = &engine,
+                           .run = &run,
                            .fetch_from = prefix.home,
-                           .prefill_tokens = tokens}};
-    const double moving_ms =
-        work.fetch_ms + settings_.transfer_setup_ms +
-        request.prompt_tokens / settings_.transfer_tokens_per_ms * (same_domain ? 1 : internal::far_transfer_factor);
-    out.own_ms = split_factor_ * (moving_ms + tokens / settings_.prefill_tokens_per_ms);
-    out.usual_ms = split_factor_ * (moving_ms + work.own / settings_.prefill_tokens_per_ms);
-    out.expected_ms =
-        split_factor_ * (ahead / settings_.prefill_tokens_per_ms + wait_ms(*decode_choice.plan.run)) + out.own_ms;
-    out.cost_ms = out.expected_ms + penalty_ms(prefill_engine, request) + settings_.spill_ms * rank;
+                           .prefill_tokens = tokens,
+                           .first = {call_kind::prefill, ahead + tokens, work.fetch_ms},
+                           .second = {move, moved, waiting_ms}}};
+    const double idle_ms = model.expected_ms(0);
+    out.own_ms = slowness * (model.expected_ms(tokens) - idle_ms) + work.fetch_ms + move_ms;
+    out.usual_ms = model.expected_ms(work.own) - idle_ms + work.fetch_ms + move_ms;
+    out.expected_ms = slowness * model.expected_ms(ahead + tokens) + work.fetch_ms + waiting_ms +
+                      table_.slowness(run) * move_ms;
+    out.cost = loss(request, out.expected_ms) + penalty(engine, request) + decoder.first +
+               settings_.spill_cost * at.rank + settings_.move_cost * (moved + work.fetched) / 1000;
     return out;
 }
 
+base::duration placement::typical_time(const placement_request &request, const candidate &chosen) {
+    internal::update_mean(mean_usual_ms_, request.route, chosen.usual_ms);
+    const double mean = mean_usual_ms_.find(request.route)->second;
+    return internal::to_duration(chosen.expected_ms - chosen.own_ms + mean);
+}
+
 placement_result placement::choose_engine(const placement_request &request, const state_list &from) {
     const auto key = shared_prefix_key(request.prompt, settings_.min_shared_tokens);
-    auto order = from;
-    if (key != 0) {
-        if (request.is_new) {
-            warmth_.on_request(key);
-        }
-        std::ranges::sort(order, std::ranges::greater{},
-                          [key](const auto *it) { return rendezvous_rank(key, it->facts.id); });
+    if (key != 0 && request.is_new) {
+        warmth_.on_request(key);
     }
-    const auto prefix = key == 0 ? shared_prefix{} : prefix_of(request, order);
+    const auto decoders = engines_of(engine_stage::decode, from, key);
+    const auto prefix = key == 0 ? shared_prefix{} : prefix_of(request, decoders);
     std::optional<candidate> best;
-    std::optional<candidate> decode_choice;
-    double rank = 0;
-    for (const auto *it : order) {
-        if (it->facts.stage == engine_stage::prefill) {
+    decode_choices choices;
+    const auto consider = [&best](candidate it) {
+        if (!best || it.cost < best->cost) {
+            best = std::move(it);
+        }
+    };
+    for (const auto &at : decoders) {
+        if (!has_room(*at.engine)) {
             continue;
         }
-        if (has_room(*it)) {
-            const auto now = direct(request, *it, prefix, rank);
-            best = !best || now.cost_ms < best->cost_ms ? now : best;
-            // Decode engine for a split: the nearest to the home in the order that has free slots.
-            const double place = wait_ms(*it) + settings_.spill_ms * rank + penalty_ms(*it, request);
-            if (!decode_choice || place < decode_choice->cost_ms) {
-                decode_choice = candidate{.plan = now.plan, .cost_ms = place};
-            }
+        consider(direct(request, at, prefix));
+        const double cost = loss(request, wait_ms(*at.engine)) + penalty(*at.engine, request) +
+                            settings_.spill_cost * at.rank;
+        const auto [it, first] = choices.try_emplace(at.engine->facts.failure_domain, cost, at.engine);
+        if (!first && cost < it->second.first) {
+            it->second = {cost, at.engine};
         }
-        rank += 1;
     }
-    rank = 0;
-    for (const auto *it : order) {
-        if (it->facts.stage == engine_stage::prefill && request.may_split && key != 0 && decode_choice) {
-            const auto now = split(request, *it, rank, *decode_choice, prefix);
-            best = now.cost_ms < best->cost_ms ? now : best;
-            rank += 1;
+    if (request.may_split && request.prompt_tokens >= settings_.min_split_tokens && !choices.empty()) {
+        const auto &cheapest = *std::ranges::min_element(choices, {}, [](const auto &it) { return it.second.first; });
+        for (const auto &at : engines_of(engine_stage::prefill, from, key)) {
+            consider(split(request, at, cheapest.second, prefix));
+            const auto near = choices.find(at.engine->facts.failure_domain);
+            if (near != choices.end() && near->second.second != cheapest.second.second) {
+                consider(split(request, at, near->second, prefix));
+            }
         }
     }
     if (!best) {
         return {{}, placement_rejection::full, {}};
     }
-    best->plan.expected = internal::milliseconds(best->expected_ms);
-    best->plan.typical = best->plan.expected;
-    if (key != 0) {
-        const double mean = mean_usual_ms_.value_or(best->usual_ms);
-        mean_usual_ms_ = mean + internal::slot_time_gain * (best->usual_ms - mean);
-        best->plan.typical = internal::milliseconds(best->expected_ms - best->own_ms + *mean_usual_ms_);
-    }
-    best->plan.has_home = key != 0;
+    best->plan.expected = internal::to_duration(best->expected_ms);
+    best->plan.typical = typical_time(request, *best);
     return {best->plan, placement_rejection::none, {}};
 }
 
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/clock.hpp"
@@ -14,20 +15,31 @@
 #include "gateway/prefix_cache_tracker.hpp"
 #include "gateway/prefix_reuse_estimator.hpp"
 #include "gateway/request_facts.hpp"
+#include "gateway/size_time_model.hpp"
 
 namespace dotterelstack::gateway {
 
-/** @brief Rates and weights of the placement cost model. */
+/**
+ * @brief Initial timing of engines and weights of the placement cost.
+ *
+ * Timing is learned while serving. Costs are fractions of the value of a request that is answered in time.
+ */
 struct placement_settings {
-    double prefill_tokens_per_ms{120};   /**< Of a prefill engine. */
-    double decode_tokens_per_ms{37};     /**< Of a decode engine that prefills while it generates tokens for others. */
-    double transfer_tokens_per_ms{1200}; /**< Transfer of cached state between engines of one failure domain. */
-    double transfer_setup_ms{40};        /**< Overhead of two calls instead of one, and of starting the generation. */
-    double far_ms{4};                    /**< Cost of leaving the failure domain. */
-    double spill_ms{25};                 /**< Cost per rank in the order of engines for a prefix. */
-    double failure_ms{400};              /**< Cost of a backend server whose failure rate is 1. */
-    double disturbance{0.5};             /**< Cost of a prefill at a decode engine, as a fraction of its time. */
-    std::uint32_t min_shared_tokens{1000}; /**< Prompts that share less have no home. */
+    size_time_prior prefill{30, 120};        /**< Prefill call at a prefill engine, by tokens. */
+    size_time_prior direct{30, 37};          /**< First event of a decode engine that does the prefill, by tokens. */
+    size_time_prior near_transfer{40, 1200}; /**< First event after a transfer within a failure domain, by tokens. */
+    size_time_prior far_transfer{40, 600};   /**< The same between failure domains. */
+    double late_cost{0.7};                   /**< Loss when the answer misses its latency objective. */
+    double time_cost{0.1};                   /**< Of an expected time as long as the latency objective. */
+    double far_cost{0.02};                   /**< Of sending a request to another failure domain. */
+    double spill_cost{0.01};                 /**< Per rank in the order of engines for a prefix. */
+    double load_cost{0.05};                  /**< Of a backend server whose slots are all taken. */
+    double failure_cost{0.8};                /**< Of a backend server whose failure rate is 1. */
+    double move_cost{0.003};                 /**< Of moving cached state, per 1,000 tokens. */
+    double disturbance_cost{0.01};           /**< Of a prefill at a decode engine, per 1,000 tokens. */
+    std::uint32_t min_shared_tokens{1000};   /**< Prompts that share less have no home. */
+    std::uint32_t min_split_tokens{1000};    /**< Shorter prompts are prefilled where their generation runs. */
+    std::size_t max_candidates{32};          /**< Engines of one stage that are compared for a request. */
     base::duration prefix_ttl{std::chrono::seconds{10}};
     /** Requests that may queue at a backend server, per slot. */
     double queue_per_slot{1.0};
@@ -36,14 +48,32 @@
 /** @brief Request data used for placement. Views need to be valid during the call only. */
 struct placement_request {
     std::string_view service;
+    std::string_view route{};            /**< Requests of a route are similar; used for mean sizes. */
     std::span<const prompt_part> prompt; /**< Empty for plain services. */
     std::uint32_t prompt_tokens{0};
     std::string_view failure_domain;         /**< Of this gateway. */
     std::span<const std::string> excluded{}; /**< Backend servers already tried. */
+    base::duration objective{0};             /**< Time left until the latency objective; 0 if there is none. */
     bool may_split{true};                    /**< Prefill and decode may run at two engines. */
     bool is_new{true};                       /**< First placement of the request. */
 };
 
+/** @brief Kind of call to an engine; each has a timing of its own. */
+enum class call_kind : std::uint8_t {
+    direct,       /**< Prefill and generation; measured up to the first event. */
+    prefill,      /**< Prefill only. */
+    near_transfer, /**< Generation from prefilled state of the same failure domain, up to the first event. */
+    far_transfer
+};
+inline constexpr std::size_t call_kinds = 4;
+
+/** @brief Inputs of the estimate for one call, kept to compare it with the time taken. */
+struct call_estimate {
+    call_kind kind{call_kind::direct};
+    double tokens{0};   /**< Prefilled or moved, including those queued before the request. */
+    double other_ms{0}; /**< Part of the estimate that does not follow from `tokens`: waits and fetches. */
+};
+
 /** @brief Chosen backend servers. Pointers are valid until the table changes. */
 struct placement_plan {
     const backend_state *prefill{nullptr}; /**< Null when `run` also does the prefill. */
@@ -51,8 +81,9 @@
     const backend_state *fetch_from{nullptr}; /**< Engine that probably has the shared segments cached, or null. */
     double prefill_tokens{0};                 /**< Expected tokens to prefill at the engine that does the prefill. */
     base::duration expected{0};               /**< Estimated time to the answer, or to its first event. */
-    base::duration typical{0}; /**< As `expected`, but for a request of mean size with a cached prefix. */
-    bool has_home{false};      /**< The shared prefix is long enough to have a home. */
+    base::duration typical{0}; /**< As `expected`, but for a request of the route's mean size with a cached prefix. */
+    call_estimate first{};     /**< Of the first call. */
+    call_estimate second{};    /**< Of the call after a prefill; unused without one. */
 };
 
 /** @brief Why a request cannot be placed. */
@@ -72,8 +103,9 @@
 /**
  * @brief Chooses backend servers for requests. Not thread-safe.
  *
- * Takes the candidate with the lowest cost, which is mainly the estimated time to the answer. A long shared prefix has
- * a home: the decode engine that ranks first by rendezvous hashing, on which all gateways agree without communication.
+ * Takes the candidate with the lowest cost: the probable loss of value by a late answer, and the costs of what the
+ * placement uses. The timing of engines is learned from the calls made, for each service. A long shared prefix has a
+ * home: the decode engine that ranks first by rendezvous hashing, on which all gateways agree without communication.
  * Its generations run there, so that the prefix stays cached, and an engine that prefills a prompt with that prefix
  * fetches the state from the home instead of computing it again. When the home is busy, the next engines in rank
  * follow. While engines are new, a prefix is probably not cached yet, and the estimates count it as part of the prompt.
@@ -92,11 +124,11 @@
     void on_prefill_done(std::string_view engine, std::span<const prompt_part> prompt);
 
     /**
-     * @brief Updates the correction factor of the estimates for long prompts from a measured time to the first event.
-     * @param split The prefill ran at a prefill engine.
-     * @param expected Estimate when the request was placed.
+     * @brief Learns from the time that a call to an engine has taken.
+     * @return The time relative to the expected one, without the engine's own slowness.
      */
-    void on_first_event(bool split, base::duration expected, base::duration taken);
+    double on_call_time(std::string_view service, std::string_view engine, const call_estimate &expected,
+                        base::duration taken);
 
     /** @brief Updates the mean time for which requests of a service hold a slot. */
     void on_slot_time(std::string_view service, base::duration held);
@@ -111,10 +143,13 @@
     }
 
 private:
+    /** Learned timing of the engines of one service, by `call_kind`. */
+    using engine_timing = std::vector<size_time_model>;
+
     /** A possible placement and its cost. */
     struct candidate {
         placement_plan plan;
-        double cost_ms{0};
+        double cost{0};
         double expected_ms{0};
         double own_ms{0};   /**< Part of `expected_ms` that depends on the request's size. */
         double usual_ms{0}; /**< As `own_ms`, with the shared prefix cached at its home. */
@@ -127,28 +162,45 @@
         double cached_probability{0}; /**< Probability that the home has it cached. */
     };
 
-    /** Tokens that an engine has to prefill, and the time to fetch cached state. */
+    /** Tokens that an engine has to prefill, and the cached state that it fetches. */
     struct prefill_work {
         double own{0};  /**< Tokens after the shared prefix. */
         double cold{0}; /**< Expected tokens of the shared prefix that are not cached at its home. */
+        double fetched{0};
         double fetch_ms{0};
     };
 
+    /** An engine and its position in the order for the request's prefix. */
+    struct ranked_engine {
+        const backend_state *engine{nullptr};
+        double rank{0};
+    };
+
+    /** Decode engines that may run the generation of a split request: the best one of each failure domain. */
+    using decode_choices = std::map<std::string_view, std::pair<double, const backend_state *>>;
+
     using state_list = std::vector<const backend_state *>;
 
     [[nodiscard]] double slot_ms(std::string_view service) const;
     [[nodiscard]] double wait_ms(const backend_state &it) const;
-    [[nodiscard]] double penalty_ms(const backend_state &it, const placement_request &request) const;
+    [[nodiscard]] double loss(const placement_request &request, double expected_ms) const;
+    [[nodiscard]] double penalty(const backend_state &it, const placement_request &request) const;
     [[nodiscard]] bool has_room(const backend_state &it) const;
+    [[nodiscard]] engine_timing &timing_of(std::string_view service);
+    [[nodiscard]] const size_time_model &timing(std::string_view service, call_kind kind);
     [[nodiscard]] placement_result choose_plain(const placement_request &request, const state_list &from);
     [[nodiscard]] placement_result choose_engine(const placement_request &request, const state_list &from);
-    [[nodiscard]] shared_prefix prefix_of(const placement_request &request, const state_list &order) const;
-    [[nodiscard]] candidate direct(const placement_request &request, const backend_state &engine,
-                                   const shared_prefix &prefix, double rank) const;
-    [[nodiscard]] candidate split(const placement_request &request, const backend_state &prefill_engine, double rank,
-                                  const candidate &decode_choice, const shared_prefix &prefix) const;
+    [[nodiscard]] std::vector<ranked_engine> engines_of(engine_stage stage, const state_list &from, std::uint64_t key);
+    [[nodiscard]] shared_prefix prefix_of(const placement_request &request,
+                                          std::span<const ranked_engine> decoders) const;
+    [[nodiscard]] candidate direct(const placement_request &request, const ranked_engine &at,
+                                   const shared_prefix &prefix);
+    [[nodiscard]] candidate split(const placement_request &request, const ranked_engine &at,
+                                  const std::pair<double, const backend_state *> &decoder,
+                                  const shared_prefix &prefix);
     [[nodiscard]] prefill_work prefill_work_at(const placement_request &request, const backend_state &engine,
-                                               const shared_prefix &prefix) const;
+                                               const shared_prefix &prefix);
+    [[nodiscard]] base::duration typical_time(const placement_request &request, const candidate &chosen);
     [[nodiscard]] base::duration free_in(const state_list &from) const;
 
     const backend_table &table_;
@@ -157,10 +209,8 @@
     prefix_cache_tracker prefixes_;
     prefix_reuse_estimator warmth_;
     std::map<std::string, double, std::less<>> slot_ms_;
-    // Correction factors for long prompts: measured over estimated time.
-    double direct_factor_{1};
-    std::optional<double> mean_usual_ms_; /**< Moving average of `candidate::usual_ms` of long prompts. */
-    double split_factor_{1};
+    std::map<std::string, engine_timing, std::less<>> timings_;
+    std::map<std::string, double, std::less<>> mean_usual_ms_; /**< By route: moving average of `usual_ms`. */
 };
 
 } // namespace dotterelstack::gateway
--- a/src/gateway/prefix_cache_tracker.cpp
+++ b/src/gateway/prefix_cache_tracker.cpp
@@ -71,8 +71,12 @@
     return 0;
 }
 
-std::uint64_t rendezvous_rank(std::uint64_t key, std::string_view engine) noexcept {
-    return internal::mix(key ^ internal::mix(base::fnv1a(engine)));
+std::uint64_t engine_hash(std::string_view id) noexcept {
+    return internal::mix(base::fnv1a(id));
+}
+
+std::uint64_t rendezvous_rank(std::uint64_t key, std::uint64_t engine) noexcept {
+    return internal::mix(key ^ engine);
 }
 
 } // namespace dotterelstack::gateway
--- a/src/gateway/prefix_cache_tracker.hpp
+++ b/src/gateway/prefix_cache_tracker.hpp
@@ -46,7 +46,10 @@
  */
 [[nodiscard]] std::uint64_t shared_prefix_key(std::span<const prompt_part> prompt, std::uint32_t min_tokens) noexcept;
 
+/** @return Hash of an engine's id for `rendezvous_rank`. */
+[[nodiscard]] std::uint64_t engine_hash(std::string_view id) noexcept;
+
 /** @return Rendezvous-hashing weight of an engine for a key, equal at all gateways. The highest is the home. */
-[[nodiscard]] std::uint64_t rendezvous_rank(std::uint64_t key, std::string_view engine) noexcept;
+[[nodiscard]] std::uint64_t rendezvous_rank(std::uint64_t key, std::uint64_t engine) noexcept;
 
 } // namespace dotterelstack::gateway
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -54,6 +54,10 @@
     }
 };
 
+std::uint64_t rank(std::uint64_t key, std::string_view id) {
+    return gateway::rendezvous_rank(key, gateway::engine_hash(id));
+}
+
 std::vector<prompt_part> draft(std::uint64_t shared, std::uint64_t own) {
     return {{shared, 13'000}, {own, 3'700}};
 }
@@ -188,13 +192,15 @@
     fixture it;
     it.engines(3, 2);
     REQUIRE(it.choose(draft(1, 2)).plan.prefill != nullptr);
+    const gateway::call_estimate prefill{gateway::call_kind::prefill, 17'000, 0};
+    const gateway::call_estimate direct{gateway::call_kind::direct, 17'000, 0};
     for (int n = 0; n < 60; ++n) {
-        it.subject.on_first_event(true, 100ms, 900ms);
+        (void)it.subject.on_call_time("llm", "prefill-0", prefill, 900ms);
     }
     CHECK(it.choose(draft(1, 2)).plan.prefill == nullptr);
     for (int n = 0; n < 200; ++n) {
-        it.subject.on_first_event(true, 400ms, 100ms);
-        it.subject.on_first_event(false, 100ms, 900ms);
+        (void)it.subject.on_call_time("llm", "prefill-0", prefill, 150ms);
+        (void)it.subject.on_call_time("llm", "decode-0", direct, 900ms);
     }
     CHECK(it.choose(draft(1, 2)).plan.prefill != nullptr);
 }
@@ -232,7 +238,7 @@
         for (int k = 0; k < 9; ++k) {
             const auto id = "decode-" + std::to_string(k);
             const auto key = gateway::shared_prefix_key(draft(n, 1000 + n), 1000);
-            if (home.empty() || gateway::rendezvous_rank(key, id) > gateway::rendezvous_rank(key, home)) {
+            if (home.empty() || rank(key, id) > rank(key, home)) {
                 home = id;
             }
         }
@@ -248,3 +254,53 @@
     it.subject.on_prefill_done(it.choose(again).plan.run->facts.id, again);
     CHECK(it.choose(again).plan.prefill_tokens < 4'000);
 }
+
+// Medium prompts without a long shared prefix, at engines with many slots. Guards against prefilling them between the
+// tokens of other requests while prefill engines are idle.
+TEST_CASE("prompts without a home are split, too, when the decode engines are busy") {
+    fixture it;
+    it.engines(4, 2);
+    const std::vector<prompt_part> classify{{7, 500}, {8, 2'500}};
+    for (int n = 0; n < 4; ++n) {
+        it.load("decode-" + std::to_string(n), 6, 1'800);
+    }
+    const auto plan = it.choose(classify).plan;
+    REQUIRE(plan.prefill != nullptr);
+    CHECK(plan.run->facts.stage == engine_stage::decode);
+}
+
+// Two of three servers run at a fifth of their speed. Guards against queries that wait there as long as drafts.
+TEST_CASE("slow backend servers are avoided, and used again after a while") {
+    fixture it;
+    it.table.update({test::server("desk-1", "desk"), test::server("desk-2", "desk"), test::server("desk-3", "desk")});
+    const auto choose = [&it] {
+        return it.subject.choose({.service = "desk", .prompt = {}, .failure_domain = "east", .objective = 300ms})
+            .plan.run->facts.id;
+    };
+    for (int n = 0; n < 20; ++n) {
+        it.table.timed("desk-1", 5);
+        it.table.timed("desk-3", 5);
+    }
+    CHECK(it.table.slowness(*it.table.find("desk-1")) > 3);
+    for (int n = 0; n < 3; ++n) {
+        CHECK(choose() == "desk-2");
+        it.table.started("desk-2", 0);
+    }
+    it.clock.advance(30s);
+    CHECK(it.table.slowness(*it.table.find("desk-1")) == 1);
+    CHECK(choose() != "desk-2");
+}
+
+// Thousands of engines. Guards against work for each request that grows with the engines beyond looking at them once.
+TEST_CASE("a prefix has the same home however many engines are compared") {
+    fixture it;
+    it.engines(300, 100);
+    const auto home = it.choose(draft(1, 2), false).plan.run->facts.id;
+    std::string expected;
+    for (int n = 0; n < 300; ++n) {
+        const auto id = "decode-" + std::to_string(n);
+        const auto key = gateway::shared_prefix_key(draft(1, 2), 1000);
+        expected = expected.empty() || rank(key, id) > rank(key, expected) ? id : expected;
+    }
+    CHECK(home == expected);
+}
