Count usage on hosts that are cut off from the store or whose clock jumps

Windows followed the time of day, also when it jumps. Change: 3.5 s after the end of a window the holder asks gateways that have not published it for their record; counts and windows use a time of day that goes on with the steady clock through jumps of less than a minute.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -63,7 +63,8 @@
 
 gateway_daemon::gateway_daemon(settings::gateway_settings values, dependencies deps)
     : settings_{std::move(values)}, deps_{deps}, incarnation_{deps_.ids.next()}, events_{internal::event_ring_limit},
-      starts_{&system_wall_clock, settings_.bounds.usage_window, internal::kept_windows},
+      time_of_day_{deps_.time, &system_wall_clock}, starts_{[this] { return time_of_day_.now(); },
+                                                            settings_.bounds.usage_window, internal::kept_windows},
       link_{transfers_, events_, settings_.timings.connect_timeout},
       forwarder_{{.failure_domain = settings_.failure_domain, .retries = internal::retries_of(settings_.bounds)},
                  {deps_.time, metrics_, link_, deps_.protocol, starts_, internal::uniform_source()}},
@@ -126,6 +127,7 @@
     members_ = std::make_unique<member_task>(
         about, member_task::dependencies{deps_.time, deps_.store, deps_.ids, starts_,
                                          [this](std::uint32_t n) { events_.push(gateways_event{n}); }});
+    published_members_ = members_.get();
     forward_thread_ = std::thread{[this] { run_forwarder(); }};
     config_feed_->start();
     server_feed_->start();
@@ -138,7 +140,9 @@
         duty.window = settings_.bounds.usage_window;
         duty.due = settings_.bounds.usage_due;
         duty_ = std::make_unique<usage_window_reporter>(
-            duty, usage_window_reporter::dependencies{&system_wall_clock, deps_.store, deps_.ids, *deps_.duties});
+            duty,
+            usage_window_reporter::dependencies{[this] { return time_of_day_.now(); }, deps_.store, deps_.ids,
+                                                *deps_.duties, [this](auto address) { return ask_member(address); }});
         duty_thread_ = std::make_unique<usage_window_reporter_thread>(*duty_, *lease_, duty.step);
         lease_->start();
         duty_thread_->start();
@@ -170,9 +174,22 @@
     if (message.path() == servers_path) {
         return servers_.answer_peer();
     }
+    const auto *members = published_members_.load();
+    if (message.path() == member_path && members != nullptr) {
+        return internal::json_answer(200, to_json(members->record()).dump());
+    }
     return internal::json_answer(404, R"({"error":{"code":"unknown_path","message":"nothing is offered here"}})");
 }
 
+std::optional<member_record> gateway_daemon::ask_member(std::string_view address) const {
+    const auto answer = ask_peer(deps_.client, address, std::string{member_path});
+    if (!answer) {
+        return std::nullopt;
+    }
+    auto record = parse_member({std::string{address}, store::absent, *answer});
+    return record ? std::optional{std::move(record.value())} : std::nullopt;
+}
+
 std::vector<std::string> gateway_daemon::peers() const {
     std::vector<std::string> out;
     if (members_) {
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -11,6 +11,7 @@
 #include "gateway/events.hpp"
 #include "gateway/forwarder.hpp"
 #include "gateway/http_backend_port.hpp"
+#include "gateway/jump_filter_clock.hpp"
 #include "gateway/member_task.hpp"
 #include "gateway/server_source.hpp"
 #include "gateway/site_codec.hpp"
@@ -72,6 +73,7 @@
 private:
     void on_call(const http::exchange &call);
     [[nodiscard]] http::response answer_peer(const http::request &message) const;
+    [[nodiscard]] std::optional<member_record> ask_member(std::string_view address) const;
     [[nodiscard]] std::vector<std::string> peers() const;
     void record_store_answer(bool answered);
     void run_forwarder();
@@ -84,6 +86,7 @@
     const std::string incarnation_;
     metrics::registry metrics_;
     event_ring events_;
+    jump_filter_clock time_of_day_;
     windowed_start_counter starts_;
     http::async_client transfers_;
     http_backend_port link_;
@@ -94,6 +97,7 @@
     std::unique_ptr<store_feed> config_feed_;
     std::unique_ptr<store_feed> server_feed_;
     std::unique_ptr<member_task> members_;
+    std::atomic<const member_task *> published_members_{nullptr}; /**< For the peers' listener, which starts first. */
     std::unique_ptr<lease::lease_thread> lease_;
     std::unique_ptr<usage_window_reporter> duty_;
     std::unique_ptr<usage_window_reporter_thread> duty_thread_;
--- a/src/gateway/member_record.hpp
+++ b/src/gateway/member_record.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,6 +28,9 @@
 /** @return The record, or an error that names the key. */
 [[nodiscard]] base::result<member_record> parse_member(const store::object &item);
 
+/** @brief Asks the gateway at an address for its current record. @return Nothing if it does not answer. */
+using member_query = std::function<std::optional<member_record>(std::string_view address)>;
+
 /** @return Store key of the final counts of a window. */
 [[nodiscard]] std::string sealed_starts_key(std::uint64_t window);
 
--- a/src/gateway/member_task.cpp
+++ b/src/gateway/member_task.cpp
@@ -46,11 +46,14 @@
     return peers_;
 }
 
-bool member_task::publish() {
+member_record member_task::record() const {
     // Reads the window before the counts: starts counted in between belong to this window or a later one.
     const auto window = deps_.starts.current_window();
-    const member_record record{settings_.name, settings_.peer_address, deps_.starts.counts(), window};
-    const auto written = store::settled_write(deps_.store, deps_.ids, own_key(), to_json(record), version_);
+    return {settings_.name, settings_.peer_address, deps_.starts.counts(), window};
+}
+
+bool member_task::publish() {
+    const auto written = store::settled_write(deps_.store, deps_.ids, own_key(), to_json(record()), version_);
     if (written) {
         version_ = written.value();
         return true;
--- a/src/gateway/member_task.hpp
+++ b/src/gateway/member_task.hpp
@@ -56,6 +56,9 @@
     /** @return True when this gateway is one of the few lease candidates; only these read the leases. */
     [[nodiscard]] bool may_hold_leases() const noexcept { return may_hold_leases_; }
 
+    /** @return This gateway's record as of now. Callable from any thread. */
+    [[nodiscard]] member_record record() const;
+
     /** @brief Writes this gateway's record. @return False when the write must be repeated. */
     [[nodiscard]] bool publish();
 
--- a/src/gateway/peer_call.hpp
+++ b/src/gateway/peer_call.hpp
@@ -14,6 +14,9 @@
 /** @brief Path at which a gateway serves its discovery entries to peers. */
 inline constexpr std::string_view servers_path = "/servers";
 
+/** @brief Path at which a gateway serves its member record to peers. */
+inline constexpr std::string_view member_path = "/member";
+
 /**
  * @brief Queries another gateway. Blocks for at most 300 ms.
  * @return Body of a response with status 200, or nothing.
--- a/src/gateway/usage_window_reporter.cpp
+++ b/src/gateway/usage_window_reporter.cpp
@@ -35,7 +35,7 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(1, base::to_milliseconds(settings_.window)));
 }
 
-const std::vector<known_member> *usage_window_reporter::list_members(step_members &members) const {
+std::vector<known_member> *usage_window_reporter::list_members(step_members &members) const {
     if (members.listed) {
         return members.records ? &*members.records : nullptr;
     }
@@ -56,17 +56,35 @@
     return &out;
 }
 
+bool usage_window_reporter::ask(known_member &of, std::uint64_t window, step_members &members) const {
+    if (!deps_.ask_member || members.asked >= settings_.asks_per_step) {
+        return false;
+    }
+    ++members.asked;
+    auto answer = deps_.ask_member(of.record.peer_address);
+    // Another process may use the address by now; its counts are in its own record.
+    const bool same = answer && answer->name == of.record.name && answer->window > window;
+    log::write("member_asked", {{"gateway", of.record.name}, {"window", window}, {"answered", same}});
+    if (same) {
+        of.record = std::move(*answer);
+    }
+    return same;
+}
+
 std::optional<start_counts> usage_window_reporter::sum(std::uint64_t window, step_members &members) const {
-    const auto *all = list_members(members);
+    auto *all = list_members(members);
     if (all == nullptr) {
         return std::nullopt;
     }
-    const auto seal_deadline = (window + 1) * window_ms() +
-                               static_cast<std::uint64_t>(base::to_milliseconds(settings_.due - settings_.reserve));
-    const bool late = deps_.now() >= seal_deadline;
+    const auto now = deps_.now();
+    const auto after_end = [this, window, now](base::duration wait) {
+        return now >= (window + 1) * window_ms() + static_cast<std::uint64_t>(base::to_milliseconds(wait));
+    };
+    const bool late = after_end(settings_.due - settings_.reserve);
     start_counts out;
-    for (const auto &it : *all) {
-        if (!late && internal::may_still_count(it, *all, window)) {
+    for (auto &it : *all) {
+        const bool missing = internal::may_still_count(it, *all, window);
+        if (missing && !(after_end(settings_.ask_after) && ask(it, window, members)) && !late) {
             return std::nullopt;
         }
         const auto counts = it.record.starts.find(window);
--- a/src/gateway/usage_window_reporter.hpp
+++ b/src/gateway/usage_window_reporter.hpp
@@ -30,6 +30,9 @@
     /** A window is sealed this long before its report is due, even if counts are missing. */
     base::duration reserve{std::chrono::milliseconds{2500}};
     base::duration step{std::chrono::milliseconds{500}};
+    /** Time after the end of a window at which gateways that have not published it are asked for their counts. */
+    base::duration ask_after{std::chrono::milliseconds{3500}};
+    std::size_t asks_per_step{4};
     std::uint64_t keep_windows{
         12}; /**< Age, in windows, at which sealed windows and stale gateway records are erased. */
 };
@@ -48,6 +51,7 @@
         store::object_store &store;
         base::id_source &ids;
         usage_report_port &duties;
+        member_query ask_member{}; /**< For gateways that cannot publish to the store; may be absent. */
     };
 
     usage_window_reporter(usage_window_reporter_settings settings, dependencies deps);
@@ -64,11 +68,13 @@
     struct step_members {
         bool listed{false};
         std::optional<std::vector<known_member>> records; /**< Empty when the list failed. */
+        std::size_t asked{0};
     };
 
     [[nodiscard]] std::optional<start_counts> seal(std::uint64_t window, const lease::authority_check &authority,
                                                    step_members &members);
-    [[nodiscard]] const std::vector<known_member> *list_members(step_members &members) const;
+    [[nodiscard]] std::vector<known_member> *list_members(step_members &members) const;
+    [[nodiscard]] bool ask(known_member &of, std::uint64_t window, step_members &members) const;
     [[nodiscard]] std::optional<start_counts> sum(std::uint64_t window, step_members &members) const;
     void report(std::uint64_t window, const lease::authority_check &authority, step_members &members);
     void clean_up(std::uint64_t current);
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -153,6 +153,10 @@
     {1914, "server_removed", severity::info, "A backend server's entry was removed.", "none"},
     {1915, "servers_from_peer", severity::warning, "The store was away at the start; a peer's entries are used.",
      "Restore the store."},
+    {1916, "time_jumped", severity::warning, "The time of day has jumped; usage windows follow the steady clock.",
+     "Check the time synchronisation of the host."},
+    {1917, "time_corrected", severity::info, "A jump of the time of day has lasted and is now followed.", "none"},
+    {1918, "member_asked", severity::info, "A gateway whose record is behind was asked for its counts.", "none"},
 });
 
 } // namespace dotterelstack::log
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -126,8 +126,7 @@
                                 std::ranges::transform(batch, std::back_inserter(changes),
                                                        [](const auto &change) { return change.item.key; });
                             },
-                            [] {},
-                            [&] { ++failures; }}};
+                            [] {}, [&] { ++failures; }}};
     CHECK(it.step() == 0ms);
     REQUIRE(store.put("servers/b", "1", store::absent));
     CHECK(it.step() == 0ms);
@@ -381,3 +380,31 @@
     subject.on_changes(changes);
     CHECK(published == std::vector<std::size_t>{0, 500});
 }
+
+// A gateway is cut off from the store for eight seconds, but not from the others. Guards against a window that is
+// sealed without its counts because the report must not be late.
+TEST_CASE("a gateway that cannot publish is asked for its counts") {
+    usage_fixture it;
+    it.publish("g2", {{19, {{"sangh", 1}}}}, 19);
+    std::vector<std::string> asked;
+    std::optional<gateway::member_record> reply;
+    gateway::usage_window_reporter subject{{},
+                                           {[&it] { return it.now; }, it.store, it.ids, it.duties,
+                                            [&](std::string_view address) {
+                                                asked.emplace_back(address);
+                                                return reply;
+                                            }}};
+    it.now = 102'000;
+    subject.work(*it.lease_state.authority());
+    CHECK(asked.empty());
+    // The same address, used by another process.
+    it.now = 103'600;
+    reply = gateway::member_record{"g9", "g2:7", {{19, {{"sangh", 50}}}}, 20};
+    subject.work(*it.lease_state.authority());
+    CHECK(asked == std::vector<std::string>{"g2:7"});
+    CHECK(it.of_window(19).empty());
+    reply = gateway::member_record{"g2", "g2:7", {{19, {{"sangh", 2}, {"ward", 3}}}}, 20};
+    subject.work(*it.lease_state.authority());
+    REQUIRE(it.of_window(19).size() == 1);
+    CHECK(it.of_window(19).front().counts == gateway::start_counts{{"sangh", 6}, {"ward", 3}});
+}
