Let requests wait for spare capacity instead of refusing them at once

Cause: a request that could not be answered within 70% of its objective was refused after a quarter of it, whatever its deadline; most came back and were refused again. Change: it waits for up to a second or its objective, at most half of its time, and is placed late when the expected time is below 35% of the objective, so that it makes no other request late. Only as many wait as the recent rate of placements from the queue can serve; the rest is refused at once.

--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/engine.hpp"
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -85,8 +86,9 @@
     if (auto *call = std::get_if<outgoing_call>(&found)) {
         return open_call(number, it, std::move(*call));
     }
-    if (std::holds_alternative<wait_for_capacity>(found)) {
+    if (const auto *wait = std::get_if<wait_for_capacity>(&found)) {
         it.stage_ = exchange_stage::waiting;
+        it.next_step_ = wait->until;
         return;
     }
     it.stage_ = exchange_stage::waiting;
@@ -296,8 +298,18 @@
     std::ranges::stable_sort(waiting, {}, [](const auto &it) {
         return std::pair{it.second->priority(), it.second->identity().received};
     });
+    const auto now = deps_.time.now();
+    std::set<std::string, std::less<>> full;
     for (const auto &[number, it] : waiting) {
+        const std::string group{it->wait_group()};
+        if (full.contains(group) && now < it->next_step_) {
+            continue;
+        }
         attempt(number, *it);
+        const auto *left = find(number);
+        if (left != nullptr && left->stage_ == exchange_stage::waiting && !group.empty()) {
+            full.insert(group);
+        }
     }
 }
 
--- a/src/dispatch/exchange.hpp
+++ b/src/dispatch/exchange.hpp
@@ -47,7 +47,9 @@
 };
 
 /** @brief No backend server has capacity now, but one is expected to have some before the deadline. */
-struct wait_for_capacity {};
+struct wait_for_capacity {
+    base::instant until{}; /**< Afterwards placement is tried even if others of the group still wait. */
+};
 
 /** @brief A call to the chosen backend server, a wait for capacity, or a refusal. */
 using place_result = std::variant<outgoing_call, wait_for_capacity, refusal>;
@@ -136,6 +138,9 @@
     /** @return Rank among waiting requests; 0 is placed first. */
     [[nodiscard]] virtual unsigned int priority() const noexcept { return 0; }
 
+    /** @return Requests of one group wait for the same capacity: while one has to wait, so do all. Empty: no group. */
+    [[nodiscard]] virtual std::string_view wait_group() const noexcept { return {}; }
+
 protected:
     /** @return When the call in progress, or the last one, was made. */
     [[nodiscard]] base::instant attempt_started() const noexcept { return attempt_started_; }
@@ -149,7 +154,8 @@
     call_id call_{0}; /**< 0 if none. */
     base::instant attempt_started_{};
     std::optional<base::instant> caller_checked_at_;
-    base::instant next_step_{}; /**< While delayed: time of the next attempt. While inquiring: end of the wait. */
+    base::instant
+        next_step_{}; /**< While delayed: time of the next attempt. While inquiring or waiting: end of the wait. */
 };
 
 /** @return Whether any of the attempts that have ended may have run. */
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -10,8 +10,10 @@
 constexpr auto startup_retry_after = std::chrono::seconds{1};
 // Retry-After of a stopping gateway: another gateway can take the request at once.
 constexpr auto stopping_retry_after = std::chrono::milliseconds{50};
-// A request may wait for a place for its latency objective divided by this.
-constexpr int wait_divisor = 4;
+// A request may wait for capacity for this long, or for its latency objective if that is longer, but at most for half
+// of its time. Callers give up on streams that stay silent for two seconds.
+constexpr auto capacity_wait = std::chrono::seconds{1};
+constexpr int wait_divisor = 2;
 // For routes without a timeout and requests without a deadline.
 constexpr auto default_timeout = std::chrono::seconds{60};
 // The platform's retry budget counts requests that arrive at backend servers, so unsent ones do not count. The next
@@ -26,10 +28,10 @@
 
 forwarder::forwarder(forwarder_settings settings, dependencies deps)
     : settings_{std::move(settings)}, deps_{std::move(deps)}, table_{deps_.time, settings_.health},
-      placement_{deps_.time, table_, deps_.random, settings_.places}, retry_schedule_{deps_.time},
+      placement_{deps_.time, table_, deps_.random, settings_.places}, retry_schedule_{deps_.time}, waits_{deps_.time},
       budget_{deps_.time, settings_.retries}, retries_{deps_.time, budget_, deps_.random, internal::retry_options},
-      context_{deps_.time, deps_.metrics, deps_.backends, deps_.protocol, deps_.starts, settings_.failure_domain,
-               stop_,      table_,        placement_,     retry_schedule_},
+      context_{deps_.time, deps_.metrics, deps_.backends, deps_.protocol,  deps_.starts, settings_.failure_domain,
+               stop_,      table_,        placement_,     retry_schedule_, waits_},
       engine_{{deps_.time, deps_.metrics, deps_.backends, retries_}} {}
 
 void forwarder::refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const {
@@ -93,7 +95,9 @@
                         .route = route,
                         .priority = owner != nullptr && owner->priority ? owner->priority : route->priority,
                         .wait_until =
-                            received + std::min(time_limit, route->latency_objective) / internal::wait_divisor};
+                            received + std::min<base::duration>(time_limit / internal::wait_divisor,
+                                                                std::max<base::duration>(route->latency_objective,
+                                                                                         internal::capacity_wait))};
     engine_.start(engine_.add(std::make_unique<opaque_exchange>(context_, std::move(of), std::move(what))));
 }
 
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -101,6 +101,7 @@
     backend_table table_;
     placement placement_;
     retry_after_scheduler retry_schedule_;
+    wait_limiter waits_;
     retry::retry_window budget_;
     retry::retry_policy retries_;
     shutdown_phase stop_{shutdown_phase::none};
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -22,6 +22,9 @@
 constexpr auto failure_retry_after = std::chrono::milliseconds{250};
 // Percentage of the latency objective within which the answer must be expected; the rest covers estimation errors.
 constexpr int admission_percent = 70;
+// Percentage of the latency objective below which the expected time shows that there is capacity to spare. Requests
+// that will be late anyway are placed only then, so that they make no others late.
+constexpr int spare_percent = 35;
 // Callers of the platform wait no longer than their remaining time divided by this.
 constexpr int retry_after_divisor = 3;
 constexpr int first_server_error = 500;
@@ -96,8 +99,9 @@
         return wait_or_refuse(placed);
     }
     // Admission must not depend on the request's size, or the largest requests would never be served under load.
-    const auto limit = identity().received + request_.route->latency_objective * internal::admission_percent / 100;
-    if (first && context_.time.now() + placed.plan.typical >= limit) {
+    const bool in_time = context_.time.now() + placed.plan.typical < admission_limit();
+    const bool spare = placed.plan.typical < request_.route->latency_objective * internal::spare_percent / 100;
+    if (first && !in_time && !spare) {
         return wait_or_refuse({{}, placement_rejection::full, placed.plan.typical});
     }
     return start(placed.plan);
@@ -109,11 +113,31 @@
     return objective > base::duration{0} ? std::max<base::duration>(left, base::duration{1}) : base::duration{0};
 }
 
-dispatch::place_result opaque_exchange::wait_or_refuse(const placement_result &placed) const {
+base::instant opaque_exchange::admission_limit() const noexcept {
+    return identity().received + request_.route->latency_objective * internal::admission_percent / 100;
+}
+
+void opaque_exchange::end_wait(bool placed) {
+    if (std::exchange(waiting_, false)) {
+        context_.waits.end(identity().service, placed);
+    }
+}
+
+std::string_view opaque_exchange::wait_group() const noexcept {
+    // Requests that can still be answered in time differ in the time that they have left.
+    const bool late = context_.time.now() >= admission_limit();
+    return late && history().attempt() == 1 ? std::string_view{request_.route->name} : std::string_view{};
+}
+
+dispatch::place_result opaque_exchange::wait_or_refuse(const placement_result &placed) {
     const auto now = context_.time.now();
-    const bool may_wait = placed.rejection != placement_rejection::excluded && now < request_.wait_until;
-    if (may_wait && now + placed.free_in < identity().deadline) {
-        return dispatch::wait_for_capacity{};
+    const bool may_wait = placed.rejection != placement_rejection::excluded && now < request_.wait_until &&
+                          now + placed.free_in < identity().deadline;
+    if (may_wait && (waiting_ || context_.waits.may_wait(identity().service, request_.wait_until - now))) {
+        if (!std::exchange(waiting_, true)) {
+            context_.waits.begin(identity().service);
+        }
+        return dispatch::wait_for_capacity{request_.wait_until};
     }
     if (started_ || history().may_have_run()) {
         return refusal_with("no_backend", ran_claim::unknown);
@@ -131,6 +155,7 @@
 }
 
 dispatch::outgoing_call opaque_exchange::start(const placement_plan &plan) {
+    end_wait(true);
     if (history().attempt() == 1) {
         context_.retry_schedule.on_placed(identity().service);
     }
@@ -446,6 +471,7 @@
 }
 
 void opaque_exchange::finish(int status, std::string_view code) {
+    end_wait(false);
     release_state();
     const auto &of = identity();
     context_.metrics.count("requests_total", "service=\"" + of.service + "\",outcome=\"" + std::string{code} + "\"");
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -19,6 +19,7 @@
 #include "gateway/shutdown_phase.hpp"
 #include "gateway/start_counter.hpp"
 #include "gateway/traffic_config.hpp"
+#include "gateway/wait_limiter.hpp"
 #include "metrics/registry.hpp"
 
 namespace dotterelstack::gateway {
@@ -35,6 +36,7 @@
     backend_table &table;
     placement &places;
     retry_after_scheduler &retry_schedule;
+    wait_limiter &waits;
 };
 
 /** @brief A caller's request with its route and configuration. */
@@ -75,9 +77,12 @@
     [[nodiscard]] bool ends_with_caller() const noexcept override;
     [[nodiscard]] bool call_may_run() const noexcept override { return !prefilling_; }
     [[nodiscard]] unsigned int priority() const noexcept override { return request_.priority.value_or(0); }
+    [[nodiscard]] std::string_view wait_group() const noexcept override;
 
 private:
-    [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed) const;
+    [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed);
+    void end_wait(bool placed);
+    [[nodiscard]] base::instant admission_limit() const noexcept;
     [[nodiscard]] base::duration retry_after(base::duration free_in) const;
     [[nodiscard]] base::duration objective_left() const;
     [[nodiscard]] dispatch::outgoing_call start(const placement_plan &plan);
@@ -100,6 +105,8 @@
     const exchange_context &context_;
     const opaque_request request_;
 
+    bool waiting_{false}; /**< Counted by the wait limiter. */
+
     // Attempts
     bool may_split_{true};
     bool prefilling_{false}; /**< The current call is a prefill for another engine. */
@@ -112,8 +119,8 @@
     double prefill_tokens_{0};
     call_estimate estimate_{};          /**< Of the current call. */
     call_estimate transfer_estimate_{}; /**< During a prefill: of the call that follows. */
-    bool first_event_seen_{false}; /**< In this attempt. */
-    bool start_counted_{false};    /**< This attempt is counted in the usage. */
+    bool first_event_seen_{false};      /**< In this attempt. */
+    bool start_counted_{false};         /**< This attempt is counted in the usage. */
 
     // Answer
     answer_head head_;
