--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -56,8 +56,8 @@
 
 placement::placement(const base::clock &time, const backend_table &table, random_source random,
                      placement_settings settings)
-    : table_{table}, random_{std::move(random)}, settings_{settings}, prefixes_{time, settings.prefix_ttl},
-      warmth_{time} {}
+    : table_{table}, random_{std::move(random)}, settings_{settings}, prefixes_{time, settings.prefix_ttl}, warmth_{
+                                                                                                                time} {}
 
 double placement::slot_ms(std::string_view service) const {
     const auto it = slot_ms_.find(service);
@@ -126,6 +126,11 @@
            internal::jitter_cost * random_();
 }
 
+double placement::disturbance(double tokens) const {
+    const double linear = settings_.disturbance_cost * tokens / 1000;
+    return settings_.max_disturbance * (1 - std::exp(-linear / settings_.max_disturbance));
+}
+
 base::duration placement::free_in(const state_list &from) const {
     double best = std::numeric_limits<double>::max();
     for (const auto *it : from) {
@@ -235,7 +240,7 @@
     out.usual_ms = model.expected_ms(work.own) - idle_ms + work.fetch_ms;
     out.expected_ms = slowness * model.expected_ms(ahead + tokens) + other_ms;
     out.cost = loss(request, out.expected_ms) + penalty(engine, request) + settings_.spill_cost * at.rank +
-               settings_.disturbance_cost * tokens / 1000 + settings_.move_cost * work.fetched / 1000;
+               disturbance(tokens) + settings_.move_cost * work.fetched / 1000;
     return out;
 }
 
@@ -262,8 +267,8 @@
     const double idle_ms = model.expected_ms(0);
     out.own_ms = slowness * (model.expected_ms(tokens) - idle_ms) + work.fetch_ms + move_ms;
     out.usual_ms = model.expected_ms(work.own) - idle_ms + work.fetch_ms + move_ms;
-    out.expected_ms = slowness * model.expected_ms(ahead + tokens) + work.fetch_ms + waiting_ms +
-                      table_.slowness(run) * move_ms;
+    out.expected_ms =
+        slowness * model.expected_ms(ahead + tokens) + work.fetch_ms + waiting_ms + table_.slowness(run) * move_ms;
     out.cost = loss(request, out.expected_ms) + penalty(engine, request) + decoder.first +
                settings_.spill_cost * at.rank + settings_.move_cost * (moved + work.fetched) / 1000;
     return out;
@@ -294,8 +299,8 @@
             continue;
         }
         consider(direct(request, at, prefix));
-        const double cost = loss(request, wait_ms(*at.engine)) + penalty(*at.engine, request) +
-                            settings_.spill_cost * at.rank;
+        const double cost =
+            loss(request, wait_ms(*at.engine)) + penalty(*at.engine, request) + settings_.spill_cost * at.rank;
         const auto [it, first] = choices.try_emplace(at.engine->facts.failure_domain, cost, at.engine);
         if (!first && cost < it->second.first) {
             it->second = {cost, at.engine};
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -36,9 +36,10 @@
     double load_cost{0.05};                  /**< Of a backend server whose slots are all taken. */
     double failure_cost{0.8};                /**< Of a backend server whose failure rate is 1. */
     double move_cost{0.003};                 /**< Of moving cached state, per 1,000 tokens. */
-    double disturbance_cost{0.01};           /**< Of a prefill at a decode engine, per 1,000 tokens. */
+    double disturbance_cost{0.07};           /**< Of a prefill at a decode engine, per 1,000 tokens. */
+    double max_disturbance{0.6};             /**< Limit that this cost approaches for long prompts. */
     std::uint32_t min_shared_tokens{1000};   /**< Prompts that share less have no home. */
-    std::uint32_t min_split_tokens{1000};    /**< Shorter prompts are prefilled where their generation runs. */
+    std::uint32_t min_split_tokens{500};     /**< Shorter prompts are prefilled where their generation runs. */
     std::size_t max_candidates{32};          /**< Engines of one stage that are compared for a request. */
     base::duration prefix_ttl{std::chrono::seconds{10}};
     /** Requests that may queue at a backend server, per slot. */
@@ -60,8 +61,8 @@
 
 /** @brief Kind of call to an engine; each has a timing of its own. */
 enum class call_kind : std::uint8_t {
-    direct,       /**< Prefill and generation; measured up to the first event. */
-    prefill,      /**< Prefill only. */
+    direct,        /**< Prefill and generation; measured up to the first event. */
+    prefill,       /**< Prefill only. */
     near_transfer, /**< Generation from prefilled state of the same failure domain, up to the first event. */
     far_transfer
 };
@@ -185,6 +186,7 @@
     [[nodiscard]] double wait_ms(const backend_state &it) const;
     [[nodiscard]] double loss(const placement_request &request, double expected_ms) const;
     [[nodiscard]] double penalty(const backend_state &it, const placement_request &request) const;
+    [[nodiscard]] double disturbance(double tokens) const;
     [[nodiscard]] bool has_room(const backend_state &it) const;
     [[nodiscard]] engine_timing &timing_of(std::string_view service);
     [[nodiscard]] const size_time_model &timing(std::string_view service, call_kind kind);
@@ -196,8 +198,7 @@
     [[nodiscard]] candidate direct(const placement_request &request, const ranked_engine &at,
                                    const shared_prefix &prefix);
     [[nodiscard]] candidate split(const placement_request &request, const ranked_engine &at,
-                                  const std::pair<double, const backend_state *> &decoder,
-                                  const shared_prefix &prefix);
+                                  const std::pair<double, const backend_state *> &decoder, const shared_prefix &prefix);
     [[nodiscard]] prefill_work prefill_work_at(const placement_request &request, const backend_state &engine,
                                                const shared_prefix &prefix);
     [[nodiscard]] base::duration typical_time(const placement_request &request, const candidate &chosen);
--- a/src/gateway/size_time_model.hpp
+++ b/src/gateway/size_time_model.hpp
@@ -37,6 +37,7 @@
         void add(double units, double taken_ms, double weight) noexcept;
     };
 
+    [[nodiscard]] double weight_of(double units) const noexcept;
     void fit() noexcept;
 
     size_time_prior prior_;
