Continue streams of silent servers elsewhere, and avoid such servers

Cause: a server that goes dark without closing its connections was noticed only at the deadline of each request; new requests went there meanwhile. Change: the table notes when a server was last heard (a head or a complete event) and for how long it may be silent with requests in progress: 0.8 s and four times the expected time. A silent server costs more; streams that can be resumed, reads and prefills are sent elsewhere if an attempt and the retry budget are left. Others wait for their deadline.

--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -273,6 +273,11 @@
         }
         return end(number, it.refusal_for(end_reason::deadline, ran));
     }
+    if (it.stage_ == exchange_stage::calling) {
+        if (const auto why = it.stalled()) {
+            return handle_result(number, it, *why, true);
+        }
+    }
     if (it.stage_ == exchange_stage::delayed && now >= it.next_step_) {
         attempt(number, it);
     }
--- a/src/dispatch/exchange.hpp
+++ b/src/dispatch/exchange.hpp
@@ -115,6 +115,12 @@
     /** @brief Called once for each placed call, when it has ended. */
     virtual void on_attempt_end(attempt_outcome how) = 0;
 
+    /**
+     * @brief Asked from time to time while a call is in progress.
+     * @return Why to cancel the call and try elsewhere, if its backend server has stalled; else empty.
+     */
+    [[nodiscard]] virtual std::optional<call_failed> stalled() const { return std::nullopt; }
+
     /** @brief Completes the answer. @return False when the front end has to finish the exchange later. */
     [[nodiscard]] virtual bool complete() = 0;
 
--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -18,6 +18,8 @@
 // Fraction of the average load that is assumed at a server without a recent report. A missing report often means that
 // the server is idle, since reports come with answers.
 constexpr double unreported_load_fraction = 0.25;
+// A server is silent after this many times the expected time of a request.
+constexpr int silence_factor = 4;
 // Weight of the newest call in the slowness of a server, and the range of its ratio.
 constexpr double slowness_gain = 0.15;
 constexpr double max_slowness = 8;
@@ -99,8 +101,11 @@
     }
 }
 
-void backend_table::started(std::string_view id, double prefill_tokens) {
+void backend_table::started(std::string_view id, double prefill_tokens, base::duration expected) {
     if (auto *it = find_mutable(id)) {
+        it->allowance = std::max(it->own_requests == 0 ? base::duration{0} : it->allowance,
+                                 settings_.silence + internal::silence_factor * expected);
+        it->heard_due = it->heard_due.value_or(time_.now() + it->allowance);
         sample_pending_prefill(*it);
         ++totals_of(*it).own_requests;
         ++it->own_requests;
@@ -110,6 +115,16 @@
     }
 }
 
+void backend_table::heard(std::string_view id) {
+    if (auto *it = find_mutable(id)) {
+        it->heard_due = time_.now() + it->allowance;
+    }
+}
+
+bool backend_table::silent(const backend_state &it) const {
+    return it.own_requests > 0 && it.heard_due && time_.now() > *it.heard_due;
+}
+
 void backend_table::prefill_done(std::string_view id, double prefill_tokens) {
     if (auto *it = find_mutable(id)) {
         it->own_prefill_tokens = std::max(0.0, it->own_prefill_tokens - prefill_tokens);
@@ -150,6 +165,9 @@
         --it->own_requests;
         --totals_of(*it).own_requests;
     }
+    if (it->own_requests == 0) {
+        it->heard_due.reset();
+    }
     --it->change_since_report;
     switch (how) {
     case attempt_outcome::answered:
@@ -203,9 +221,8 @@
 void backend_table::timed(std::string_view id, double ratio) {
     if (auto *it = find_mutable(id)) {
         const double limit = std::log(internal::max_slowness);
-        const double decayed = it->log_slowness *
-                               std::exp2(-base::to_seconds(time_.now() - it->timed_at) /
-                                         base::to_seconds(settings_.slowness_half_life));
+        const double decayed = it->log_slowness * std::exp2(-base::to_seconds(time_.now() - it->timed_at) /
+                                                            base::to_seconds(settings_.slowness_half_life));
         const double seen = std::log(std::clamp(ratio, 1 / internal::max_slowness, internal::max_slowness));
         it->log_slowness = std::clamp(decayed + internal::slowness_gain * seen, 0.0, limit);
         it->timed_at = time_.now();
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -24,6 +24,7 @@
     base::duration longest_pause{std::chrono::seconds{3}};
     base::duration failure_half_life{std::chrono::seconds{3}};
     base::duration slowness_half_life{std::chrono::seconds{4}};
+    base::duration silence{std::chrono::milliseconds{800}};         /**< Added to a multiple of the expected time. */
     base::duration report_max_age{std::chrono::milliseconds{1000}}; /**< Older load reports are ignored. */
 };
 
@@ -44,6 +45,8 @@
     base::instant timed_at{};
     base::duration pause{0}; /**< Length of the latest back-off. */
     std::optional<base::instant> paused_until;
+    base::duration allowance{0};              /**< Longest usual silence with requests in progress. */
+    std::optional<base::instant> heard_due{}; /**< Silent if nothing is heard until then. */
     bool probing{false}; /**< The single attempt that is allowed after a back-off is in progress. */
 };
 
@@ -70,8 +73,18 @@
     /** @return True when at least one backend server is not draining. */
     [[nodiscard]] bool any_accepting() const noexcept;
 
-    /** @brief An attempt has started. @param prefill_tokens Prompt tokens that are probably not cached. */
-    void started(std::string_view id, double prefill_tokens);
+    /**
+     * @brief An attempt has started.
+     * @param prefill_tokens Prompt tokens that are probably not cached.
+     * @param expected Estimated time to its answer or first event.
+     */
+    void started(std::string_view id, double prefill_tokens, base::duration expected = {});
+
+    /** @brief The server has answered or sent a complete event. Bytes alone do not count. */
+    void heard(std::string_view id);
+
+    /** @return True when the server has requests in progress, but nothing was heard for far longer than expected. */
+    [[nodiscard]] bool silent(const backend_state &it) const;
 
     /** @brief The prefill of an attempt has ended. */
     void prefill_done(std::string_view id, double prefill_tokens);
@@ -130,7 +143,7 @@
     const health_settings settings_;
     std::map<std::string, backend_state, std::less<>> states_;
     std::map<std::string, std::vector<const backend_state *>, std::less<>> services_; /**< Servers by service. */
-    std::array<stage_totals, engine_stages> stages_{}; /**< By stage. */
+    std::array<stage_totals, engine_stages> stages_{};                                /**< By stage. */
     std::uint32_t gateways_{1};
 };
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -31,7 +31,7 @@
       placement_{deps_.time, table_, deps_.random, settings_.places}, retry_schedule_{deps_.time}, waits_{deps_.time},
       budget_{deps_.time, settings_.retries}, retries_{deps_.time, budget_, deps_.random, internal::retry_options},
       context_{deps_.time, deps_.metrics, deps_.backends, deps_.protocol,  deps_.starts, settings_.failure_domain,
-               stop_,      table_,        placement_,     retry_schedule_, waits_},
+               stop_,      table_,        placement_,     retry_schedule_, waits_,       budget_},
       engine_{{deps_.time, deps_.metrics, deps_.backends, retries_}} {}
 
 void forwarder::refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const {
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -161,6 +161,7 @@
     }
     prefill_tokens_ = plan.prefill_tokens;
     placed_after_ = context_.time.now() - identity().received;
+    expected_ = plan.expected;
     estimate_ = plan.first;
     transfer_estimate_ = plan.second;
     log::write("request_placed", {{"request", identity().id},
@@ -194,7 +195,7 @@
     events_ = {};
     body_.clear();
     server_answer_.reset();
-    context_.table.started(backend_, prefill_tokens_);
+    context_.table.started(backend_, prefill_tokens_, expected_);
     return {address_, context_.protocol.encode_attempt(request_.content, facts), left};
 }
 
@@ -244,7 +245,26 @@
     }
 }
 
+std::optional<dispatch::call_failed> opaque_exchange::stalled() const {
+    const auto *server = context_.table.find(backend_);
+    if (server == nullptr || !context_.table.silent(*server)) {
+        return std::nullopt;
+    }
+    // A late answer of this server would be lost: without another attempt, waiting is better.
+    const auto &work = identity().work;
+    const bool repeatable = prefilling_ || work.repeatable || (work.resumable && (!started_ || last_event_));
+    const bool may_try = history().attempt() < work.max_attempts &&
+                         context_.retry_budget.available(identity().service) > 0 &&
+                         context_.time.now() + expected_ < identity().deadline;
+    if (!repeatable || !may_try) {
+        return std::nullopt;
+    }
+    return call_failed{prefilling_ ? retry::evidence{evidence_kind::refused_before_handover} : unknown_outcome(),
+                       attempt_outcome::silent};
+}
+
 void opaque_exchange::read_head(int status, const http::field_list &fields) {
+    context_.table.heard(backend_);
     head_ = context_.protocol.decode_head(status, fields, identity().id);
     if (head_.load) {
         context_.table.reported(backend_, *head_.load);
@@ -289,6 +309,7 @@
 }
 
 bool opaque_exchange::deliver(const stream_event &event) {
+    context_.table.heard(backend_);
     const auto &of = identity();
     const auto now = context_.time.now();
     if (!first_event_seen_) {
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -21,6 +21,7 @@
 #include "gateway/traffic_config.hpp"
 #include "gateway/wait_limiter.hpp"
 #include "metrics/registry.hpp"
+#include "retry/retry_window.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -37,6 +38,7 @@
     placement &places;
     retry_after_scheduler &retry_schedule;
     wait_limiter &waits;
+    retry::retry_window &retry_budget;
 };
 
 /** @brief A caller's request with its route and configuration. */
@@ -69,6 +71,7 @@
     [[nodiscard]] dispatch::call_event_result on_head(int status, const http::field_list &fields) override;
     [[nodiscard]] dispatch::call_event_result on_data(std::string_view part) override;
     [[nodiscard]] dispatch::call_event_result on_end(dispatch::call_end how, const http::response &answer) override;
+    [[nodiscard]] std::optional<dispatch::call_failed> stalled() const override;
     void on_attempt_end(dispatch::attempt_outcome how) override;
     [[nodiscard]] bool complete() override;
     void refuse(const dispatch::refusal &why) override;
@@ -117,6 +120,7 @@
     std::string handle_;         /**< Of prefilled state that no engine has fetched yet. */
     std::string handle_address_;
     double prefill_tokens_{0};
+    base::duration expected_{0};        /**< Time to the answer or first event, as estimated at placement. */
     call_estimate estimate_{};          /**< Of the current call. */
     call_estimate transfer_estimate_{}; /**< During a prefill: of the call that follows. */
     bool first_event_seen_{false};      /**< In this attempt. */
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -122,8 +122,9 @@
 double placement::penalty(const backend_state &it, const placement_request &request) const {
     const double distance_cost = it.facts.failure_domain == request.failure_domain ? 0 : settings_.far_cost;
     const double load = table_.outstanding(it) / std::max(1U, it.facts.slots);
-    return distance_cost + settings_.load_cost * load + settings_.failure_cost * table_.failure_rate(it) +
-           internal::jitter_cost * random_();
+    const double silence_cost = table_.silent(it) ? settings_.silence_cost : 0;
+    return distance_cost + silence_cost + settings_.load_cost * load +
+           settings_.failure_cost * table_.failure_rate(it) + internal::jitter_cost * random_();
 }
 
 double placement::disturbance(double tokens) const {
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -35,6 +35,7 @@
     double spill_cost{0.01};                 /**< Per rank in the order of engines for a prefix. */
     double load_cost{0.05};                  /**< Of a backend server whose slots are all taken. */
     double failure_cost{0.8};                /**< Of a backend server whose failure rate is 1. */
+    double silence_cost{0.5};                /**< Of a backend server that does not answer any more. */
     double move_cost{0.003};                 /**< Of moving cached state, per 1,000 tokens. */
     double disturbance_cost{0.07};           /**< Of a prefill at a decode engine, per 1,000 tokens. */
     double max_disturbance{0.6};             /**< Limit that this cost approaches for long prompts. */
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -396,8 +396,8 @@
     CHECK(it.last().field("Serving-Stage").empty());
 }
 
-// A faulty server sends bytes that are no answer, without end. Guards against memory that grows with them, and against a
-// caller that waits for its deadline.
+// A faulty server sends bytes that are no answer, without end. Guards against memory that grows with them, and against
+// a caller that waits for its deadline.
 TEST_CASE("an answer without end is cut off, and the caller gets a truthful answer at once") {
     forwarder_fixture it;
     it.configure();
@@ -425,3 +425,70 @@
     CHECK(stream->aborted);
     CHECK(it.subject.active() == 0);
 }
+
+// A server goes dark in the middle of its streams, without closing its connections. Guards against callers that wait
+// for their deadline although another server could continue.
+TEST_CASE(
+    "a stream of a silent server continues elsewhere, and bytes without a complete event do not count as progress") {
+    forwarder_fixture it;
+    it.configure();
+    it.populate();
+    const auto caller = it.send("/draft/1", {{"Deadline-Ms", "60000"}});
+    const auto first = it.last();
+    it.begin_stream();
+    it.event(1);
+    for (int n = 0; n < 12; ++n) {
+        it.clock.advance(100ms);
+        it.subject.on_data(first.call, "d");
+        it.subject.tick();
+    }
+    REQUIRE(it.backends.calls.size() == 2);
+    CHECK(it.backends.cancelled == std::vector<gateway::call_id>{first.call});
+    CHECK(it.last().address != first.address);
+    CHECK(it.last().field("Last-Event-Id") == "1");
+    it.begin_stream();
+    it.event(2);
+    it.end(call_end::complete);
+    CHECK(caller->finished);
+    CHECK_FALSE(caller->aborted);
+}
+
+// Slow but sound: long pauses, while the server sends events of other streams. Guards against cutting such streams, and
+// against ending an answer that cannot be continued.
+TEST_CASE("a slow stream goes on while its server is alive, and one that cannot continue waits for its deadline") {
+    forwarder_fixture it;
+    auto values = test::sample_values();
+    for (auto &route : values.routes) {
+        route.timeout = 60s;
+    }
+    it.configure(values);
+    it.subject.on_backends({test::server("engine-1", "llm", gateway::engine_stage::decode, 12)});
+    const auto slow = it.send("/draft/1", {{"Deadline-Ms", "60000"}});
+    const auto slow_call = it.last().call;
+    it.begin_stream();
+    it.event(1);
+    const auto lively = it.send("/draft/2", {{"Deadline-Ms", "60000"}});
+    it.begin_stream();
+    for (int n = 1; n <= 30; ++n) {
+        it.clock.advance(300ms);
+        it.event(n);
+        it.subject.tick();
+    }
+    CHECK(it.backends.cancelled.empty());
+    it.subject.on_data(slow_call, "id: 2\ndata: x\n\n");
+    CHECK(slow->stream.find("id: 2") != std::string::npos);
+
+    forwarder_fixture other;
+    other.configure(values);
+    other.populate();
+    const auto booking = other.send("/book/1", {{"Deadline-Ms", "60000"}});
+    const auto query = other.send("/query/1", {{"Deadline-Ms", "60000"}});
+    for (int n = 0; n < 300; ++n) {
+        other.clock.advance(100ms);
+        other.subject.tick();
+    }
+    CHECK(other.backends.calls.size() == 2);
+    CHECK(other.backends.cancelled.empty());
+    CHECK_FALSE(booking->ended());
+    CHECK_FALSE(query->ended());
+}
