Refuse requests late in a graceful stop, and wait for answers that are being written

Cause: new requests were served for half of the grace (4 of 8 s); one taken after 3.5 s with a long answer was given up at the end of the grace. Requests that were being read, or whose answer was not yet written, did not count as active. Change: new requests are served for 3.2 s, then refused as not run; the process also waits for the listener's requests, again after its last writes to the store.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -18,11 +18,10 @@
 constexpr auto idle_tick = std::chrono::milliseconds{200};
 // Half of the descriptors are for callers; the rest is for connections to backend servers.
 constexpr std::uint64_t caller_share_divisor = 2;
-// The load balancer removes a host after two readiness probes, one per second, without a 200. New connections arrive
-// until then.
-constexpr auto balancer_delay = std::chrono::milliseconds{3500};
-// New requests are served during the first half of the stop grace; the second half is for finishing them.
-constexpr int serving_divisor = 2;
+// Time of a graceful stop in which new requests are served. The load balancer sends new connections for two to three
+// seconds after the readiness probe has failed; later requests get a refusal, because they may not end within the
+// grace.
+constexpr auto serving_time = std::chrono::milliseconds{3200};
 // The stop grace divided by this is reserved for ending the process.
 constexpr int grace_reserve_divisor = 12;
 // Number of windows whose counts a gateway keeps and publishes.
@@ -256,9 +255,7 @@
     const auto begun = deps_.time.now();
     const auto grace = settings_.bounds.stop_grace;
     events_.push(stop_event{shutdown_phase::closing});
-    const auto serve_until =
-        begun + std::max<base::duration>(grace / internal::serving_divisor,
-                                         std::min<base::duration>(internal::balancer_delay, grace));
+    const auto serve_until = begun + std::min<base::duration>(internal::serving_time, grace);
     stop_limit_ = begun + grace - grace / internal::grace_reserve_divisor;
     // Store calls may take longer than the second half of the grace, so the feeds stop while requests are still served.
     stop_feeds();
@@ -268,7 +265,8 @@
     events_.push(stop_event{shutdown_phase::refusing});
     do {
         std::this_thread::sleep_for(internal::stop_poll);
-    } while (active_ > 0 && deps_.time.now() < stop_limit_);
+        // Requests that are being read, or whose answer is still being written, count as well.
+    } while ((active_ > 0 || callers_.active() > 0) && deps_.time.now() < stop_limit_);
     if (active_ > 0) {
         log::write("stop_deadline_passed", {{"active", active_.load()}});
     }
@@ -302,6 +300,10 @@
         lease_->stop();
     }
     callers_.quiesce();
+    // Callers may have sent requests on open connections during the last writes to the store.
+    while (callers_.active() > 0 && deps_.time.now() < stop_limit_) {
+        std::this_thread::sleep_for(internal::stop_poll);
+    }
     events_.close();
     if (forward_thread_.joinable()) {
         forward_thread_.join();
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -2,6 +2,8 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <functional>
+#include <map>
+#include <mutex>
 #include <sstream>
 #include <thread>
 
@@ -146,3 +148,42 @@
         CHECK((line.starts_with("listening ") || line.find(" event=") != std::string::npos));
     }
 }
+
+// Callers keep sending while a gateway stops, with answers that take longer than what is left of the grace. Guards
+// against taking such a request late, and giving it up at the end of the grace without an answer.
+TEST_CASE("a request that arrives late in a graceful stop is refused truthfully, and none is left without an answer") {
+    fixture it;
+    std::atomic<bool> stop{false};
+    std::mutex mutex;
+    std::map<std::string, int> statuses;
+    std::vector<std::jthread> clients;
+    // Keeps the gateway busy for more than three seconds.
+    test::forward_reply earlier;
+    std::jthread first{[&] { earlier = it.send(0, "draft", "first", "key-1", {{"Test-Events", "1700"}}); }};
+    std::this_thread::sleep_for(100ms);
+    it.gateway(0).signal(SIGTERM);
+    std::this_thread::sleep_for(3300ms);
+    for (int client = 0; client < 4; ++client) {
+        clients.emplace_back([&, client] {
+            for (int n = 0; !stop; ++n) {
+                const auto id = "late" + std::to_string(client) + "-" + std::to_string(n);
+                const auto answer = it.send(0, "draft", id, "key-1", {{"Test-Events", "1900"}});
+                const std::scoped_lock lock{mutex};
+                statuses.emplace(id, answer.status);
+                std::this_thread::sleep_for(20ms);
+            }
+        });
+    }
+    std::this_thread::sleep_for(200ms);
+    stop = true;
+    clients.clear();
+    first.join();
+    CHECK(earlier.status == 200);
+    CHECK(it.gateway(0).wait(8s) == 0);
+    const auto runs = it.runs();
+    CHECK(statuses.size() >= 4);
+    for (const auto &[id, status] : statuses) {
+        CHECK(status == 503);
+        CHECK_FALSE(runs.contains(id));
+    }
+}
