Admit large prompts like small ones of their route

Change: admission takes the least time that does not depend on the size over all candidates, plus the mean of the route, which counts a waiting request once.

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -275,10 +275,12 @@
     return out;
 }
 
-base::duration placement::typical_time(const placement_request &request, const candidate &chosen) {
-    internal::update_mean(mean_usual_ms_, request.route, chosen.usual_ms);
-    const double mean = mean_usual_ms_.find(request.route)->second;
-    return internal::to_duration(chosen.expected_ms - chosen.own_ms + mean);
+base::duration placement::typical_time(const placement_request &request, const candidate &chosen, double shared_ms) {
+    // A request that waits is compared again and again, but it is one sample.
+    if (request.is_new || !mean_usual_ms_.contains(request.route)) {
+        internal::update_mean(mean_usual_ms_, request.route, chosen.usual_ms);
+    }
+    return internal::to_duration(shared_ms + mean_usual_ms_.find(request.route)->second);
 }
 
 placement_result placement::choose_engine(const placement_request &request, const state_list &from) {
@@ -290,7 +292,11 @@
     const auto prefix = key == 0 ? shared_prefix{} : prefix_of(request, decoders);
     std::optional<candidate> best;
     decode_choices choices;
-    const auto consider = [&best](candidate it) {
+    // Least time that does not depend on the size of the request. Large requests may choose other engines than small
+    // ones, but they are admitted like these.
+    double shared_ms = std::numeric_limits<double>::max();
+    const auto consider = [&best, &shared_ms](candidate it) {
+        shared_ms = std::min(shared_ms, it.expected_ms - it.own_ms);
         if (!best || it.cost < best->cost) {
             best = std::move(it);
         }
@@ -321,7 +327,7 @@
         return {{}, placement_rejection::full, {}};
     }
     best->plan.expected = internal::to_duration(best->expected_ms);
-    best->plan.typical = typical_time(request, *best);
+    best->plan.typical = typical_time(request, *best, shared_ms);
     return {best->plan, placement_rejection::none, {}};
 }
 
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -202,7 +202,8 @@
                                   const std::pair<double, const backend_state *> &decoder, const shared_prefix &prefix);
     [[nodiscard]] prefill_work prefill_work_at(const placement_request &request, const backend_state &engine,
                                                const shared_prefix &prefix);
-    [[nodiscard]] base::duration typical_time(const placement_request &request, const candidate &chosen);
+    [[nodiscard]] base::duration typical_time(const placement_request &request, const candidate &chosen,
+                                              double shared_ms);
     [[nodiscard]] base::duration free_in(const state_list &from) const;
 
     const backend_table &table_;
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -305,3 +305,22 @@
     }
     CHECK(home == expected);
 }
+
+// Prefill engines are backlogged while decode engines are not: small prompts get in through these, large ones do not.
+// Guards against refusing the largest prompts of a route several times as often as the others.
+TEST_CASE("large prompts are admitted like small ones of their route when they use other engines") {
+    fixture it;
+    it.engines(4, 2);
+    for (int n = 0; n < 200; ++n) {
+        (void)it.choose({{1, 600}, {2, 1'500}});
+    }
+    for (int n = 0; n < 2; ++n) {
+        it.load("prefill-" + std::to_string(n), 8, 6'000);
+    }
+    const auto small = it.choose({{1, 600}, {3, 900}}).plan;
+    const auto large = it.choose({{1, 600}, {4, 40'000}}).plan;
+    CHECK(small.prefill == nullptr);
+    CHECK(large.prefill != nullptr);
+    CHECK(large.typical < 1.5 * small.typical);
+    CHECK(large.expected > 2 * small.expected);
+}
