Take learned timing only from engines of known load, and bound the admission by size

Change: a time counts when the engine has reported its load or own requests wait there; admission takes the chosen engines again, with an allowance of a quarter for prompts much larger than the mean of their route.

--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -103,6 +103,12 @@
      */
     [[nodiscard]] double pending_prefill_tokens(const backend_state &it) const;
 
+    /**
+     * @return True when estimates for the server rest on facts: a recent report, or own requests in progress, which
+     * show that a missing report means a queue.
+     */
+    [[nodiscard]] bool load_known(const backend_state &it) const { return has_report(it) || it.own_requests > 0; }
+
     /** @return Fraction of recent attempts that failed, from 0 to 1. */
     [[nodiscard]] double failure_rate(const backend_state &it) const;
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -12,6 +12,8 @@
 constexpr double initial_slot_ms = 100;
 // Weight of the newest sample in moving averages.
 constexpr double mean_gain = 0.05;
+// Factor by which the queue before a request may be longer when the request is much larger than its route's mean.
+constexpr double max_size_allowance = 1.25;
 // Random part of the cost, so that gateways do not all choose the same server.
 constexpr double jitter_cost = 0.005;
 // Spread of measured around expected times: with 1/exponent as the scale of a logistic distribution of their logarithm.
@@ -90,6 +92,9 @@
 
 double placement::on_call_time(std::string_view service, std::string_view engine, const call_estimate &expected,
                                base::duration taken) {
+    if (!expected.load_known) {
+        return 1;
+    }
     auto &model = timing_of(service).at(static_cast<std::size_t>(expected.kind));
     const auto *state = table_.find(engine);
     const double slowness = state == nullptr ? 1 : table_.slowness(*state);
@@ -235,7 +240,7 @@
     candidate out{.plan = {.run = &engine,
                            .fetch_from = prefix.home == &engine ? nullptr : prefix.home,
                            .prefill_tokens = tokens,
-                           .first = {call_kind::direct, ahead + tokens, other_ms}}};
+                           .first = {call_kind::direct, ahead + tokens, other_ms, table_.load_known(engine)}}};
     const double idle_ms = model.expected_ms(0);
     out.own_ms = slowness * (model.expected_ms(tokens) - idle_ms) + work.fetch_ms;
     out.usual_ms = model.expected_ms(work.own) - idle_ms + work.fetch_ms;
@@ -263,8 +268,8 @@
                            .run = &run,
                            .fetch_from = prefix.home,
                            .prefill_tokens = tokens,
-                           .first = {call_kind::prefill, ahead + tokens, work.fetch_ms},
-                           .second = {move, moved, waiting_ms}}};
+                           .first = {call_kind::prefill, ahead + tokens, work.fetch_ms, table_.load_known(engine)},
+                           .second = {move, moved, waiting_ms, table_.load_known(run)}}};
     const double idle_ms = model.expected_ms(0);
     out.own_ms = slowness * (model.expected_ms(tokens) - idle_ms) + work.fetch_ms + move_ms;
     out.usual_ms = model.expected_ms(work.own) - idle_ms + work.fetch_ms + move_ms;
@@ -275,12 +280,16 @@
     return out;
 }
 
-base::duration placement::typical_time(const placement_request &request, const candidate &chosen, double shared_ms) {
+base::duration placement::typical_time(const placement_request &request, const candidate &chosen) {
     // A request that waits is compared again and again, but it is one sample.
     if (request.is_new || !mean_usual_ms_.contains(request.route)) {
         internal::update_mean(mean_usual_ms_, request.route, chosen.usual_ms);
     }
-    return internal::to_duration(shared_ms + mean_usual_ms_.find(request.route)->second);
+    const double mean = std::max(1.0, mean_usual_ms_.find(request.route)->second);
+    // Large requests have fewer engines to choose from, and most of them are late anyway. With the same limit they
+    // would be refused far more often than small ones.
+    const double allowance = std::clamp(chosen.own_ms / mean, 1.0, internal::max_size_allowance);
+    return internal::to_duration((chosen.expected_ms - chosen.own_ms + mean) / allowance);
 }
 
 placement_result placement::choose_engine(const placement_request &request, const state_list &from) {
@@ -292,13 +301,9 @@
     const auto prefix = key == 0 ? shared_prefix{} : prefix_of(request, decoders);
     std::optional<candidate> best;
     decode_choices choices;
-    // Least time that does not depend on the size of the request. Large requests may choose other engines than small
-    // ones, but they are admitted like these.
-    double shared_ms = std::numeric_limits<double>::max();
-    const auto consider = [&best, &shared_ms](candidate it) {
-        shared_ms = std::min(shared_ms, it.expected_ms - it.own_ms);
+    const auto consider = [&best](const candidate &it) {
         if (!best || it.cost < best->cost) {
-            best = std::move(it);
+            best = it;
         }
     };
     for (const auto &at : decoders) {
@@ -327,7 +332,7 @@
         return {{}, placement_rejection::full, {}};
     }
     best->plan.expected = internal::to_duration(best->expected_ms);
-    best->plan.typical = typical_time(request, *best, shared_ms);
+    best->plan.typical = typical_time(request, *best);
     return {best->plan, placement_rejection::none, {}};
 }
 
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -72,8 +72,9 @@
 /** @brief Inputs of the estimate for one call, kept to compare it with the time taken. */
 struct call_estimate {
     call_kind kind{call_kind::direct};
-    double tokens{0};   /**< Prefilled or moved, including those queued before the request. */
-    double other_ms{0}; /**< Part of the estimate that does not follow from `tokens`: waits and fetches. */
+    double tokens{0};      /**< Prefilled or moved, including those queued before the request. */
+    double other_ms{0};    /**< Part of the estimate that does not follow from `tokens`: waits and fetches. */
+    bool load_known{true}; /**< The engine had reported its load; otherwise the time says little about its speed. */
 };
 
 /** @brief Chosen backend servers. Pointers are valid until the table changes. */
@@ -83,7 +84,8 @@
     const backend_state *fetch_from{nullptr}; /**< Engine that probably has the shared segments cached, or null. */
     double prefill_tokens{0};                 /**< Expected tokens to prefill at the engine that does the prefill. */
     base::duration expected{0};               /**< Estimated time to the answer, or to its first event. */
-    base::duration typical{0}; /**< As `expected`, but for a request of the route's mean size with a cached prefix. */
+    base::duration typical{0}; /**< For admission: as `expected`, but for a request of the route's mean size with a
+                                  cached prefix, and less by up to a fifth for large ones. */
     call_estimate first{};     /**< Of the first call. */
     call_estimate second{};    /**< Of the call after a prefill; unused without one. */
 };
@@ -202,8 +204,7 @@
                                   const std::pair<double, const backend_state *> &decoder, const shared_prefix &prefix);
     [[nodiscard]] prefill_work prefill_work_at(const placement_request &request, const backend_state &engine,
                                                const shared_prefix &prefix);
-    [[nodiscard]] base::duration typical_time(const placement_request &request, const candidate &chosen,
-                                              double shared_ms);
+    [[nodiscard]] base::duration typical_time(const placement_request &request, const candidate &chosen);
     [[nodiscard]] base::duration free_in(const state_list &from) const;
 
     const backend_table &table_;
--- a/test/http/endless.cpp
+++ b/test/http/endless.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-// A faulty server sends bytes that are no answer until the caller closes. Guards against memory that grows with them, and
-// against a call that lasts until its time-out.
+// A faulty server sends bytes that are no answer until the caller closes. Guards against memory that grows with them,
+// and against a call that lasts until its time-out.
 TEST_CASE("a head or body without end is cut off at the limit") {
     for (const auto &it : endless_answers) {
         CAPTURE(it.first);
--- a/test/settings/gateway_settings.cpp
+++ b/test/settings/gateway_settings.cpp
@@ -27,8 +27,8 @@
     CHECK(it.value().duties.empty());
 }
 
-// A platform that derives its bounds from the size of a site writes fractions. Guards against a site that does not start
-// because of them.
+// A platform that derives its bounds from the size of a site writes fractions. Guards against a site that does not
+// start because of them.
 TEST_CASE("bounds may be fractions, and whole numbers may be written with a decimal point") {
     const auto it = settings::parse_gateway_settings(
         "f", text, {"bounds.retry_allowance=38.26", "bounds.drain_ms=2000.5", "descriptors=4100.0"});
