Correct findings of the linter in the test of the timing model

Change: default values, and a loop over engines in place of bindings; checks unchanged. Result: clang-tidy on the file without findings, test_gateway 85 of 85.

--- a/test/gateway/size_time_model.cpp
+++ b/test/gateway/size_time_model.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 struct machine {
-    double fixed_ms;
-    double tokens_per_ms;
+    double fixed_ms{0};
+    double tokens_per_ms{1};
     std::mt19937 random{11};
 
     /** @return Size and time of one prompt, with 10% of noise. */
@@ -36,18 +36,17 @@
 // Engines other than the ones that the initial values describe: slow, fast, and with a long fixed part. Guards against
 // placements by constant rates, which are right for one kind of engine only.
 TEST_CASE("the times of unknown engines are predicted within 30% after 100 prompts") {
-    for (const auto &[fixed, rate] : {std::pair{30.0, 37.0}, {60.0, 15.0}, {10.0, 300.0}, {90.0, 150.0}}) {
-        machine engine{fixed, rate};
+    for (machine engine : {machine{30, 37}, machine{60, 15}, machine{10, 300}, machine{90, 150}}) {
         const gateway::size_time_model constant{{30, 37}};
         gateway::size_time_model learned{{30, 37}};
         for (int n = 0; n < 100; ++n) {
             const auto [tokens, taken] = engine.prompt();
             learned.record(tokens, taken);
         }
-        CAPTURE(fixed);
-        CAPTURE(rate);
+        CAPTURE(engine.fixed_ms);
+        CAPTURE(engine.tokens_per_ms);
         CHECK(accuracy(engine, learned) >= 0.9);
-        if (rate != 37.0) {
+        if (engine.tokens_per_ms != 37) {
             CHECK(accuracy(engine, constant) < accuracy(engine, learned));
         }
     }
