--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -157,6 +157,7 @@
     std::mutex mutex;
     std::map<std::string, int> statuses;
     std::vector<std::jthread> clients;
+    clients.reserve(4);
     it.gateway(0).signal(SIGTERM);
     std::this_thread::sleep_for(2900ms);
     // Keeps the gateway busy for two seconds, half of its route's limit.
