Show that a gateway misses a configuration after the store returns from a copy

Callers saw 401 for keys (404 for routes) that a confirmed version had added. The stand-in store learns the drill: it keeps a copy, comes back from it with Store-Era raised, gives its revisions out again, and answers 410 to a watch from a revision that it does not have.

The test fails on the unchanged code: after the return the gateway watches from a revision of before, which the store has passed again, so neither 410 nor the change arrives.

--- a/src/store/memory_store.cpp
+++ b/src/store/memory_store.cpp
@@ -12,6 +12,10 @@
     return {base::error_kind::unavailable, "store_down", "the store is not reachable; retry with backoff"};
 }
 
+base::error history_lost() {
+    return {base::error_kind::not_found, "history_lost", "the store has no such revision; list, then compare"};
+}
+
 base::error lost() {
     return {base::error_kind::unknown_outcome, "no_answer", "the write has no answer; read the object first"};
 }
@@ -30,6 +34,25 @@
     once_count_ = count;
 }
 
+void memory_store::take_copy() {
+    const std::scoped_lock lock{mutex_};
+    copied_slots_ = slots_;
+    copied_revision_ = revision_;
+}
+
+void memory_store::restore_copy() {
+    const std::scoped_lock lock{mutex_};
+    slots_ = copied_slots_;
+    revision_ = copied_revision_;
+    ++era_;
+    changed_.notify_all();
+}
+
+std::uint64_t memory_store::era() const {
+    const std::scoped_lock lock{mutex_};
+    return era_;
+}
+
 void memory_store::set_write_hook(write_hook hook) {
     const std::scoped_lock lock{mutex_};
     hook_ = std::move(hook);
@@ -157,12 +180,16 @@
 base::result<watch_batch> memory_store::watch(std::string_view prefix, std::uint64_t since, base::duration wait) {
     std::unique_lock lock{mutex_};
     ++counters_.reads;
+    if (since > revision_) {
+        return boost::outcome_v2::failure(internal::history_lost());
+    }
     watch_batch out;
+    const auto begun_in = era_;
     changed_.wait_for(lock, wait, [&] {
         out = changes(prefix, since);
-        return faults_.outage || !out.events.empty();
+        return faults_.outage || era_ != begun_in || !out.events.empty();
     });
-    if (faults_.outage) {
+    if (faults_.outage || era_ != begun_in) {
         return boost::outcome_v2::failure(internal::outage());
     }
     return out;
--- a/src/store/memory_store.hpp
+++ b/src/store/memory_store.hpp
@@ -36,12 +36,24 @@
     /** @brief Applies `faults` to the next `count` writes only. */
     void set_faults_once(store_faults faults, std::size_t count = 1);
 
+    /** @brief Keeps the present state for `restore_copy`. */
+    void take_copy();
+
+    /**
+     * @brief Returns to the state of the last copy, its revision included, and begins a new era. Waiting watches fail.
+     * Revisions are given out again.
+     */
+    void restore_copy();
+
     /** @brief Installs a hook that stands for a pause of the writer between its check and its write. */
     void set_write_hook(write_hook hook);
 
     [[nodiscard]] store_counters counters() const;
     [[nodiscard]] std::uint64_t revision() const;
 
+    /** @return 1, and one more for each return from a copy. */
+    [[nodiscard]] std::uint64_t era() const;
+
     [[nodiscard]] base::result<std::optional<object>> get(std::string_view key) override;
     [[nodiscard]] base::result<std::uint64_t> put(std::string_view key, std::string_view value,
                                                   std::uint64_t expected) override;
@@ -68,6 +80,9 @@
     std::condition_variable changed_;
     std::map<std::string, slot, std::less<>> slots_;
     std::uint64_t revision_{0};
+    std::map<std::string, slot, std::less<>> copied_slots_;
+    std::uint64_t copied_revision_{0};
+    std::uint64_t era_{1};
     store_faults faults_;
     store_faults once_;
     std::size_t once_count_{0};
--- a/standin/objects/main.cpp
+++ b/standin/objects/main.cpp
@@ -36,13 +36,24 @@
         }
         if (message.query_value("Watch")) {
             // A watch waits, so each one has a thread.
-            std::thread{[this, call] { call.respond(answer(call.message())); }}.detach();
+            std::thread{[this, call] { call.respond(answer_in_era(call.message())); }}.detach();
             return;
         }
-        call.respond(answer(message));
+        call.respond(answer_in_era(message));
     }
 
 private:
+    /** Answers with the era in which the call began; a call that a return from the copy overtakes has no result. */
+    http::response answer_in_era(const http::request &message) {
+        const auto era = objects_.era();
+        auto out = answer(message);
+        if (objects_.era() != era) {
+            out = standin::error_response(503, "down", "the store was away");
+        }
+        out.fields.push_back({"Store-Era", std::to_string(era)});
+        return out;
+    }
+
     http::response answer(const http::request &message) {
         if (down()) {
             return standin::error_response(503, "down", "the store is down");
@@ -96,6 +107,9 @@
         if (down()) {
             return standin::error_response(503, "down", "the store is down");
         }
+        if (!seen) {
+            return standin::error_response(410, seen.error().code, seen.error().message);
+        }
         json events = json::array();
         for (const auto &it : seen.value().events) {
             events.push_back({{"Deleted", it.deleted}, {"Object", shown(it.item)}});
@@ -111,11 +125,31 @@
     }
 
     http::response set_faults(const json &from) {
+        if (from.value("copy", false)) {
+            objects_.take_copy();
+        }
+        if (from.value("restore", false)) {
+            restore(from.value("writes", json::array()));
+        }
         const std::scoped_lock lock{mutex_};
         down_ = from.value("down", false);
         return standin::json_response(200, json::object());
     }
 
+    /** Comes back from the copy; `writes` are repeated by their writers before anybody else reaches the store. */
+    void restore(const json &writes) {
+        {
+            const std::scoped_lock lock{mutex_};
+            down_ = true;
+        }
+        objects_.restore_copy();
+        for (const auto &it : writes) {
+            const auto key = it.at("key").get<std::string>();
+            const auto now = objects_.get(key).value();
+            (void)write(key, it.at("spec"), now ? now->version : store::absent);
+        }
+    }
+
     bool down() {
         const std::scoped_lock lock{mutex_};
         return down_;
--- a/test/support/forward_site.cpp
+++ b/test/support/forward_site.cpp
@@ -100,23 +100,48 @@
     readiness_addresses_[n] = gateways_[n]->address("readiness");
 }
 
-void forward_site::configure(const std::vector<std::string> &keys) {
-    const json spec{
+json forward_site::next_config(const std::vector<std::string> &keys) {
+    return {
         {"Version", ++version_},
         {"Routes",
          {internal::route("draft", "streaming", "llm", 3, true), internal::route("query", "streaming", "llm", 1, false),
           internal::route("book", "unsafe", "desk", 2, false), internal::route("read", "safe", "desk", 3, false)}},
         {"Services", {{{"Name", "llm"}, {"Engine", {{"Slots", 6}}}}, {{"Name", "desk"}}}},
         {"Tenants", {{{"Name", "sangh"}, {"ApiKeys", keys}}}}};
-    const json body{{"Metadata", {{"Name", "main"}}}, {"Spec", spec}};
+}
+
+void forward_site::configure(const std::vector<std::string> &keys) {
+    const json body{{"Metadata", {{"Name", "main"}}}, {"Spec", next_config(keys)}};
     const auto done = client_.call(store_, {"PUT", "/objects/config/main", {}, body.dump()}, {});
     if (!done || done.value().status != 200) {
         throw std::runtime_error{"the configuration was not written"};
     }
 }
 
+void forward_site::set_store_faults(const json &faults) const {
+    const auto done = client_.call(store_, {"POST", "/faults", {}, faults.dump()}, {});
+    if (!done || done.value().status != 200) {
+        throw std::runtime_error{"the store's faults were not set"};
+    }
+}
+
 void forward_site::set_store_down(bool down) {
-    (void)client_.call(store_, {"POST", "/faults", {}, json{{"down", down}}.dump()}, {});
+    set_store_faults({{"down", down}});
+}
+
+void forward_site::copy_store() {
+    set_store_faults({{"copy", true}});
+}
+
+void forward_site::restore_store(const std::vector<std::string> &keys) {
+    // More than runners and gateways write between a copy and its return in a test.
+    constexpr int other_writes = 500;
+    json writes = json::array();
+    writes.push_back({{"key", "config/main"}, {"spec", next_config(keys)}});
+    for (int n = 0; n < other_writes; ++n) {
+        writes.push_back({{"key", "others/it"}, {"spec", n}});
+    }
+    set_store_faults({{"restore", true}, {"writes", std::move(writes)}});
 }
 
 std::string forward_site::callers(std::size_t n) const {
--- a/test/support/forward_site.hpp
+++ b/test/support/forward_site.hpp
@@ -52,6 +52,15 @@
     /** @brief Writes the next version of the configuration with these keys of one organisation. */
     void configure(const std::vector<std::string> &keys);
 
+    /** @brief Copies the store. */
+    void copy_store();
+
+    /**
+     * @brief Lets the store come back from the copy. The next version of the configuration, with these keys, is
+     * confirmed first; as many other writes follow that the store's revision is beyond the one it had before.
+     */
+    void restore_store(const std::vector<std::string> &keys);
+
     /** @brief Switches the store off or on. */
     void set_store_down(bool down);
 
@@ -76,6 +85,8 @@
 
 private:
     [[nodiscard]] std::string callers(std::size_t n) const;
+    [[nodiscard]] nlohmann::json next_config(const std::vector<std::string> &keys);
+    void set_store_faults(const nlohmann::json &faults) const;
 
     const std::filesystem::path folder_;
     mutable http::curl_client client_;
