List again when the store has returned from a copy

Callers saw 401 or 404 for what a confirmed configuration allows. Cause: a feed watches from the largest revision that it has seen; a store that returns from a copy gives revisions out again, and once it has passed that revision, neither 410 nor the changes below it reach the feed.

The three new cases of test_platform were not run against the code before.

--- a/src/gateway/store_feed.cpp
+++ b/src/gateway/store_feed.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/interruptible_wait.hpp"
+#include "log/event.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -37,6 +38,7 @@
     const auto batch = store_.watch(prefix_, since_, wait);
     if (!batch) {
         if (batch.error().code == "history_lost") {
+            log::write("store_history_lost", {{"prefix", prefix_}, {"since", since_}});
             since_ = 0;
             handlers_.on_answered();
             return base::duration{0};
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -75,6 +75,9 @@
     {1308, "store_recovered", severity::info, "The store answers again.", "none"},
     {1309, "isolated", severity::error, "Neither the store nor enough peers answer; requests are refused.",
      "Restore the network of this host."},
+    {1310, "store_history_lost", severity::info,
+     "The store no longer has the history from where a feed watches; the feed lists.",
+     "none; once for each feed after the store returned from a copy."},
     // Keys
     {1401, "key_withdrawn", severity::info, "A key withdrawal is in force in this process.", "none"},
     {1402, "stream_ended_key_withdrawn", severity::info, "An open stream was ended because its key was withdrawn.",
--- a/test/platform/object_store.cpp
+++ b/test/platform/object_store.cpp
@@ -34,6 +34,10 @@
     static http::response json(int status, std::string body) {
         return {status, {{"Content-Type", "application/json"}}, std::move(body)};
     }
+
+    static http::response json_in_era(int era, std::string body) {
+        return {200, {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era)}}, std::move(body)};
+    }
 };
 
 const std::string item = R"({"Metadata":{"Name":"a","Revision":12,"CreatedRev":9},"Spec":{"x":1},"Status":null})";
@@ -117,6 +121,68 @@
     CHECK(it.asked.back().target == "/objects/k?Watch=530&WaitMs=20");
 }
 
+// Guards against changes that are missed because the store, back from a copy, has passed again the watched revision.
+TEST_CASE("a watch that begins in an earlier era of the store has lost its history") {
+    fixture it;
+    auto store = it.store();
+    int era = 1;
+    it.answer = [&era](const http::request &message) {
+        const bool watch = message.target.find("Watch") != std::string::npos;
+        return fixture::json_in_era(era, watch ? R"({"events":[],"StoreRevision":533})"
+                                               : R"({"items":[],"Truncated":false,"StoreRevision":530})");
+    };
+    const auto listed = store.watch("k/", 0, 1ms);
+    REQUIRE(listed);
+    REQUIRE(store.watch("k/", listed.value().revision, 1ms));
+    CHECK(it.asked.back().target == "/objects/k?Watch=530&WaitMs=1");
+    era = 2;
+    CHECK(store.watch("k/", listed.value().revision, 1ms).error().code == "history_lost");
+    const auto again = store.watch("k/", 0, 1ms);
+    REQUIRE(again);
+    CHECK(again.value().revision > listed.value().revision);
+    CHECK(store.watch("k/", again.value().revision, 1ms));
+}
+
+// Guards against a write whose revision names another state of the object since the store is back from a copy.
+TEST_CASE("a version of an earlier era is no condition of a write") {
+    fixture it;
+    auto store = it.store();
+    int era = 1;
+    it.answer = [&era](const auto &) { return fixture::json_in_era(era, item); };
+    const auto before = store.put("k/a", "{}", store::absent);
+    REQUIRE(before);
+    era = 2;
+    // The era is not known yet, and the revision matches: the answer shows that it was another state.
+    CHECK(store.put("k/a", "{}", before.value()).error().kind == base::error_kind::unknown_outcome);
+    const auto n = it.asked.size();
+    CHECK(store.put("k/a", "{}", before.value()).error().kind == base::error_kind::conflict);
+    CHECK(store.erase("k/a", before.value()).error().kind == base::error_kind::conflict);
+    CHECK(it.asked.size() == n);
+    const auto found = store.get("k/a");
+    REQUIRE(found);
+    REQUIRE(found.value());
+    CHECK(found.value()->version > before.value());
+    CHECK(store.put("k/a", "{}", found.value()->version));
+}
+
+// Guards against state of before the store's return that arrives after it, and against lists that mix both.
+TEST_CASE("late answers of an earlier era, and lists across a return, are not used") {
+    fixture it;
+    auto store = it.store();
+    int era = 3;
+    it.answer = [&era](const auto &) { return fixture::json_in_era(era, item); };
+    REQUIRE(store.get("k/a"));
+    era = 2;
+    CHECK(store.get("k/a").error().kind == base::error_kind::unavailable);
+    CHECK(store.put("k/a", "{}", store::absent).error().kind == base::error_kind::unknown_outcome);
+    it.answer = [](const http::request &message) {
+        const bool first = message.target.find("after") == std::string::npos;
+        return fixture::json_in_era(first ? 3 : 4, R"({"items":[)" + item + R"(],"Truncated":)" +
+                                                       (first ? "true" : "false") + R"(,"StoreRevision":530})");
+    };
+    CHECK(store.list("k/").error().kind == base::error_kind::unavailable);
+}
+
 // Guards against reports without holder or fencing token, and against a refusal that counts as success.
 TEST_CASE("usage reports carry holder and fencing token") {
     fixture it;
