Log the parts of prompts on engines that end, and show that one part ends them all

The logs of second1 could not tell a common part of prompts from overload: attempt_broken (E1919) now names the shared parts of the prompt of each attempt that a connection's end has cut off.

promise_15_crashing_prompt starts ten engines that end when they begin to answer a prompt with a certain part, and are started again.

--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/opaque_exchange.hpp"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 #include "log/event.hpp"
@@ -45,6 +46,15 @@
     return fields;
 }
 
+/** @return Ids of the parts of a prompt that other requests may have, too. */
+std::string shared_parts(std::span<const prompt_part> prompt) {
+    std::string out;
+    for (const auto &it : prompt.first(prompt.empty() ? 0 : prompt.size() - 1)) {
+        out += (out.empty() ? "" : ",") + std::to_string(it.id);
+    }
+    return out;
+}
+
 call_event_result unreachable() {
     return call_failed{{evidence_kind::never_sent}, attempt_outcome::unreachable};
 }
@@ -204,6 +214,12 @@
         context_.table.prefill_done(backend_, prefill_tokens_);
     }
     context_.table.ended(backend_, how);
+    if (how == attempt_outcome::broken && !prefilling_) {
+        log::write("attempt_broken", {{"request", identity().id},
+                                      {"backend", backend_},
+                                      {"events", last_event_at_.has_value()},
+                                      {"parts", internal::shared_parts(request_.content.facts.prompt)}});
+    }
     if (probably_began(how)) {
         count_start();
     }
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -160,6 +160,9 @@
      "Check the time synchronisation of the host."},
     {1917, "time_corrected", severity::info, "A jump of the time of day has lasted and is now followed.", "none"},
     {1918, "member_asked", severity::info, "A gateway whose record is behind was asked for its counts.", "none"},
+    {1919, "attempt_broken", severity::info,
+     "A connection ended in the middle of an attempt; the ids of the prompt's shared parts.",
+     "Look for a part that the attempts have in common when many engines end."},
 });
 
 } // namespace dotterelstack::log
--- a/standin/runner/main.cpp
+++ b/standin/runner/main.cpp
@@ -21,7 +21,8 @@
     std::string id;
     std::string service;
     std::string failure_domain;
-    std::string stage; /**< Empty for a plain service. */
+    std::string stage;      /**< Empty for a plain service. */
+    std::string crash_part; /**< Id of a part of a prompt; the runner ends when it begins to answer such a prompt. */
     std::size_t slots{6};
     std::size_t queue{6};
     milliseconds work{5};
@@ -139,7 +140,15 @@
         });
     }
 
+    [[nodiscard]] bool crashes_on(const http::request &message) const {
+        const auto parts = "," + field(message, "Prompt-Prefix");
+        return !options_.crash_part.empty() && parts.find("," + options_.crash_part + ":") != std::string::npos;
+    }
+
     void begin_stream(const std::shared_ptr<stream_state> &it) {
+        if (crashes_on(it->call.message())) {
+            std::_Exit(EXIT_FAILURE);
+        }
         {
             const std::scoped_lock lock{mutex_};
             it->call.start(200, {{"Content-Type", "text/event-stream"},
@@ -208,6 +217,7 @@
     add("service", "service", cxxopts::value<std::string>());
     add("failure-domain", "failure domain", cxxopts::value<std::string>()->default_value("east"));
     add("stage", "prefill or decode; none for a plain service", cxxopts::value<std::string>()->default_value(""));
+    add("crash-part", "part of a prompt that ends the runner", cxxopts::value<std::string>()->default_value(""));
     add("slots", "requests at once", cxxopts::value<std::size_t>()->default_value("6"));
     add("work-ms", "time before the answer", cxxopts::value<int>()->default_value("5"));
     add("event-ms", "time between events", cxxopts::value<int>()->default_value("2"));
@@ -221,6 +231,7 @@
                         .service = text("service"),
                         .failure_domain = text("failure-domain"),
                         .stage = text("stage"),
+                        .crash_part = text("crash-part"),
                         .slots = args["slots"].as<std::size_t>(),
                         .work = ms("work-ms"),
                         .between_events = ms("event-ms")}};
--- /dev/null
+++ b/test/promise/promise_15_crashing_prompt.cpp
@@ -0,0 +1,139 @@
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <doctest/doctest.h>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "support/forward_site.hpp"
+#include "support/site.hpp"
+
+using namespace dotterelstack;
+using namespace std::chrono_literals;
+using test::eventually;
+using steady = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::size_t engine_count = 10;
+constexpr std::size_t gateway_count = 3;
+constexpr auto restart_time = 400ms;
+// The gateways' default; the rules count from so long after the fifth end.
+constexpr auto contact_time = 3s;
+constexpr int ends_before_limit = 5;
+constexpr int allowed_after_limit = 3;
+
+/** Engines that end when they begin to answer a prompt with a certain part, and that are started again. */
+struct fixture : test::forward_site {
+    fixture() {
+        configure({"key-1"});
+        for (std::size_t n = 0; n < engine_count; ++n) {
+            start_engine();
+        }
+        for (std::size_t n = 0; n < gateway_count; ++n) {
+            start_gateway(n);
+        }
+        REQUIRE(eventually([this] {
+            bool all = true;
+            for (std::size_t n = 0; n < gateway_count; ++n) {
+                all = all && send(n, "query", "probe").status == 200;
+            }
+            return all;
+        }));
+    }
+
+    void start_engine() { start_runner("engine-" + std::to_string(next_++), "decode", "badbad"); }
+
+    /** Starts engines that have ended again after a while. */
+    void restart_engines() {
+        for (const auto &id : drop_ended_runners()) {
+            (void)id;
+            ended_at.push_back(steady::now());
+            restarts_due_.push_back(steady::now() + restart_time);
+        }
+        while (!restarts_due_.empty() && steady::now() >= restarts_due_.front()) {
+            restarts_due_.erase(restarts_due_.begin());
+            start_engine();
+        }
+    }
+
+    std::vector<steady::time_point> ended_at;
+
+private:
+    int next_{0};
+    std::vector<steady::time_point> restarts_due_;
+};
+
+/** @return The parts of a prompt; the last one is the request's own. */
+http::field_list parts(const std::string &middle, int own) {
+    char hex[9];
+    std::snprintf(hex, sizeof hex, "%x", 0x100000 + own);
+    return {{"Prompt-Prefix", "a2:100," + middle + ":200," + hex + ":100"}};
+}
+
+} // namespace
+
+// Guards against a part of prompts that ends one engine after the other, because each request with it is sent to the
+// engines that are left.
+TEST_CASE("promise 15: prompts that crash engines are recognised by a common part, and other work goes on") {
+    fixture it;
+    std::atomic<bool> stop{false};
+    std::atomic<int> next{0};
+    std::atomic<int> sound_sent_late{0};
+    std::atomic<int> sound_served_late{0};
+    std::mutex mutex;
+    std::map<std::string, steady::time_point> crashing_sent;
+    std::map<std::string, int> statuses;
+    const auto begun = steady::now();
+    std::vector<std::jthread> clients;
+    clients.reserve(2 * gateway_count);
+    for (std::size_t n = 0; n < gateway_count; ++n) {
+        clients.emplace_back([&, n] {
+            while (!stop) {
+                const int own = next++;
+                const auto id = "bad-" + std::to_string(own);
+                {
+                    const std::scoped_lock lock{mutex};
+                    crashing_sent[id] = steady::now();
+                }
+                const auto status = it.send(n, "query", id, "key-1", parts("badbad", own)).status;
+                const std::scoped_lock lock{mutex};
+                statuses[id] = status;
+                std::this_thread::sleep_for(600ms);
+            }
+        });
+        clients.emplace_back([&, n] {
+            while (!stop) {
+                const int own = next++;
+                const auto sent = steady::now();
+                const auto id = "good-" + std::to_string(own);
+                const bool served = it.send(n, "query", id, "key-1", parts("600d", own)).status == 200;
+                const bool late = sent > begun + 9s;
+                sound_sent_late += late ? 1 : 0;
+                sound_served_late += late && served ? 1 : 0;
+                std::this_thread::sleep_for(30ms);
+            }
+        });
+    }
+    while (steady::now() < begun + 12s) {
+        it.restart_engines();
+        std::this_thread::sleep_for(50ms);
+    }
+    stop = true;
+    clients.clear();
+    const auto runs = it.runs();
+    int late_runs = 0;
+    for (const auto &[id, at] : crashing_sent) {
+        const bool limited = static_cast<int>(it.ended_at.size()) >= ends_before_limit &&
+                             at > it.ended_at.at(ends_before_limit - 1) + contact_time;
+        const auto found = runs.find(id);
+        late_runs += limited && found != runs.end() ? found->second : 0;
+        // What is said not to have run must not have run.
+        CHECK((statuses[id] != 503 || found == runs.end()));
+    }
+    CAPTURE(it.ended_at.size());
+    CHECK(late_runs <= allowed_after_limit);
+    CHECK(sound_sent_late > 20);
+    CHECK(sound_served_late >= sound_sent_late * 9 / 10);
+}
--- a/test/support/forward_site.cpp
+++ b/test/support/forward_site.cpp
@@ -46,11 +46,14 @@
     std::filesystem::remove_all(folder_, ec);
 }
 
-void forward_site::start_runner(const std::string &id, const std::string &stage) {
+void forward_site::start_runner(const std::string &id, const std::string &stage, const std::string &crash_part) {
     std::vector<std::string> arguments{"--store", store_, "--id", id, "--service", stage.empty() ? "desk" : "llm"};
     if (!stage.empty()) {
         arguments.insert(arguments.end(), {"--stage", stage});
     }
+    if (!crash_part.empty()) {
+        arguments.insert(arguments.end(), {"--crash-part", crash_part});
+    }
     runners_[id] = std::make_unique<child_process>("standin_runner", arguments);
     (void)runners_[id]->address("runner");
 }
@@ -62,6 +65,17 @@
     former_runners_.push_back(std::move(node.mapped()));
 }
 
+std::vector<std::string> forward_site::drop_ended_runners() {
+    std::vector<std::string> out;
+    for (const auto &id : runners()) {
+        if (runners_.at(id)->wait(std::chrono::milliseconds{0})) {
+            out.push_back(id);
+            former_runners_.push_back(std::move(runners_.extract(id).mapped()));
+        }
+    }
+    return out;
+}
+
 std::vector<std::string> forward_site::runners() const {
     std::vector<std::string> out;
     for (const auto &[id, it] : runners_) {
@@ -158,6 +172,8 @@
     if (prompt) {
         message.fields.push_back({"Model", "m"});
         message.fields.push_back({"Token-Usage", kind == "draft" ? "9000,50" : "400,20"});
+    }
+    if (prompt && !http::find_field(message.fields, "Prompt-Prefix")) {
         message.fields.push_back(
             {"Prompt-Prefix", kind == "draft" ? "a1:8000,b" + id.substr(id.size() - 2) + ":1000" : "a2:100,b2:300"});
     }
--- a/test/support/forward_site.hpp
+++ b/test/support/forward_site.hpp
@@ -32,8 +32,15 @@
     forward_site &operator=(const forward_site &) = delete;
     ~forward_site();
 
-    /** @brief Starts a runner. @param stage Empty for the booking service. */
-    void start_runner(const std::string &id, const std::string &stage);
+    /**
+     * @brief Starts a runner.
+     * @param stage Empty for the booking service.
+     * @param crash_part Part of a prompt that ends the runner when it begins to answer; none if empty.
+     */
+    void start_runner(const std::string &id, const std::string &stage, const std::string &crash_part = "");
+
+    /** @brief Drops the runners that have ended by themselves; what they ran stays known. @return Their ids. */
+    std::vector<std::string> drop_ended_runners();
 
     /** @return The process of a runner that has not been dropped. */
     [[nodiscard]] child_process &runner(const std::string &id) { return *runners_.at(id); }
@@ -67,7 +74,8 @@
     /** @return Path of gateway `n` to the store, for faults of the network. */
     [[nodiscard]] tcp_relay &store_path(std::size_t n) { return *store_paths_.at(n); }
 
-    /** @brief Sends a request to gateway `n`. Callable from any thread. */
+    /** @brief Sends a request to gateway `n`. Callable from any thread. @param more Further fields; may set the parts
+     * of the prompt. */
     [[nodiscard]] forward_reply send(std::size_t n, const std::string &kind, const std::string &id,
                                      const std::string &key = "key-1", http::field_list more = {}) const;
 
