Hold back requests with parts of prompts that crash engines

Callers saw failed and refused requests of all kinds while one engine after the other ended: each of a series of different requests with one part in common crashed the engine it was sent to, and nothing connected the end of an engine with the prompts that were running there.

prompt_quarantine records the shared parts of the prompts that an end cuts off. A part that was at three ends, half a second apart, and never in an answer that went on is held for ten minutes, then longer; parts answered before need five. Ends that a held part explains do not count for others, and an answer releases a part at once. Gateways exchange observations and holds through the store. Held requests are refused as not run; a request whose part is suspected is not repeated after it was cut off.

A stream that ends before its first event is a failure now: on an answer without length it looked like an empty success.

--- a/src/gateway/events.hpp
+++ b/src/gateway/events.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -9,6 +11,7 @@
 #include "base/ring.hpp"
 #include "dispatch/events.hpp"
 #include "gateway/backend_server.hpp"
+#include "gateway/crash_report.hpp"
 #include "gateway/shutdown_phase.hpp"
 #include "gateway/traffic_config.hpp"
 #include "http/caller_port.hpp"
@@ -32,6 +35,10 @@
 struct backends_event {
     std::vector<backend_server> all;
 };
+/** Observations of other gateways; none for a gateway whose object has been erased. */
+struct crash_reports_event {
+    std::vector<std::pair<std::string, std::optional<crash_report>>> reports;
+};
 struct gateways_event {
     std::uint32_t count{1};
 };
@@ -43,7 +50,7 @@
 };
 
 using gateway_event = std::variant<arrival_event, head_event, data_event, end_event, config_event, backends_event,
-                                   gateways_event, settings_event, stop_event>;
+                                   crash_reports_event, gateways_event, settings_event, stop_event>;
 
 /** @brief Queue of the forwarder's thread. When it is full, new requests are refused and other producers block. */
 using event_ring = base::bounded_ring<gateway_event>;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -30,8 +30,11 @@
     : settings_{std::move(settings)}, deps_{std::move(deps)}, table_{deps_.time, settings_.health},
       placement_{deps_.time, table_, deps_.random, settings_.places}, retry_schedule_{deps_.time}, waits_{deps_.time},
       budget_{deps_.time, settings_.retries}, retries_{deps_.time, budget_, deps_.random, internal::retry_options},
-      context_{deps_.time, deps_.metrics, deps_.backends, deps_.protocol,  deps_.starts, settings_.failure_domain,
-               stop_,      table_,        placement_,     retry_schedule_, waits_,       budget_},
+      quarantine_{deps_.time, settings_.quarantine}, context_{deps_.time,      deps_.metrics, deps_.backends,
+                                                              deps_.protocol,  deps_.starts,  settings_.failure_domain,
+                                                              stop_,           table_,        placement_,
+                                                              retry_schedule_, waits_,        budget_,
+                                                              quarantine_},
       engine_{{deps_.time, deps_.metrics, deps_.backends, retries_}} {}
 
 void forwarder::refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const {
@@ -113,6 +116,14 @@
     engine_.place_waiting();
 }
 
+void forwarder::on_crash_report(std::string_view gateway, const std::optional<crash_report> &report) {
+    if (report) {
+        quarantine_.on_report(gateway, *report);
+    } else {
+        quarantine_.on_report_removed(gateway);
+    }
+}
+
 void forwarder::set_gateways(std::uint32_t n) {
     budget_.set_gateways(n);
     table_.set_gateways(n);
@@ -120,12 +131,17 @@
 }
 
 void forwarder::tick() {
+    quarantine_.tick();
+    if (auto report = quarantine_.take_report(); report && deps_.on_crash_report) {
+        deps_.on_crash_report(std::move(*report));
+    }
     engine_.tick();
     const auto now = deps_.time.now();
     if (now >= next_second_) {
         next_second_ = now + internal::second;
         placement_.expire();
         deps_.metrics.set("active_requests", "", static_cast<double>(engine_.size()));
+        deps_.metrics.set("held_prompt_parts", "", static_cast<double>(quarantine_.held_parts()));
         deps_.metrics.set("config_version", "", static_cast<double>(config_version()));
     }
 }
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +15,7 @@
 #include "gateway/backend_table.hpp"
 #include "gateway/opaque_exchange.hpp"
 #include "gateway/placement.hpp"
+#include "gateway/prompt_quarantine.hpp"
 #include "gateway/shutdown_phase.hpp"
 #include "gateway/start_counter.hpp"
 #include "gateway/traffic_config.hpp"
@@ -28,6 +31,7 @@
     std::string failure_domain;
     retry::retry_window_settings retries{};
     placement_settings places{};
+    quarantine_settings quarantine{};
     health_settings health{};
 };
 
@@ -46,6 +50,8 @@
         const backend_protocol &protocol;
         start_counter &starts;
         placement::random_source random; /**< Uniform numbers in [0, 1). */
+        /** Takes new observations about engines that have ended, for other gateways; may be empty. */
+        std::function<void(crash_report)> on_crash_report{};
     };
 
     forwarder(forwarder_settings settings, dependencies deps);
@@ -66,6 +72,9 @@
     void on_config(traffic_config_ptr config);
     void on_backends(const std::vector<backend_server> &all);
 
+    /** @brief Takes the observations of another gateway about engines that have ended; none if it has gone. */
+    void on_crash_report(std::string_view gateway, const std::optional<crash_report> &report);
+
     /** @brief Sets the number of gateways that share the traffic. */
     void set_gateways(std::uint32_t n);
 
@@ -104,6 +113,7 @@
     wait_limiter waits_;
     retry::retry_window budget_;
     retry::retry_policy retries_;
+    prompt_quarantine quarantine_;
     shutdown_phase stop_{shutdown_phase::none};
     const exchange_context context_;
     traffic_config_ptr config_;
--- a/src/gateway/fwd.hpp
+++ b/src/gateway/fwd.hpp
@@ -5,6 +5,7 @@
 class backend_port;
 class backend_protocol;
 class backend_table;
+class crash_report_task;
 class event_splitter;
 class fleet_view;
 class forwarder;
@@ -13,6 +14,7 @@
 class placement;
 class prefix_cache_tracker;
 class prefix_reuse_estimator;
+class prompt_quarantine;
 class retry_after_scheduler;
 class start_counter;
 class traffic_config;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -66,11 +66,13 @@
                                                             settings_.bounds.usage_window, internal::kept_windows},
       link_{transfers_, events_, settings_.timings.connect_timeout},
       forwarder_{{.failure_domain = settings_.failure_domain, .retries = internal::retries_of(settings_.bounds)},
-                 {deps_.time, metrics_, link_, deps_.protocol, starts_, internal::uniform_source()}},
+                 {deps_.time, metrics_, link_, deps_.protocol, starts_, internal::uniform_source(),
+                  [this](crash_report it) { crash_reports_.offer(std::move(it)); }}},
       config_{{deps_.codec, deps_.client, [this] { return peers(); },
                [this](traffic_config_ptr it) { events_.push(config_event{std::move(it)}); }}},
       servers_{{deps_.time, deps_.codec, deps_.client, [this] { return peers(); },
-                [this](std::vector<backend_server> all) { events_.push(backends_event{std::move(all)}); }}} {
+                [this](std::vector<backend_server> all) { events_.push(backends_event{std::move(all)}); }}},
+      crash_reports_{{.incarnation = incarnation_}, {deps_.time, deps_.store, deps_.ids}} {
     const feed_settings feed{settings::effective_watch_wait(settings_), settings_.timings.store_retry,
                              internal::change_pause};
     config_feed_ = std::make_unique<store_feed>(
@@ -97,6 +99,16 @@
                       [this](const auto &it) { servers_.on_changes(it); }, [this] { servers_.on_answered(); },
                       [this] { servers_.on_failed(); },
                       [this] { return servers_.longest_wait(settings::effective_watch_wait(settings_)); }});
+    crash_feed_ = std::make_unique<store_feed>(deps_.store, std::string{crash_reports_prefix}, feed,
+                                               feed_handlers{[this](const auto &all) {
+                                                                 std::vector<store::watch_event> changes;
+                                                                 for (const auto &it : all) {
+                                                                     changes.push_back({it, false});
+                                                                 }
+                                                                 on_crash_objects(changes);
+                                                             },
+                                                             [this](const auto &changes) { on_crash_objects(changes); },
+                                                             [] {}, [] {}});
 }
 
 gateway_daemon::~gateway_daemon() {
@@ -130,6 +142,8 @@
     forward_thread_ = std::thread{[this] { run_forwarder(); }};
     config_feed_->start();
     server_feed_->start();
+    crash_feed_->start();
+    crash_reports_.start();
     members_->start();
     if (deps_.duties != nullptr) {
         lease_ =
@@ -203,6 +217,28 @@
     return out;
 }
 
+void gateway_daemon::on_crash_objects(std::span<const store::watch_event> changes) {
+    crash_reports_event out;
+    for (const auto &it : changes) {
+        if (it.item.key == crash_reports_.own_key()) {
+            continue;
+        }
+        if (it.deleted) {
+            out.reports.emplace_back(it.item.key, std::nullopt);
+            continue;
+        }
+        crash_reports_.on_object(it.item.key, it.item.version);
+        if (auto report = parse_crash_report(it.item)) {
+            out.reports.emplace_back(it.item.key, std::move(report.value()));
+        } else {
+            log::write("crash_report_unreadable", {{"object", it.item.key}, {"reason", report.error().message}});
+        }
+    }
+    if (!out.reports.empty()) {
+        events_.push(std::move(out));
+    }
+}
+
 void gateway_daemon::record_store_answer(bool answered) {
     if (store_answers_.exchange(answered) != answered) {
         log::write(answered ? log::event{"store_recovered"} : log::event{"store_unavailable"},
@@ -218,6 +254,11 @@
                    [this](const end_event &it) { forwarder_.on_end(it.call, it.how, it.answer); },
                    [this](config_event &it) { forwarder_.on_config(std::move(it.config)); },
                    [this](const backends_event &it) { forwarder_.on_backends(it.all); },
+                   [this](const crash_reports_event &it) {
+                       for (const auto &[gateway, report] : it.reports) {
+                           forwarder_.on_crash_report(gateway, report);
+                       }
+                   },
                    [this](const gateways_event &it) { forwarder_.set_gateways(it.count); },
                    [this](const settings_event &it) { forwarder_.set_retries(it.retries); },
                    [this](const stop_event &it) { forwarder_.stop(it.how); },
@@ -276,6 +317,7 @@
 void gateway_daemon::stop_feeds() {
     config_feed_->request_stop();
     server_feed_->request_stop();
+    crash_feed_->request_stop();
     if (duty_thread_) {
         duty_thread_->stop();
         // Releases the lease so that the next holder need not wait for the end of the term; retried until the limit in
@@ -284,6 +326,8 @@
     }
     config_feed_->stop();
     server_feed_->stop();
+    crash_feed_->stop();
+    crash_reports_.stop();
 }
 
 void gateway_daemon::stop_threads() {
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -8,6 +8,7 @@
 #include "base/clock.hpp"
 #include "base/id.hpp"
 #include "gateway/config_source.hpp"
+#include "gateway/crash_report_task.hpp"
 #include "gateway/events.hpp"
 #include "gateway/forwarder.hpp"
 #include "gateway/http_backend_port.hpp"
@@ -39,8 +40,8 @@
 /**
  * @brief The gateway process: listeners, the forwarder's thread, store feeds and background tasks.
  *
- * Threads: four listeners (libmicrohttpd), transfers (libcurl), forwarder, configuration, discovery, membership, lease,
- * usage.
+ * Threads: four listeners (libmicrohttpd), transfers (libcurl), forwarder, configuration, discovery, crash reports (one
+ * that reads, one that writes), membership, lease, usage.
  */
 class gateway_daemon {
 public:
@@ -75,6 +76,7 @@
     [[nodiscard]] http::response answer_peer(const http::request &message) const;
     [[nodiscard]] std::optional<member_record> ask_member(std::string_view address) const;
     [[nodiscard]] std::vector<std::string> peers() const;
+    void on_crash_objects(std::span<const store::watch_event> changes);
     void record_store_answer(bool answered);
     void run_forwarder();
     void handle(gateway_event &event);
@@ -96,6 +98,8 @@
     std::atomic<bool> store_answers_{true};
     std::unique_ptr<store_feed> config_feed_;
     std::unique_ptr<store_feed> server_feed_;
+    crash_report_task crash_reports_;
+    std::unique_ptr<store_feed> crash_feed_;
     std::unique_ptr<member_task> members_;
     std::atomic<const member_task *> published_members_{nullptr}; /**< For the peers' listener, which starts first. */
     std::unique_ptr<lease::lease_thread> lease_;
--- a/src/gateway/member_task.cpp
+++ b/src/gateway/member_task.cpp
@@ -4,7 +4,6 @@
 
 #include "base/interruptible_wait.hpp"
 #include "log/event.hpp"
-#include "store/settled_write.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -16,7 +15,9 @@
 } // namespace internal
 
 member_task::member_task(member_settings settings, dependencies deps)
-    : settings_{std::move(settings)}, deps_{std::move(deps)} {}
+    : settings_{std::move(settings)}, deps_{std::move(deps)}, own_{deps_.store, deps_.ids,
+                                                                   std::string{members_prefix} +
+                                                                       settings_.incarnation} {}
 
 member_task::~member_task() {
     stop();
@@ -37,10 +38,6 @@
     }
 }
 
-std::string member_task::own_key() const {
-    return std::string{members_prefix} + settings_.incarnation;
-}
-
 std::vector<std::string> member_task::peers() const {
     const std::scoped_lock lock{mutex_};
     return peers_;
@@ -53,17 +50,11 @@
 }
 
 bool member_task::publish() {
-    const auto written = store::settled_write(deps_.store, deps_.ids, own_key(), to_json(record()), version_);
-    if (written) {
-        version_ = written.value();
-        return true;
-    }
-    log::write("member_write_failed", {{"reason", written.error().code}, {"version", version_}});
-    // No other gateway writes this object, so it is either an earlier write of ours or was deleted by the clean-up.
-    if (const auto found = deps_.store.get(own_key())) {
-        version_ = found.value() ? found.value()->version : store::absent;
+    const auto written = own_.write(to_json(record()));
+    if (!written) {
+        log::write("member_write_failed", {{"reason", written.error().code}, {"version", own_.version()}});
     }
-    return false;
+    return written.has_value();
 }
 
 void member_task::refresh_members() {
@@ -82,12 +73,12 @@
         const bool changed = before == seen_.end() || before->second.version != item.version;
         auto &it = seen[item.key];
         it = changed ? observed_version{item.version, now} : before->second;
-        if (item.key == own_key() || now - it.changed_at > settings_.record_ttl) {
+        if (item.key == own_.key() || now - it.changed_at > settings_.record_ttl) {
             continue;
         }
         if (const auto record = parse_member(item)) {
             ++live;
-            preceding += item.key < own_key() ? 1U : 0U;
+            preceding += item.key < own_.key() ? 1U : 0U;
             others.push_back(record.value().peer_address);
         } else {
             log::write("member_unreadable", {{"object", item.key}, {"reason", record.error().message}});
--- a/src/gateway/member_task.hpp
+++ b/src/gateway/member_task.hpp
@@ -12,6 +12,7 @@
 #include "base/clock.hpp"
 #include "base/id.hpp"
 #include "gateway/member_record.hpp"
+#include "gateway/own_record.hpp"
 #include "store/object_store.hpp"
 
 namespace dotterelstack::gateway {
@@ -72,11 +73,10 @@
     };
 
     void run(const std::stop_token &token);
-    [[nodiscard]] std::string own_key() const;
 
     const member_settings settings_;
     dependencies deps_;
-    std::uint64_t version_{store::absent};
+    own_record own_;
     std::map<std::string, observed_version> seen_;
     mutable std::mutex mutex_;
     std::vector<std::string> peers_;
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -94,6 +94,9 @@
     if (started_ && !last_event_) {
         return refusal_with("not_resumable", ran_claim::unknown);
     }
+    if (auto why = refusal_for_prompt()) {
+        return std::move(*why);
+    }
     const auto &facts = request_.content.facts;
     const bool first = history().attempt() == 1;
     const auto placed = context_.places.choose({.service = identity().service,
@@ -117,6 +120,24 @@
     return start(placed.plan);
 }
 
+std::optional<dispatch::refusal> opaque_exchange::refusal_for_prompt() const {
+    const auto &prompt = request_.content.facts.prompt;
+    if (const auto hold = context_.quarantine.held(prompt)) {
+        const auto ran = dispatch::ran_claim_of(*this);
+        if (ran == ran_claim::unknown) {
+            return refusal_with("prompt_held", ran);
+        }
+        return dispatch::refusal{503, "prompt_held",
+                                 "engines that began to answer prompts with a part of this one have ended; ask the "
+                                 "operator, or leave out the part",
+                                 ran, hold};
+    }
+    if (history().may_have_run() && context_.quarantine.suspected(prompt)) {
+        return refusal_with("prompt_suspected", ran_claim::unknown);
+    }
+    return std::nullopt;
+}
+
 base::duration opaque_exchange::objective_left() const {
     const auto objective = request_.route->latency_objective;
     const auto left = identity().received + objective - context_.time.now();
@@ -198,8 +219,10 @@
     facts.priority = request_.priority;
     facts.time_left = left;
     backend_ = target.facts.id;
+    incarnation_ = target.facts.id + "@" + std::to_string(target.facts.incarnation_start_ms);
     address_ = target.facts.address;
     first_event_seen_ = false;
+    progress_recorded_ = false;
     start_counted_ = false;
     head_ = {};
     events_ = {};
@@ -219,6 +242,7 @@
                                       {"backend", backend_},
                                       {"events", last_event_at_.has_value()},
                                       {"parts", internal::shared_parts(request_.content.facts.prompt)}});
+        context_.quarantine.on_broken(incarnation_, request_.content.facts.prompt);
     }
     if (probably_began(how)) {
         count_start();
@@ -317,6 +341,12 @@
     return dispatch::call_pending{};
 }
 
+void opaque_exchange::record_progress() {
+    if (!std::exchange(progress_recorded_, true)) {
+        context_.quarantine.on_progress(incarnation_, request_.content.facts.prompt, attempt_started());
+    }
+}
+
 void opaque_exchange::begin_answer() {
     if (!started_) {
         started_ = true;
@@ -342,6 +372,7 @@
     }
     if (last_event_at_) {
         context_.metrics.observe(metrics::timing::between_tokens, of.organisation, of.service, now - *last_event_at_);
+        record_progress();
     } else {
         first_event_after_ = now - of.received;
         record_call_time();
@@ -402,8 +433,8 @@
     handle_address_ = address_;
     prefill_tokens_ = 0;
     const auto *decoder = context_.table.find(decode_backend_);
-    if (decoder == nullptr || decoder->facts.draining) {
-        // The prefill succeeded, but the decode engine has gone, so its state cannot be used.
+    if (decoder == nullptr || decoder->facts.draining || context_.quarantine.held(request_.content.facts.prompt)) {
+        // The prefill succeeded, but its state cannot be used: the decode engine has gone, or the prompt is held.
         return call_failed{{evidence_kind::never_sent}, attempt_outcome::cancelled};
     }
     on_attempt_end(attempt_outcome::answered);
@@ -414,7 +445,9 @@
 
 call_event_result opaque_exchange::after_answer(const http::response &answer) {
     if (answer.status == 200) {
-        if (head_.genuine && !events_.partial()) {
+        // An engine that ends before its first event may close the connection like one that is done.
+        const bool empty_stream = head_.event_stream && !last_event_at_;
+        if (head_.genuine && !events_.partial() && !empty_stream) {
             return dispatch::call_complete{};
         }
         return call_failed{unknown_outcome(), attempt_outcome::broken};
@@ -442,6 +475,7 @@
     }
     context_.metrics.observe(metrics::timing::whole_request, of.organisation, of.service,
                              context_.time.now() - of.received);
+    record_progress();
     if (head_.event_stream) {
         begin_answer();
         of.caller->finish();
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -14,6 +14,7 @@
 #include "gateway/backend_table.hpp"
 #include "gateway/event_splitter.hpp"
 #include "gateway/placement.hpp"
+#include "gateway/prompt_quarantine.hpp"
 #include "gateway/request_facts.hpp"
 #include "gateway/retry_after_scheduler.hpp"
 #include "gateway/shutdown_phase.hpp"
@@ -39,6 +40,7 @@
     retry_after_scheduler &retry_schedule;
     wait_limiter &waits;
     retry::retry_window &retry_budget;
+    prompt_quarantine &quarantine;
 };
 
 /** @brief A caller's request with its route and configuration. */
@@ -85,6 +87,8 @@
 private:
     [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed);
     void end_wait(bool placed);
+    [[nodiscard]] std::optional<dispatch::refusal> refusal_for_prompt() const;
+    void record_progress();
     [[nodiscard]] base::instant admission_limit() const noexcept;
     [[nodiscard]] base::duration retry_after(base::duration free_in) const;
     [[nodiscard]] base::duration objective_left() const;
@@ -131,6 +135,8 @@
     event_splitter events_;
     std::string body_;
     std::optional<http::response> server_answer_; /**< An answer other than 200, to be forwarded. */
+    std::string incarnation_;                     /**< Of the backend server of the last attempt. */
+    bool progress_recorded_{false};               /**< For the last attempt. */
     bool started_{false};                         /**< The caller has received the head. */
     std::optional<std::uint64_t> last_event_;
     std::optional<base::instant> last_event_at_;
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -163,6 +163,16 @@
     {1919, "attempt_broken", severity::info,
      "A connection ended in the middle of an attempt; the ids of the prompt's shared parts.",
      "Look for a part that the attempts have in common when many engines end."},
+    {1920, "prompt_part_held", severity::warning,
+     "Requests whose prompts have this part are refused, because engines that began to answer them have ended.",
+     "Ask the callers for the requests with this part; it is tried again after the hold."},
+    {1921, "prompt_part_released", severity::info, "Requests whose prompts have this part may run again.", "none"},
+    {1922, "crash_report_failed", severity::warning,
+     "Observations about engines that have ended were not written for the other gateways.",
+     "Check the store if this repeats."},
+    {1923, "crash_report_unreadable", severity::warning,
+     "A gateway's observations about engines that have ended could not be decoded.",
+     "Run the same release of the program everywhere."},
 });
 
 } // namespace dotterelstack::log
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -235,6 +235,44 @@
     CHECK(caller->aborted);
 }
 
+// Guards against an empty success from an engine that ends as it begins to answer, on an answer without length.
+TEST_CASE("a stream that ends before its first event is not complete") {
+    forwarder_fixture it;
+    it.configure();
+    it.populate();
+    const auto caller = it.send("/query/1");
+    it.begin_stream();
+    it.end(call_end::complete);
+    CHECK(caller->status() == 502);
+}
+
+// Guards against requests that go on ending engines, and against a false "not run" for the one that has just run.
+TEST_CASE("requests with a part that engines end on are refused as not run, others are served") {
+    forwarder_fixture it;
+    it.configure();
+    const auto with = [](std::string part, int own) -> http::field_list {
+        return {{"Prompt-Prefix", "a1:100," + part + ":100,f" + std::to_string(own) + ":100"}};
+    };
+    for (int n = 0; n < 3; ++n) {
+        it.subject.on_backends({test::server("engine-" + std::to_string(n), "llm", gateway::engine_stage::decode, 12)});
+        const auto caller = it.send("/query/1", with("bad", n));
+        it.begin_stream();
+        it.end(call_end::broken);
+        CHECK(caller->status() == 502);
+        it.clock.advance(600ms);
+        it.subject.tick();
+    }
+    it.clock.advance(500ms);
+    it.subject.tick();
+    it.subject.on_backends({test::server("engine-9", "llm", gateway::engine_stage::decode, 12)});
+    const auto calls = it.backends.calls.size();
+    const auto refused = it.send("/query/1", with("bad", 7));
+    CHECK(refused->status() == 503);
+    CHECK(it.backends.calls.size() == calls);
+    (void)it.send("/query/1", {{"Prompt-Prefix", "a2:100,600d:100,f8:100"}});
+    CHECK(it.backends.calls.size() == calls + 1);
+}
+
 // Guards against engines that generate for disconnected callers, and against cancelling unsafe requests.
 TEST_CASE("streams of disconnected callers are cancelled, unsafe requests are not") {
     forwarder_fixture it;
--- /dev/null
+++ b/test/gateway/prompt_quarantine.cpp
@@ -0,0 +1,243 @@
+#include "gateway/prompt_quarantine.hpp"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+#include "gateway/crash_report_task.hpp"
+#include "store/memory_store.hpp"
+
+using namespace dotterelstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+using prompt = std::vector<gateway::prompt_part>;
+
+constexpr std::uint64_t crashing = 0xbad;
+constexpr std::uint64_t common = 0xc0;
+
+struct fixture {
+    base::manual_clock clock;
+    gateway::prompt_quarantine subject{clock};
+    int next{0};
+
+    /** @return A prompt with these shared parts and one of its own. */
+    prompt of(std::vector<std::uint64_t> shared) {
+        prompt out;
+        for (const auto id : shared) {
+            out.push_back({id, 100});
+        }
+        out.push_back({0x10000U + static_cast<std::uint64_t>(next++), 100});
+        return out;
+    }
+
+    /** An engine ends; the prompts that ran there are cut off. */
+    void engine_ends(const std::vector<std::vector<std::uint64_t>> &running, base::duration after = 600ms) {
+        clock.advance(after);
+        const auto id = "engine-" + std::to_string(next++) + "@1";
+        for (const auto &it : running) {
+            subject.on_broken(id, of(it));
+        }
+        subject.tick();
+    }
+
+    void answer(std::vector<std::uint64_t> shared) {
+        const auto started = clock.now();
+        clock.advance(50ms);
+        subject.on_progress("engine-sound@1", of(std::move(shared)), started);
+        subject.tick();
+    }
+
+    void settle() {
+        clock.advance(400ms);
+        subject.tick();
+    }
+
+    [[nodiscard]] bool held(std::vector<std::uint64_t> shared) {
+        return subject.held(of(std::move(shared))).has_value();
+    }
+};
+
+} // namespace
+
+// Pattern: one part of prompts ends each engine that begins to answer it. Guards against sending such requests on, and
+// against refusing the others that were cut off with them.
+TEST_CASE("a part that was at three ends and was never answered is held, the parts cut off with it are not") {
+    fixture it;
+    for (std::uint64_t n = 0; n < 3; ++n) {
+        CHECK_FALSE(it.held({common, crashing}));
+        it.engine_ends({{common, crashing}, {common, 10 + n}, {20 + n, 30 + n}});
+        it.answer({common});
+    }
+    it.settle();
+    CHECK(it.held({common, crashing}));
+    CHECK(it.held({crashing, 55}));
+    CHECK_FALSE(it.held({common, 10}));
+    CHECK_FALSE(it.held({22, 32}));
+    CHECK(it.subject.held_parts() == 1);
+}
+
+// Guards against a shared part whose requests are only cut off because the culprit is popular there.
+TEST_CASE("a part answered before is not held while another one explains the ends") {
+    fixture it;
+    it.answer({common});
+    for (int n = 0; n < 8; ++n) {
+        it.engine_ends({{common, crashing}, {common, 7}});
+    }
+    it.settle();
+    CHECK(it.held({crashing}));
+    CHECK_FALSE(it.held({common}));
+}
+
+// Guards against taking the loss of a failure domain, or of all engines at once, for the fault of what ran there.
+TEST_CASE("engines that end at the same moment count as one end") {
+    fixture it;
+    for (int outage = 0; outage < 2; ++outage) {
+        for (int n = 0; n < 12; ++n) {
+            it.engine_ends({{common, 7}, {common, 8}}, n == 0 ? 5s : 1ms);
+        }
+    }
+    it.settle();
+    CHECK_FALSE(it.held({common, 7}));
+}
+
+// Guards against holding the work of engines that go down and up by turns.
+TEST_CASE("a part whose answers go on between ends is never held") {
+    fixture it;
+    for (int n = 0; n < 20; ++n) {
+        it.engine_ends({{common, 7}});
+        it.answer({common, 7});
+    }
+    it.settle();
+    CHECK_FALSE(it.held({common, 7}));
+}
+
+// Guards against counting answers that were cut or garbled by engines that live on.
+TEST_CASE("an engine that answers a later attempt has not ended") {
+    fixture it;
+    for (int n = 0; n < 6; ++n) {
+        const auto id = "engine-" + std::to_string(n) + "@1";
+        it.clock.advance(600ms);
+        it.subject.on_broken(id, it.of({crashing}));
+        it.clock.advance(10ms);
+        const auto started = it.clock.now();
+        it.clock.advance(10ms);
+        it.subject.on_progress(id, it.of({common}), started);
+        it.subject.tick();
+    }
+    it.settle();
+    CHECK_FALSE(it.held({crashing}));
+}
+
+// Guards against engines that end so quickly one after the other that they seem to have one cause.
+TEST_CASE("ends without a pause between them count again after a while") {
+    fixture it;
+    for (int n = 0; n < 15; ++n) {
+        it.engine_ends({{common, crashing}}, 100ms);
+        it.answer({common});
+    }
+    it.settle();
+    CHECK(it.held({crashing}));
+    CHECK_FALSE(it.held({common}));
+}
+
+// Guards against a second part that hides behind the first.
+TEST_CASE("two parts that crash engines are both held") {
+    fixture it;
+    for (int n = 0; n < 4; ++n) {
+        it.engine_ends({{common, crashing}});
+        it.engine_ends({{common, 0xbad2}});
+        it.answer({common});
+    }
+    it.settle();
+    CHECK(it.held({crashing}));
+    CHECK(it.held({0xbad2}));
+    CHECK_FALSE(it.held({common}));
+}
+
+// Guards against a repeat that ends one more engine while the part is not certain yet.
+TEST_CASE("requests with a part that was at two ends and never answered are not repeated") {
+    fixture it;
+    it.answer({common});
+    it.engine_ends({{common, crashing}});
+    CHECK_FALSE(it.subject.suspected(it.of({common, crashing})));
+    it.engine_ends({{common, crashing}});
+    CHECK(it.subject.suspected(it.of({common, crashing})));
+    CHECK_FALSE(it.subject.suspected(it.of({common, 7})));
+}
+
+// Guards against a gateway that must lose engines of its own before it believes, and against one that starts later.
+TEST_CASE("gateways share their observations and holds") {
+    fixture one;
+    fixture other;
+    other.next = 100; // Names other engines.
+    one.engine_ends({{crashing}});
+    other.engine_ends({{crashing}});
+    one.engine_ends({{crashing}});
+    one.clock.advance(600ms);
+    one.subject.on_report("other", other.subject.take_report().value());
+    one.settle();
+    CHECK(one.held({crashing}));
+    const auto report = one.subject.take_report().value();
+    CHECK_FALSE(one.subject.take_report());
+    fixture fresh;
+    fresh.subject.on_report("one", report);
+    CHECK(fresh.held({crashing}));
+    // An answer, wherever, ends the hold everywhere; the same report read again does not renew it.
+    other.subject.on_report("one", report);
+    other.answer({crashing});
+    CHECK_FALSE(other.held({crashing}));
+    fresh.subject.on_report("other", other.subject.take_report().value());
+    CHECK_FALSE(fresh.held({crashing}));
+    fresh.subject.on_report("one", report);
+    CHECK_FALSE(fresh.held({crashing}));
+}
+
+// Guards against a hold without end, and against losing several engines at each trial.
+TEST_CASE("a hold ends by time, and one more end renews it for longer") {
+    fixture it;
+    for (int n = 0; n < 3; ++n) {
+        it.engine_ends({{crashing}});
+    }
+    it.settle();
+    CHECK(it.subject.held(it.of({crashing})).value() <= 10min);
+    it.clock.advance(11min);
+    it.subject.tick();
+    CHECK_FALSE(it.held({crashing}));
+    it.engine_ends({{crashing}});
+    it.settle();
+    CHECK(it.subject.held(it.of({crashing})).value() > 19min);
+}
+
+// Guards against reports that cannot be read back, and against objects that stay for good.
+TEST_CASE("crash reports are stored under the gateway's incarnation and erased when they are empty or old") {
+    base::manual_clock clock;
+    store::memory_store store;
+    base::id_source ids{1};
+    gateway::crash_report_task subject{{.incarnation = "me"}, {clock, store, ids}};
+    subject.offer({{7, gateway::observation_kind::ended, "engine-1@5", {crashing, ~std::uint64_t{0}}},
+                   {8, gateway::observation_kind::held, "", {crashing}}});
+    store.set_faults_once({.outage = true});
+    CHECK_FALSE(subject.publish());
+    CHECK(subject.publish());
+    const auto found = store.get(subject.own_key()).value();
+    REQUIRE(found);
+    const auto back = gateway::parse_crash_report(*found);
+    REQUIRE(back);
+    REQUIRE(back.value().size() == 2);
+    CHECK(back.value()[0].server == "engine-1@5");
+    CHECK(back.value()[0].parts == std::vector<std::uint64_t>{crashing, ~std::uint64_t{0}});
+    CHECK(back.value()[1].kind == gateway::observation_kind::held);
+    REQUIRE(store.put("crash-reports/gone", "{}", store::absent));
+    subject.on_object("crash-reports/gone", store.revision());
+    clock.advance(19min);
+    subject.clean_up();
+    CHECK(store.get("crash-reports/gone").value());
+    clock.advance(2min);
+    subject.clean_up();
+    CHECK_FALSE(store.get("crash-reports/gone").value());
+    subject.offer({});
+    CHECK(subject.publish());
+    CHECK_FALSE(store.get(subject.own_key()).value());
+}
