Send nothing new to servers that say in an answer that they are leaving

Servers name their leaving in all answers; gateways looked only at discovery, which may say "ready" for seconds more, and sent on. The table of backend servers now closes an incarnation at the first such answer, whatever its status, and keeps that while its entry comes and goes.

With the call in opaque_exchange taken out, both new cases in processes and of the forwarder fail; with it they pass.

--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -6,6 +6,7 @@
 
 #include "base/seconds.hpp"
 #include "gateway/prefix_cache_tracker.hpp"
+#include "log/event.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -15,6 +16,8 @@
 constexpr double assumed_successes = 2;
 // Window, in samples, of the mean of pending prefill tokens per own request.
 constexpr std::uint32_t prefill_samples = 50;
+// Time for which an incarnation that is leaving is remembered after its entry was last seen.
+constexpr auto leaving_memory = std::chrono::minutes{10};
 // Fraction of the average load that is assumed at a server without a recent report. A missing report often means that
 // the server is idle, since reports come with answers.
 constexpr double unreported_load_fraction = 0.25;
@@ -45,6 +48,11 @@
         state.facts = it;
     }
     std::erase_if(states_, [&seen](const auto &it) { return !seen.contains(it.first); });
+    const auto now = time_.now();
+    for (auto &[id, it] : leaving_) {
+        it.last_seen = seen.contains(id) ? now : it.last_seen;
+    }
+    std::erase_if(leaving_, [now](const auto &it) { return now - it.second.last_seen > internal::leaving_memory; });
     services_.clear();
     for (const auto &[id, it] : states_) {
         services_[it.facts.service].push_back(&it);
@@ -79,15 +87,31 @@
     out.reserve(found->second.size());
     for (const auto *it : found->second) {
         const bool paused = it->paused_until && (now < *it->paused_until || it->probing);
-        if (!it->facts.draining && !paused) {
+        if (accepts(*it) && !paused) {
             out.push_back(it);
         }
     }
     return out;
 }
 
+bool backend_table::accepts(const backend_state &it) const {
+    const auto found = leaving_.find(it.facts.id);
+    const bool leaves = found != leaving_.end() && found->second.incarnation_start_ms == it.facts.incarnation_start_ms;
+    return !it.facts.draining && !leaves;
+}
+
+void backend_table::leaving(std::string_view id) {
+    const auto *it = find(id);
+    const auto born = it == nullptr ? 0 : it->facts.incarnation_start_ms;
+    const auto [entry, added] = leaving_.try_emplace(std::string{id});
+    if (added || entry->second.incarnation_start_ms != born) {
+        log::write("server_leaving", {{"server", id}, {"born", born}});
+    }
+    entry->second = {born, time_.now()};
+}
+
 bool backend_table::any_accepting() const noexcept {
-    return std::ranges::any_of(states_, [](const auto &it) { return !it.second.facts.draining; });
+    return std::ranges::any_of(states_, [this](const auto &it) { return accepts(it.second); });
 }
 
 void backend_table::running_mean::add(double sample) noexcept {
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -67,7 +67,10 @@
     /** @return The state of a backend server, or null. */
     [[nodiscard]] const backend_state *find(std::string_view id) const;
 
-    /** @return Backend servers of a service that accept new requests: neither draining nor in back-off. */
+    /** @return True unless the server is draining, by its entry or by its own answers. */
+    [[nodiscard]] bool accepts(const backend_state &it) const;
+
+    /** @return Backend servers of a service that accept new requests and are not in back-off. */
     [[nodiscard]] std::vector<const backend_state *> available(std::string_view service) const;
 
     /** @return True when at least one backend server is not draining. */
@@ -86,6 +89,12 @@
     /** @return True when the server has requests in progress, but nothing was heard for far longer than expected. */
     [[nodiscard]] bool silent(const backend_state &it) const;
 
+    /**
+     * @brief The server has answered that it is leaving. It gets no new requests from then on, whatever discovery says,
+     * until a later incarnation appears.
+     */
+    void leaving(std::string_view id);
+
     /** @brief The prefill of an attempt has ended. */
     void prefill_done(std::string_view id, double prefill_tokens);
 
@@ -134,6 +143,11 @@
         running_mean pending_prefill; /**< Pending prefill tokens per own request. */
     };
 
+    struct leaving_server {
+        std::uint64_t incarnation_start_ms{0};
+        base::instant last_seen{};
+    };
+
     [[nodiscard]] backend_state *find_mutable(std::string_view id);
     [[nodiscard]] bool has_report(const backend_state &it) const;
     [[nodiscard]] stage_totals &totals_of(const backend_state &it) { return stages_.at(stage_index(it)); }
@@ -150,6 +164,8 @@
     std::map<std::string, backend_state, std::less<>> states_;
     std::map<std::string, std::vector<const backend_state *>, std::less<>> services_; /**< Servers by service. */
     std::array<stage_totals, engine_stages> stages_{};                                /**< By stage. */
+    /** Incarnations that have answered that they are leaving; kept while their entries come and go. */
+    std::map<std::string, leaving_server, std::less<>> leaving_;
     std::uint32_t gateways_{1};
 };
 
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -309,6 +309,10 @@
     if (head_.load) {
         context_.table.reported(backend_, *head_.load);
     }
+    if (head_.leaving) {
+        context_.metrics.count("leaving_answers_total", "service=\"" + identity().service + "\"");
+        context_.table.leaving(backend_);
+    }
 }
 
 call_event_result opaque_exchange::on_head(int status, const http::field_list &fields) {
@@ -433,7 +437,8 @@
     handle_address_ = address_;
     prefill_tokens_ = 0;
     const auto *decoder = context_.table.find(decode_backend_);
-    if (decoder == nullptr || decoder->facts.draining || context_.quarantine.held(request_.content.facts.prompt)) {
+    if (decoder == nullptr || !context_.table.accepts(*decoder) ||
+        context_.quarantine.held(request_.content.facts.prompt)) {
         // The prefill succeeded, but its state cannot be used: the decode engine has gone, or the prompt is held.
         return call_failed{{evidence_kind::never_sent}, attempt_outcome::cancelled};
     }
--- a/src/gateway/request_facts.hpp
+++ b/src/gateway/request_facts.hpp
@@ -62,6 +62,7 @@
     bool other_request{false}; /**< The answer is for a different request. */
     bool not_run{false};       /**< The backend server states that the request did not run and will not. */
     bool other_server{false};  /**< The address now belongs to another incarnation. */
+    bool leaving{false};       /**< The backend server that answered will stop soon and wants no new requests. */
     bool event_stream{false};
     std::optional<reported_load> load;
     http::field_list fields; /**< Fields to forward to the caller. */
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -173,6 +173,8 @@
     {1923, "crash_report_unreadable", severity::warning,
      "A gateway's observations about engines that have ended could not be decoded.",
      "Run the same release of the program everywhere."},
+    {1924, "server_leaving", severity::info,
+     "A backend server has answered that it is leaving; it gets no new requests.", "none"},
 });
 
 } // namespace dotterelstack::log
--- a/standin/runner/main.cpp
+++ b/standin/runner/main.cpp
@@ -23,6 +23,7 @@
     std::string failure_domain;
     std::string stage;      /**< Empty for a plain service. */
     std::string crash_part; /**< Id of a part of a prompt; the runner ends when it begins to answer such a prompt. */
+    bool leaves_quietly{false}; /**< Does not report in its entry that it leaves. */
     std::size_t slots{6};
     std::size_t queue{6};
     milliseconds work{5};
@@ -76,7 +77,7 @@
                  {"Zone", options_.failure_domain},
                  {"Version", "v1"},
                  {"Slots", options_.slots},
-                 {"State", draining_ ? "draining" : "ready"},
+                 {"State", draining_ && !options_.leaves_quietly ? "draining" : "ready"},
                  {"ColdRemainingMs", 0},
                  {"Sequence", sequence}};
         if (!options_.stage.empty()) {
@@ -108,9 +109,16 @@
                std::to_string(running_ - std::min(running_, options_.slots)) + "," + std::to_string(options_.slots);
     }
 
+    void add_state(http::field_list &fields) const {
+        fields.push_back({"Instance-Load", load()});
+        if (draining_) {
+            fields.push_back({"Server-Leaving", "1"});
+        }
+    }
+
     void respond(const http::exchange &call, int status, http::field_list fields, std::string body) const {
         fields.push_back({"Attempt-Id", field(call.message(), "Attempt-Id")});
-        fields.push_back({"Instance-Load", load()});
+        add_state(fields);
         call.respond({status, std::move(fields), std::move(body)});
     }
 
@@ -151,10 +159,10 @@
         }
         {
             const std::scoped_lock lock{mutex_};
-            it->call.start(200, {{"Content-Type", "text/event-stream"},
-                                 {"Response-Signature", options_.id},
-                                 {"Attempt-Id", it->id},
-                                 {"Instance-Load", load()}});
+            http::field_list fields{
+                {"Content-Type", "text/event-stream"}, {"Response-Signature", options_.id}, {"Attempt-Id", it->id}};
+            add_state(fields);
+            it->call.start(200, std::move(fields));
         }
         next_event(it);
     }
@@ -218,6 +226,7 @@
     add("failure-domain", "failure domain", cxxopts::value<std::string>()->default_value("east"));
     add("stage", "prefill or decode; none for a plain service", cxxopts::value<std::string>()->default_value(""));
     add("crash-part", "part of a prompt that ends the runner", cxxopts::value<std::string>()->default_value(""));
+    add("leave-quietly", "say only in answers that it leaves");
     add("slots", "requests at once", cxxopts::value<std::size_t>()->default_value("6"));
     add("work-ms", "time before the answer", cxxopts::value<int>()->default_value("5"));
     add("event-ms", "time between events", cxxopts::value<int>()->default_value("2"));
@@ -232,6 +241,7 @@
                         .failure_domain = text("failure-domain"),
                         .stage = text("stage"),
                         .crash_part = text("crash-part"),
+                        .leaves_quietly = args.count("leave-quietly") > 0,
                         .slots = args["slots"].as<std::size_t>(),
                         .work = ms("work-ms"),
                         .between_events = ms("event-ms")}};
--- a/test/gateway/backend_table.cpp
+++ b/test/gateway/backend_table.cpp
@@ -124,3 +124,25 @@
     CHECK(it.subject.available("desk").empty());
     CHECK_FALSE(it.subject.any_accepting());
 }
+
+// Guards against a stale entry, or one that vanishes and returns, that brings a leaving server back; and against
+// shutting out the process that is started under the same id.
+TEST_CASE("a server that said that it is leaving is not used again until a later incarnation appears") {
+    fixture it;
+    auto a = test::server("a", "desk");
+    const auto b = test::server("b", "desk");
+    a.incarnation_start_ms = 5;
+    it.subject.update({a, b});
+    it.subject.leaving("a");
+    CHECK(it.subject.available("desk").size() == 1);
+    CHECK(it.subject.any_accepting());
+    it.subject.update({b});
+    it.clock.advance(1min);
+    it.subject.update({a, b});
+    CHECK_FALSE(it.subject.accepts(it.state("a")));
+    CHECK(it.subject.available("desk").size() == 1);
+    a.incarnation_start_ms = 6;
+    it.subject.update({a, b});
+    CHECK(it.subject.accepts(it.state("a")));
+    CHECK(it.subject.available("desk").size() == 2);
+}
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -235,6 +235,32 @@
     CHECK(caller->aborted);
 }
 
+// Guards against answers of all kinds that are not examined for the notice: refusals, heads of streams that break off.
+TEST_CASE("a server that says in any answer that it is leaving gets no new request") {
+    const auto leaves_after = [](auto answer) {
+        forwarder_fixture it;
+        it.configure();
+        it.populate();
+        (void)it.send("/query/1");
+        const auto address = it.last().address;
+        answer(it);
+        bool used = false;
+        for (int n = 0; n < 8; ++n) {
+            (void)it.send("/query/1");
+            used = used || it.last().address == address;
+        }
+        return !used;
+    };
+    const http::field leaving{"Server-Leaving", "1"};
+    CHECK(leaves_after([&](auto &it) { it.answer(503, {leaving, {"Not-Executed", "1"}}); }));
+    CHECK(leaves_after([&](auto &it) { it.answer(421, {leaving}); }));
+    CHECK(leaves_after([&](auto &it) { it.answer(500, {leaving}); }));
+    CHECK(leaves_after([&](auto &it) {
+        it.subject.on_head(it.last().call, 200, {leaving, {"Attempt-Id", "a1"}, {"Response-Signature", "s"}});
+        it.end(call_end::broken);
+    }));
+}
+
 // Guards against an empty success from an engine that ends as it begins to answer, on an answer without length.
 TEST_CASE("a stream that ends before its first event is not complete") {
     forwarder_fixture it;
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -117,6 +117,25 @@
     CHECK(n > 20);
 }
 
+// Guards against requests for a server that has said that it leaves, while its entry still says otherwise.
+TEST_CASE("a server that answers that it is leaving gets no new requests") {
+    test::forward_site it;
+    it.configure({"key-1"});
+    it.start_runner("desk-1", "", {"--leave-quietly", "--leave-ms", "20000"});
+    it.start_runner("desk-2", "");
+    it.start_gateway(0);
+    const auto server_of = [&it](const std::string &id) { return it.send(0, "read", id).field("Response-Signature"); };
+    REQUIRE(eventually([&] { return server_of("probe1") == "desk-1"; }));
+    REQUIRE(eventually([&] { return server_of("probe2") == "desk-2"; }));
+    it.runner("desk-1").signal(SIGTERM);
+    const auto hears = [&it] { return !it.send(0, "read", "hear").field("Server-Leaving").empty(); };
+    REQUIRE(eventually(hears));
+    for (int n = 0; n < 60; ++n) {
+        CHECK(server_of("after" + std::to_string(n)) == "desk-2");
+        std::this_thread::sleep_for(50ms);
+    }
+}
+
 // Guards against requests cut by a planned stop, and against a process that outlives its grace.
 TEST_CASE("SIGTERM cuts no request and ends the process within the grace") {
     fixture it;
--- a/test/promise/promise_15_crashing_prompt.cpp
+++ b/test/promise/promise_15_crashing_prompt.cpp
@@ -43,7 +43,7 @@
         }));
     }
 
-    void start_engine() { start_runner("engine-" + std::to_string(next_++), "decode", "badbad"); }
+    void start_engine() { start_runner("engine-" + std::to_string(next_++), "decode", {"--crash-part", "badbad"}); }
 
     /** Starts engines that have ended again after a while. */
     void restart_engines() {
--- a/test/support/forward_site.cpp
+++ b/test/support/forward_site.cpp
@@ -46,14 +46,12 @@
     std::filesystem::remove_all(folder_, ec);
 }
 
-void forward_site::start_runner(const std::string &id, const std::string &stage, const std::string &crash_part) {
+void forward_site::start_runner(const std::string &id, const std::string &stage, const std::vector<std::string> &more) {
     std::vector<std::string> arguments{"--store", store_, "--id", id, "--service", stage.empty() ? "desk" : "llm"};
     if (!stage.empty()) {
         arguments.insert(arguments.end(), {"--stage", stage});
     }
-    if (!crash_part.empty()) {
-        arguments.insert(arguments.end(), {"--crash-part", crash_part});
-    }
+    arguments.insert(arguments.end(), more.begin(), more.end());
     runners_[id] = std::make_unique<child_process>("standin_runner", arguments);
     (void)runners_[id]->address("runner");
 }
--- a/test/support/forward_site.hpp
+++ b/test/support/forward_site.hpp
@@ -35,9 +35,9 @@
     /**
      * @brief Starts a runner.
      * @param stage Empty for the booking service.
-     * @param crash_part Part of a prompt that ends the runner when it begins to answer; none if empty.
+     * @param more Further options of `standin_runner`.
      */
-    void start_runner(const std::string &id, const std::string &stage, const std::string &crash_part = "");
+    void start_runner(const std::string &id, const std::string &stage, const std::vector<std::string> &more = {});
 
     /** @brief Drops the runners that have ended by themselves; what they ran stays known. @return Their ids. */
     std::vector<std::string> drop_ended_runners();
