Leave out servers that ask for a pause until it ends

A server that refuses a request with 503 and Retry-After wants nothing from that gateway for so long; gateways sent on. The table of backend servers keeps the end of the pause for the incarnation, and placement leaves it out, probes included. When all servers of a service pause, requests wait for the first one if their time allows, and are refused at once with its time otherwise. A request that all of them have refused does not wait.

--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -70,7 +71,7 @@
     /** @return True unless the server is draining, by its entry or by its own answers. */
     [[nodiscard]] bool accepts(const backend_state &it) const;
 
-    /** @return Backend servers of a service that accept new requests and are not in back-off. */
+    /** @return Backend servers of a service that accept new requests and are neither in back-off nor pausing. */
     [[nodiscard]] std::vector<const backend_state *> available(std::string_view service) const;
 
     /** @return True when at least one backend server is not draining. */
@@ -95,6 +96,19 @@
      */
     void leaving(std::string_view id);
 
+    /** @brief The server wants no requests from this gateway for a time; the longest of several such times holds. */
+    void asked_for_pause(std::string_view id, base::duration pause);
+
+    /** @return True while a pause that the server has asked for lasts. */
+    [[nodiscard]] bool pausing(const backend_state &it) const;
+
+    /**
+     * @param excluded Ids of servers that are not considered.
+     * @return Time until the first server of the service ends the pause that it has asked for, if any is pausing.
+     */
+    [[nodiscard]] std::optional<base::duration> pause_left(std::string_view service,
+                                                           std::span<const std::string> excluded) const;
+
     /** @brief The prefill of an attempt has ended. */
     void prefill_done(std::string_view id, double prefill_tokens);
 
@@ -143,11 +157,17 @@
         running_mean pending_prefill; /**< Pending prefill tokens per own request. */
     };
 
-    struct leaving_server {
+    /** What an incarnation has said about itself in its answers. */
+    struct server_notice {
         std::uint64_t incarnation_start_ms{0};
-        base::instant last_seen{};
+        base::instant last_seen{}; /**< When its entry was last there. */
+        bool leaving{false};
+        base::instant paused_until{};
     };
 
+    [[nodiscard]] const server_notice *notice_of(const backend_state &it) const;
+    [[nodiscard]] server_notice &make_notice(std::string_view id);
+
     [[nodiscard]] backend_state *find_mutable(std::string_view id);
     [[nodiscard]] bool has_report(const backend_state &it) const;
     [[nodiscard]] stage_totals &totals_of(const backend_state &it) { return stages_.at(stage_index(it)); }
@@ -164,8 +184,7 @@
     std::map<std::string, backend_state, std::less<>> states_;
     std::map<std::string, std::vector<const backend_state *>, std::less<>> services_; /**< Servers by service. */
     std::array<stage_totals, engine_stages> stages_{};                                /**< By stage. */
-    /** Incarnations that have answered that they are leaving; kept while their entries come and go. */
-    std::map<std::string, leaving_server, std::less<>> leaving_;
+    std::map<std::string, server_notice, std::less<>> notices_; /**< Kept while entries come and go. */
     std::uint32_t gateways_{1};
 };
 
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -174,7 +174,8 @@
         return refusal_with("no_backend", ran_claim::unknown);
     }
     const bool full = placed.rejection == placement_rejection::full;
-    const auto wait = full ? placed.free_in : base::duration{internal::default_retry_after};
+    const bool known = full || placed.free_in > base::duration{0};
+    const auto wait = known ? placed.free_in : base::duration{internal::default_retry_after};
     return dispatch::refusal{503, full ? "busy" : "no_backend",
                              "the backend servers of the service are busy; retry later", ran_claim::no,
                              retry_after(wait)};
@@ -313,6 +314,10 @@
         context_.metrics.count("leaving_answers_total", "service=\"" + identity().service + "\"");
         context_.table.leaving(backend_);
     }
+    if (head_.pause) {
+        context_.metrics.count("server_pauses_total", "service=\"" + identity().service + "\"");
+        context_.table.asked_for_pause(backend_, *head_.pause);
+    }
 }
 
 call_event_result opaque_exchange::on_head(int status, const http::field_list &fields) {
@@ -437,9 +442,10 @@
     handle_address_ = address_;
     prefill_tokens_ = 0;
     const auto *decoder = context_.table.find(decode_backend_);
-    if (decoder == nullptr || !context_.table.accepts(*decoder) ||
-        context_.quarantine.held(request_.content.facts.prompt)) {
-        // The prefill succeeded, but its state cannot be used: the decode engine has gone, or the prompt is held.
+    const bool usable = decoder != nullptr && context_.table.accepts(*decoder) && !context_.table.pausing(*decoder);
+    if (!usable || context_.quarantine.held(request_.content.facts.prompt)) {
+        // The prefill succeeded, but its state cannot be used: the decode engine takes no requests, or the
+        // prompt is held.
         return call_failed{{evidence_kind::never_sent}, attempt_outcome::cancelled};
     }
     on_attempt_end(attempt_outcome::answered);
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -339,7 +339,13 @@
 placement_result placement::choose(const placement_request &request) {
     auto usable = table_.available(request.service);
     if (usable.empty()) {
-        return {{}, placement_rejection::no_backend, {}};
+        if (const auto pause = table_.pause_left(request.service, request.excluded)) {
+            return {{}, placement_rejection::full, *pause};
+        }
+        const auto of_tried = table_.pause_left(request.service, {});
+        return {{},
+                of_tried ? placement_rejection::excluded : placement_rejection::no_backend,
+                of_tried.value_or(base::duration{0})};
     }
     std::erase_if(usable, [&request](const auto *it) {
         return std::ranges::find(request.excluded, it->facts.id) != request.excluded.end();
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -101,7 +101,7 @@
 struct placement_result {
     placement_plan plan;
     placement_rejection rejection{placement_rejection::none};
-    base::duration free_in{0}; /**< With `full`: estimated time until a queue place is free. */
+    base::duration free_in{0}; /**< Estimated time until a place is free or a pause ends; 0 if unknown. */
 };
 
 /**
--- a/src/gateway/request_facts.hpp
+++ b/src/gateway/request_facts.hpp
@@ -63,6 +63,8 @@
     bool not_run{false};       /**< The backend server states that the request did not run and will not. */
     bool other_server{false};  /**< The address now belongs to another incarnation. */
     bool leaving{false};       /**< The backend server that answered will stop soon and wants no new requests. */
+    /** Time for which the backend server wants no requests from this gateway; it has not run this one. */
+    std::optional<base::duration> pause;
     bool event_stream{false};
     std::optional<reported_load> load;
     http::field_list fields; /**< Fields to forward to the caller. */
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -175,6 +175,8 @@
      "Run the same release of the program everywhere."},
     {1924, "server_leaving", severity::info,
      "A backend server has answered that it is leaving; it gets no new requests.", "none"},
+    {1925, "server_pausing", severity::info, "A backend server has asked this gateway to send nothing for a time.",
+     "none; look at its load if it repeats."},
 });
 
 } // namespace dotterelstack::log
--- a/standin/runner/main.cpp
+++ b/standin/runner/main.cpp
@@ -34,7 +34,8 @@
  * A runner of the users' platform. Keeps how often each request ran, so that tests can tell whether one ran twice.
  *
  * Faults asked for by the request: the runners named in `Test-Lose` run it and close without an answer; `Test-Break: N`
- * breaks its stream in the middle of the event after N, unless it is resumed.
+ * breaks its stream in the middle of the event after N, unless it is resumed; the runner named in `Test-Busy` refuses
+ * it and asks for a pause of two seconds.
  */
 class runner {
 public:
@@ -51,6 +52,9 @@
         if (field(message, "Expect-Instance") != options_.id) {
             return respond(call, 421, {{"Instance-Id", options_.id}}, "");
         }
+        if (field(message, "Test-Busy") == options_.id) {
+            return respond(call, 503, {{"Not-Executed", "1"}, {"Retry-After", "2"}}, "");
+        }
         if (running_ >= options_.slots + options_.queue) {
             return respond(call, 503, {{"Not-Executed", "1"}}, "");
         }
--- a/test/gateway/backend_table.cpp
+++ b/test/gateway/backend_table.cpp
@@ -146,3 +146,28 @@
     CHECK(it.subject.accepts(it.state("a")));
     CHECK(it.subject.available("desk").size() == 2);
 }
+
+// Guards against a probe in a pause, against a shorter pause that ends a longer one, and against a pause that outlives
+// its server.
+TEST_CASE("a server that asks for a pause is not available until the longest of its pauses ends") {
+    fixture it;
+    it.subject.asked_for_pause("a", 5s);
+    it.subject.asked_for_pause("a", 1s);
+    CHECK(it.subject.available("desk").size() == 1);
+    CHECK(it.subject.accepts(it.state("a")));
+    it.clock.advance(4900ms);
+    CHECK(it.subject.available("desk").size() == 1);
+    it.subject.update({test::server("b", "desk")});
+    it.subject.update({test::server("a", "desk"), test::server("b", "desk")});
+    CHECK(it.subject.available("desk").size() == 1);
+    it.subject.asked_for_pause("b", 3s);
+    CHECK(it.subject.pause_left("desk", {}) == 100ms);
+    it.clock.advance(100ms);
+    CHECK(it.subject.available("desk").size() == 1);
+    it.subject.asked_for_pause("a", 1min);
+    auto next = test::server("a", "desk");
+    next.incarnation_start_ms = 7;
+    it.subject.update({next, test::server("b", "desk")});
+    CHECK(it.subject.available("desk").size() == 1);
+    CHECK_FALSE(it.subject.pausing(it.state("a")));
+}
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -261,6 +261,34 @@
     }));
 }
 
+// Guards against waiting for servers that all ask for a longer pause than the caller has, and against a Retry-After
+// that brings callers back too early.
+TEST_CASE("when all servers of a service ask for a pause, requests wait or are refused at once") {
+    forwarder_fixture it;
+    it.configure();
+    it.populate();
+    const auto refuse_twice = [&it](const std::string &seconds) {
+        const auto caller = it.send("/read/1");
+        it.answer(503, {{"Not-Executed", "1"}, {"Retry-After", seconds}});
+        it.answer(503, {{"Not-Executed", "1"}, {"Retry-After", seconds}});
+        return caller->status();
+    };
+    CHECK(refuse_twice("0.2") == 503);
+    const auto n = it.backends.calls.size();
+    const auto waiting = it.send("/read/1");
+    CHECK(waiting->status() == 0);
+    CHECK(it.backends.calls.size() == n);
+    it.clock.advance(250ms);
+    it.subject.tick();
+    CHECK(it.backends.calls.size() == n + 1);
+    it.answer(200, test::signed_answer);
+    CHECK(waiting->status() == 200);
+    CHECK(refuse_twice("30") == 503);
+    const auto calls = it.backends.calls.size();
+    CHECK(it.send("/read/1")->status() == 503);
+    CHECK(it.backends.calls.size() == calls);
+}
+
 // Guards against an empty success from an engine that ends as it begins to answer, on an answer without length.
 TEST_CASE("a stream that ends before its first event is not complete") {
     forwarder_fixture it;
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -136,6 +136,31 @@
     }
 }
 
+// Guards against requests for a server that has asked for a pause, and against a pause without end.
+TEST_CASE("a server that asks for a pause gets no requests until it ends") {
+    test::forward_site it;
+    it.configure({"key-1"});
+    it.start_runner("desk-1", "");
+    it.start_runner("desk-2", "");
+    it.start_gateway(0);
+    const auto server_of = [&it](const std::string &id) { return it.send(0, "read", id).field("Response-Signature"); };
+    REQUIRE(eventually([&] { return server_of("probe1") == "desk-1"; }));
+    REQUIRE(eventually([&] { return server_of("probe2") == "desk-2"; }));
+    const auto begun = std::chrono::steady_clock::now();
+    int n = 0;
+    // The request is refused by the server only if it is sent there.
+    const auto paused = [&] {
+        const auto answer = it.send(0, "read", "busy" + std::to_string(n++), "key-1", {{"Test-Busy", "desk-1"}});
+        return it.gateway(0).output().find("event=server_pausing") != std::string::npos && answer.status == 200;
+    };
+    REQUIRE(eventually(paused));
+    while (std::chrono::steady_clock::now() < begun + 1700ms) {
+        CHECK(server_of("pause" + std::to_string(n++)) == "desk-2");
+        std::this_thread::sleep_for(20ms);
+    }
+    CHECK(eventually([&] { return server_of("later" + std::to_string(n++)) == "desk-1"; }, 3s));
+}
+
 // Guards against requests cut by a planned stop, and against a process that outlives its grace.
 TEST_CASE("SIGTERM cuts no request and ends the process within the grace") {
     fixture it;
