Tell other gateways of an end only if the engine does not answer

Each broken answer was published at once, and every gateway reads each report; most engines that break an answer off live on.

Before an end is published, the engine is asked for its state; if it answers, the observation stays with this gateway. Reports are collected for a third of the contact time, and answers are published only for parts that were at several ends.

--- a/src/gateway/backend_protocol.hpp
+++ b/src/gateway/backend_protocol.hpp
@@ -34,6 +34,9 @@
     /** @return Value of `attempt_facts::state_source`. */
     [[nodiscard]] virtual std::string state_source(std::string_view address, std::string_view handle) const = 0;
 
+    /** @return Message that any engine answers at once, without a place. */
+    [[nodiscard]] virtual http::request state_query() const = 0;
+
     /** @return Message that frees unused prefilled state. */
     [[nodiscard]] virtual http::request release_handle(std::string_view handle) const = 0;
 };
--- a/src/gateway/backend_server.hpp
+++ b/src/gateway/backend_server.hpp
@@ -33,4 +33,9 @@
     [[nodiscard]] bool operator==(const backend_server &) const = default;
 };
 
+/** @return Name of the incarnation, also where ids are used again. */
+[[nodiscard]] inline std::string incarnation_name(const backend_server &of) {
+    return of.id + "@" + std::to_string(of.incarnation_start_ms);
+}
+
 } // namespace dotterelstack::gateway
--- a/src/gateway/crash_report.hpp
+++ b/src/gateway/crash_report.hpp
@@ -27,6 +27,7 @@
     observation_kind kind{observation_kind::ended};
     std::string server;               /**< Incarnation of the engine that ended. */
     std::vector<std::uint64_t> parts; /**< Ids of shared parts of prompts. */
+    std::string address{};            /**< Where that incarnation was; not stored. */
 };
 
 /** @brief The latest observations of a gateway, oldest first. */
--- a/src/gateway/crash_report_task.cpp
+++ b/src/gateway/crash_report_task.cpp
@@ -9,8 +9,9 @@
 namespace dotterelstack::gateway {
 
 crash_report_task::crash_report_task(crash_report_settings settings, dependencies deps)
-    : settings_{std::move(settings)}, deps_{deps}, own_{deps_.store, deps_.ids,
-                                                        std::string{crash_reports_prefix} + settings_.incarnation} {}
+    : settings_{std::move(settings)}, deps_{std::move(deps)}, own_{deps_.store, deps_.ids,
+                                                                   std::string{crash_reports_prefix} +
+                                                                       settings_.incarnation} {}
 
 crash_report_task::~crash_report_task() {
     stop();
@@ -45,6 +46,21 @@
     }
 }
 
+void crash_report_task::drop_living(crash_report &report) {
+    const auto oldest = report.empty() ? 0 : report.front().number;
+    std::erase_if(living_, [oldest](const auto &it) { return it.first < oldest; });
+    std::erase_if(report, [this](const crash_observation &it) {
+        if (it.kind != observation_kind::ended) {
+            return false;
+        }
+        const auto [found, is_new] = living_.try_emplace(it.number, false);
+        if (is_new) {
+            found->second = deps_.answers(it.address);
+        }
+        return found->second;
+    });
+}
+
 bool crash_report_task::publish() {
     std::optional<crash_report> report;
     {
@@ -54,8 +70,14 @@
     if (!report) {
         return true;
     }
+    drop_living(*report);
+    const auto newest = report->empty() ? 0 : report->back().number;
+    if (newest == written_) {
+        return true;
+    }
     const auto done = report->empty() ? own_.erase() : own_.write(to_json(*report));
     if (done) {
+        written_ = newest;
         return true;
     }
     log::write("crash_report_failed", {{"reason", done.error().code}, {"observations", report->size()}});
--- a/src/gateway/crash_report_task.hpp
+++ b/src/gateway/crash_report_task.hpp
@@ -2,6 +2,7 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -28,13 +29,20 @@
     base::duration clean_every{std::chrono::minutes{1}};
 };
 
-/** @brief Writes this gateway's observations about engines that have ended, and erases those of gateways long gone. */
+/**
+ * @brief Writes this gateway's observations about engines that have ended, and erases those of gateways long gone.
+ *
+ * Engines that live on cut connections, too. Before an end is told to all gateways, the engine is asked for its state;
+ * if it answers, the observation stays with this gateway.
+ */
 class crash_report_task {
 public:
     struct dependencies {
         const base::clock &time;
         store::object_store &store;
         base::id_source &ids;
+        /** Returns true when something answers at the address. */
+        std::function<bool(std::string_view address)> answers;
     };
 
     crash_report_task(crash_report_settings settings, dependencies deps);
@@ -68,10 +76,13 @@
     };
 
     void run(const std::stop_token &token);
+    void drop_living(crash_report &report);
 
     const crash_report_settings settings_;
     dependencies deps_;
-    own_record own_; /**< Used by the thread only. */
+    own_record own_;                       /**< Used by the thread only, like the next two. */
+    std::map<std::uint64_t, bool> living_; /**< By number of the observation: whether the engine answered. */
+    std::uint64_t written_{0};             /**< Number of the newest observation that was written. */
     std::mutex mutex_;
     std::condition_variable_any wake_;
     std::optional<crash_report> offered_;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint64_t kept_windows = 6;
 // Small compared with the limits on applying configurations and removing servers, which are 2 s and more.
 constexpr auto change_pause = std::chrono::milliseconds{250};
+// A part of prompts must be held within the contact time of its fifth end, and is after the third one.
+constexpr int report_pause_divisor = 3;
 constexpr auto stop_poll = std::chrono::milliseconds{50};
 // Retry-After when the event ring is full; the ring drains within this time once load falls.
 constexpr auto overload_wait = std::chrono::milliseconds{500};
@@ -72,7 +74,13 @@
                [this](traffic_config_ptr it) { events_.push(config_event{std::move(it)}); }}},
       servers_{{deps_.time, deps_.codec, deps_.client, [this] { return peers(); },
                 [this](std::vector<backend_server> all) { events_.push(backends_event{std::move(all)}); }}},
-      crash_reports_{{.incarnation = incarnation_}, {deps_.time, deps_.store, deps_.ids}} {
+      crash_reports_{{.incarnation = incarnation_},
+                     {deps_.time, deps_.store, deps_.ids, [this](std::string_view address) {
+                          http::call_options limits;
+                          limits.connect_timeout = settings_.timings.connect_timeout;
+                          limits.timeout = settings_.timings.connect_timeout;
+                          return deps_.client.call(address, deps_.protocol.state_query(), limits).has_value();
+                      }}} {
     const feed_settings feed{settings::effective_watch_wait(settings_), settings_.timings.store_retry,
                              internal::change_pause};
     config_feed_ = std::make_unique<store_feed>(
@@ -99,7 +107,10 @@
                       [this](const auto &it) { servers_.on_changes(it); }, [this] { servers_.on_answered(); },
                       [this] { servers_.on_failed(); },
                       [this] { return servers_.longest_wait(settings::effective_watch_wait(settings_)); }});
-    crash_feed_ = std::make_unique<store_feed>(deps_.store, std::string{crash_reports_prefix}, feed,
+    // Every gateway reads each report, so reports are collected for longer than other changes.
+    auto crash_feed = feed;
+    crash_feed.pause_after_change = settings_.bounds.contact / internal::report_pause_divisor;
+    crash_feed_ = std::make_unique<store_feed>(deps_.store, std::string{crash_reports_prefix}, crash_feed,
                                                feed_handlers{[this](const auto &all) {
                                                                  std::vector<store::watch_event> changes;
                                                                  for (const auto &it : all) {
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -220,7 +220,7 @@
     facts.priority = request_.priority;
     facts.time_left = left;
     backend_ = target.facts.id;
-    incarnation_ = target.facts.id + "@" + std::to_string(target.facts.incarnation_start_ms);
+    incarnation_ = incarnation_name(target.facts);
     address_ = target.facts.address;
     first_event_seen_ = false;
     progress_recorded_ = false;
@@ -243,7 +243,7 @@
                                       {"backend", backend_},
                                       {"events", last_event_at_.has_value()},
                                       {"parts", internal::shared_parts(request_.content.facts.prompt)}});
-        context_.quarantine.on_broken(incarnation_, request_.content.facts.prompt);
+        context_.quarantine.on_broken(incarnation_, address_, request_.content.facts.prompt);
     }
     if (probably_began(how)) {
         count_start();
--- a/src/gateway/prompt_quarantine.cpp
+++ b/src/gateway/prompt_quarantine.cpp
@@ -37,11 +37,12 @@
 prompt_quarantine::prompt_quarantine(const base::clock &time, quarantine_settings settings)
     : time_{time}, settings_{settings} {}
 
-void prompt_quarantine::on_broken(std::string_view server, std::span<const prompt_part> prompt) {
+void prompt_quarantine::on_broken(std::string_view server, std::string_view address,
+                                  std::span<const prompt_part> prompt) {
     auto parts = internal::ids_of(internal::shared(prompt));
     if (!parts.empty()) {
         add_end(server, parts);
-        observe(observation_kind::ended, std::string{server}, parts);
+        observe(observation_kind::ended, std::string{server}, parts, std::string{address});
     }
 }
 
@@ -55,8 +56,11 @@
         const auto mark = marked_.find(it.id);
         const bool counts_against = mark != marked_.end() && mark->second < started;
         if (counts_against || held_.contains(it.id)) {
+            // Other gateways need to know only of parts that they may come to hold.
+            if (held_.contains(it.id) || suspects_.contains(it.id)) {
+                cleared.push_back(it.id);
+            }
             add_sound(it.id);
-            cleared.push_back(it.id);
         } else if (mark == marked_.end()) {
             sound_[it.id] = now;
         }
@@ -106,7 +110,10 @@
 }
 
 bool prompt_quarantine::suspected(std::span<const prompt_part> prompt) const {
-    return std::ranges::any_of(internal::shared(prompt), [this](const auto &it) { return suspects_.contains(it.id); });
+    return std::ranges::any_of(internal::shared(prompt), [this](const auto &it) {
+        const auto found = suspects_.find(it.id);
+        return found != suspects_.end() && !found->second;
+    });
 }
 
 void prompt_quarantine::add_end(std::string_view server, std::span<const part_id> parts) {
@@ -146,14 +153,15 @@
     }
 }
 
-void prompt_quarantine::observe(observation_kind kind, std::string server, std::span<const part_id> parts) {
+void prompt_quarantine::observe(observation_kind kind, std::string server, std::span<const part_id> parts,
+                                std::string address) {
     const bool extends = !own_.empty() && own_.back().what.number > published_ && own_.back().what.kind == kind &&
                          own_.back().what.server == server;
     if (!extends) {
         if (own_.size() == internal::max_observations) {
             own_.pop_front();
         }
-        own_.push_back({time_.now(), {next_number_++, kind, std::move(server), {}}});
+        own_.push_back({time_.now(), {next_number_++, kind, std::move(server), {}, std::move(address)}});
     }
     auto &known = own_.back().what.parts;
     for (const auto part : parts) {
@@ -263,8 +271,8 @@
     }
     suspects_.clear();
     for (const auto &it : candidates()) {
-        if (!it.known && it.weight >= internal::ends_of_suspect) {
-            suspects_.emplace(it.part, it.weight);
+        if (it.weight >= internal::ends_of_suspect) {
+            suspects_.emplace(it.part, it.known);
         }
     }
 }
--- a/src/gateway/prompt_quarantine.hpp
+++ b/src/gateway/prompt_quarantine.hpp
@@ -51,8 +51,12 @@
     /** @param time Clock; must outlive this object. */
     explicit prompt_quarantine(const base::clock &time, quarantine_settings settings = {});
 
-    /** @brief A connection ended in the middle of an attempt. @param server Incarnation of the engine. */
-    void on_broken(std::string_view server, std::span<const prompt_part> prompt);
+    /**
+     * @brief A connection ended in the middle of an attempt.
+     * @param server Incarnation of the engine.
+     * @param address Where it was reached.
+     */
+    void on_broken(std::string_view server, std::string_view address, std::span<const prompt_part> prompt);
 
     /** @brief An answer is complete, or has gone on after its first event. @param started Start of the attempt. */
     void on_progress(std::string_view server, std::span<const prompt_part> prompt, base::instant started);
@@ -109,7 +113,7 @@
     void add_end(std::string_view server, std::span<const part_id> parts);
     void add_sound(part_id part);
     void adopt_hold(part_id part);
-    void observe(observation_kind kind, std::string server, std::span<const part_id> parts);
+    void observe(observation_kind kind, std::string server, std::span<const part_id> parts, std::string address = {});
     [[nodiscard]] std::vector<candidate> candidates() const;
     [[nodiscard]] std::size_t weigh(std::span<const server_end *const> ends) const;
     [[nodiscard]] std::size_t needed(const candidate &of) const;
@@ -123,7 +127,7 @@
     std::deque<server_end> ends_;
     std::unordered_map<part_id, base::instant> marked_; /**< First end of each part since it was last known as sound. */
     std::unordered_map<part_id, base::instant> sound_;  /**< When each part was last known as sound. */
-    std::unordered_map<part_id, std::size_t> suspects_; /**< Weight of parts that were never answered. */
+    std::unordered_map<part_id, bool> suspects_; /**< Parts at several ends; true if they were answered before. */
     std::unordered_map<part_id, hold> held_;
     std::unordered_map<part_id, base::duration> released_;   /**< Length of the last hold. */
     std::map<std::string, std::uint64_t, std::less<>> read_; /**< Newest observation taken from each gateway. */
--- a/test/gateway/prompt_quarantine.cpp
+++ b/test/gateway/prompt_quarantine.cpp
@@ -37,7 +37,7 @@
         clock.advance(after);
         const auto id = "engine-" + std::to_string(next++) + "@1";
         for (const auto &it : running) {
-            subject.on_broken(id, of(it));
+            subject.on_broken(id, "10.0.0.1:80", of(it));
         }
         subject.tick();
     }
@@ -119,7 +119,7 @@
     for (int n = 0; n < 6; ++n) {
         const auto id = "engine-" + std::to_string(n) + "@1";
         it.clock.advance(600ms);
-        it.subject.on_broken(id, it.of({crashing}));
+        it.subject.on_broken(id, "10.0.0.1:80", it.of({crashing}));
         it.clock.advance(10ms);
         const auto started = it.clock.now();
         it.clock.advance(10ms);
@@ -210,13 +210,38 @@
     CHECK(it.subject.held(it.of({crashing})).value() > 19min);
 }
 
+// Guards against waking all gateways for each answer that an engine breaks off and lives on.
+TEST_CASE("an end is told to other gateways only if the engine does not answer") {
+    base::manual_clock clock;
+    store::memory_store store;
+    base::id_source ids{1};
+    int asked = 0;
+    gateway::crash_report_task subject{{.incarnation = "me"}, {clock, store, ids, [&asked](std::string_view address) {
+                                                                   ++asked;
+                                                                   return address == "alive";
+                                                               }}};
+    const gateway::crash_observation living{1, gateway::observation_kind::ended, "engine-1@1", {crashing}, "alive"};
+    const gateway::crash_observation gone{2, gateway::observation_kind::ended, "engine-2@1", {crashing}, "gone"};
+    subject.offer({living});
+    CHECK(subject.publish());
+    CHECK(store.counters().writes == 0);
+    subject.offer({living, gone});
+    CHECK(subject.publish());
+    CHECK(asked == 2);
+    const auto found = store.get(subject.own_key()).value();
+    REQUIRE(found);
+    REQUIRE(gateway::parse_crash_report(*found).value().size() == 1);
+    CHECK(gateway::parse_crash_report(*found).value()[0].server == "engine-2@1");
+}
+
 // Guards against reports that cannot be read back, and against objects that stay for good.
 TEST_CASE("crash reports are stored under the gateway's incarnation and erased when they are empty or old") {
     base::manual_clock clock;
     store::memory_store store;
     base::id_source ids{1};
-    gateway::crash_report_task subject{{.incarnation = "me"}, {clock, store, ids}};
-    subject.offer({{7, gateway::observation_kind::ended, "engine-1@5", {crashing, ~std::uint64_t{0}}},
+    gateway::crash_report_task subject{
+        {.incarnation = "me"}, {clock, store, ids, [](std::string_view address) { return address == "alive"; }}};
+    subject.offer({{7, gateway::observation_kind::ended, "engine-1@5", {crashing, ~std::uint64_t{0}}, "gone"},
                    {8, gateway::observation_kind::held, "", {crashing}}});
     store.set_faults_once({.outage = true});
     CHECK_FALSE(subject.publish());
