--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -113,6 +113,7 @@
     crash_feed_ = std::make_unique<store_feed>(deps_.store, std::string{crash_reports_prefix}, crash_feed,
                                                feed_handlers{[this](const auto &all) {
                                                                  std::vector<store::watch_event> changes;
+                                                                 changes.reserve(all.size());
                                                                  for (const auto &it : all) {
                                                                      changes.push_back({it, false});
                                                                  }
--- a/standin/runner/main.cpp
+++ b/standin/runner/main.cpp
@@ -166,7 +166,7 @@
             http::field_list fields{
                 {"Content-Type", "text/event-stream"}, {"Response-Signature", options_.id}, {"Attempt-Id", it->id}};
             add_state(fields);
-            it->call.start(200, std::move(fields));
+            it->call.start(200, fields);
         }
         next_event(it);
     }
