--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -304,7 +304,7 @@
 TEST_CASE("requests with a part that engines end on are refused as not run, others are served") {
     forwarder_fixture it;
     it.configure();
-    const auto with = [](std::string part, int own) -> http::field_list {
+    const auto with = [](const std::string &part, int own) -> http::field_list {
         return {{"Prompt-Prefix", "a1:100," + part + ":100,f" + std::to_string(own) + ":100"}};
     };
     for (int n = 0; n < 3; ++n) {
--- a/test/gateway/prompt_quarantine.cpp
+++ b/test/gateway/prompt_quarantine.cpp
@@ -23,7 +23,7 @@
     int next{0};
 
     /** @return A prompt with these shared parts and one of its own. */
-    prompt of(std::vector<std::uint64_t> shared) {
+    prompt of(const std::vector<std::uint64_t> &shared) {
         prompt out;
         for (const auto id : shared) {
             out.push_back({id, 100});
@@ -42,10 +42,10 @@
         subject.tick();
     }
 
-    void answer(std::vector<std::uint64_t> shared) {
+    void answer(const std::vector<std::uint64_t> &shared) {
         const auto started = clock.now();
         clock.advance(50ms);
-        subject.on_progress("engine-sound@1", of(std::move(shared)), started);
+        subject.on_progress("engine-sound@1", of(shared), started);
         subject.tick();
     }
 
@@ -54,9 +54,7 @@
         subject.tick();
     }
 
-    [[nodiscard]] bool held(std::vector<std::uint64_t> shared) {
-        return subject.held(of(std::move(shared))).has_value();
-    }
+    [[nodiscard]] bool held(const std::vector<std::uint64_t> &shared) { return subject.held(of(shared)).has_value(); }
 };
 
 } // namespace
