Keep what servers say about themselves in one place

Leaving and pauses are one kind of fact: said by an incarnation, about all of its work. They were two calls and two branches of the backend table; a third one is needed now. `server_notices` keeps them by incarnation, one path leads from the head of an answer there. An answer of an earlier incarnation that arrives late no longer counts against the next one.

--- a/src/gateway/backend_server.hpp
+++ b/src/gateway/backend_server.hpp
@@ -33,9 +33,19 @@
     [[nodiscard]] bool operator==(const backend_server &) const = default;
 };
 
-/** @return Name of the incarnation, also where ids are used again. */
-[[nodiscard]] inline std::string incarnation_name(const backend_server &of) {
-    return of.id + "@" + std::to_string(of.incarnation_start_ms);
+/** @brief Identity of one incarnation, also where ids are used again. */
+struct server_incarnation {
+    std::string id;
+    std::uint64_t start_ms{0}; /**< See `backend_server::incarnation_start_ms`. */
+};
+
+[[nodiscard]] inline server_incarnation incarnation_of(const backend_server &it) {
+    return {it.id, it.incarnation_start_ms};
+}
+
+/** @return Name of an incarnation. */
+[[nodiscard]] inline std::string to_string(const server_incarnation &it) {
+    return it.id + "@" + std::to_string(it.start_ms);
 }
 
 } // namespace dotterelstack::gateway
--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -3,11 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
-#include <utility>
 
 #include "base/seconds.hpp"
 #include "gateway/prefix_cache_tracker.hpp"
-#include "log/event.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -17,8 +15,6 @@
 constexpr double assumed_successes = 2;
 // Window, in samples, of the mean of pending prefill tokens per own request.
 constexpr std::uint32_t prefill_samples = 50;
-// Time for which the notice of an incarnation is remembered after its entry was last seen.
-constexpr auto notice_memory = std::chrono::minutes{10};
 // Fraction of the average load that is assumed at a server without a recent report. A missing report often means that
 // the server is idle, since reports come with answers.
 constexpr double unreported_load_fraction = 0.25;
@@ -32,7 +28,8 @@
 
 } // namespace internal
 
-backend_table::backend_table(const base::clock &time, health_settings settings) : time_{time}, settings_{settings} {}
+backend_table::backend_table(const base::clock &time, health_settings settings)
+    : time_{time}, settings_{settings}, notices_{time} {}
 
 void backend_table::update(const std::vector<backend_server> &all) {
     std::set<std::string_view> seen;
@@ -49,11 +46,7 @@
         state.facts = it;
     }
     std::erase_if(states_, [&seen](const auto &it) { return !seen.contains(it.first); });
-    const auto now = time_.now();
-    for (auto &[id, it] : notices_) {
-        it.last_seen = seen.contains(id) ? now : it.last_seen;
-    }
-    std::erase_if(notices_, [now](const auto &it) { return now - it.second.last_seen > internal::notice_memory; });
+    notices_.forget_unlisted(seen);
     services_.clear();
     for (const auto &[id, it] : states_) {
         services_[it.facts.service].push_back(&it);
@@ -95,48 +88,12 @@
     return out;
 }
 
-const backend_table::server_notice *backend_table::notice_of(const backend_state &it) const {
-    const auto found = notices_.find(it.facts.id);
-    const bool same = found != notices_.end() && found->second.incarnation_start_ms == it.facts.incarnation_start_ms;
-    return same ? &found->second : nullptr;
-}
-
-backend_table::server_notice &backend_table::make_notice(std::string_view id) {
-    const auto *state = find(id);
-    const auto born = state == nullptr ? 0 : state->facts.incarnation_start_ms;
-    auto &out = notices_[std::string{id}];
-    if (out.incarnation_start_ms != born) {
-        out = {};
-    }
-    out.incarnation_start_ms = born;
-    out.last_seen = time_.now();
-    return out;
-}
-
 bool backend_table::accepts(const backend_state &it) const {
-    const auto *notice = notice_of(it);
-    return !it.facts.draining && (notice == nullptr || !notice->leaving);
-}
-
-void backend_table::leaving(std::string_view id) {
-    auto &notice = make_notice(id);
-    if (!std::exchange(notice.leaving, true)) {
-        log::write("server_leaving", {{"server", id}, {"born", notice.incarnation_start_ms}});
-    }
-}
-
-void backend_table::asked_for_pause(std::string_view id, base::duration pause) {
-    auto &notice = make_notice(id);
-    const auto until = time_.now() + pause;
-    if (until > notice.paused_until) {
-        notice.paused_until = until;
-        log::write("server_pausing", {{"server", id}, {"pause_ms", base::to_milliseconds(pause)}});
-    }
+    return !it.facts.draining && !notices_.leaving(it.facts);
 }
 
 bool backend_table::pausing(const backend_state &it) const {
-    const auto *notice = notice_of(it);
-    return notice != nullptr && time_.now() < notice->paused_until;
+    return time_.now() < notices_.pause_end(it.facts);
 }
 
 std::optional<base::duration> backend_table::pause_left(std::string_view service,
@@ -145,7 +102,7 @@
     for (const auto &[id, it] : states_) {
         const bool considered = it.facts.service == service && std::ranges::find(excluded, id) == excluded.end();
         if (considered && accepts(it) && pausing(it)) {
-            const auto left = notice_of(it)->paused_until - time_.now();
+            const auto left = notices_.pause_end(it.facts) - time_.now();
             out = std::min(out.value_or(left), left);
         }
     }
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -13,6 +13,7 @@
 #include "dispatch/attempt.hpp"
 #include "gateway/backend_server.hpp"
 #include "gateway/request_facts.hpp"
+#include "gateway/server_notices.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -91,13 +92,10 @@
     [[nodiscard]] bool silent(const backend_state &it) const;
 
     /**
-     * @brief The server has answered that it is leaving. It gets no new requests from then on, whatever discovery says,
-     * until a later incarnation appears.
+     * @brief Takes what a server says about itself in an answer. One that is leaving gets no new requests from then on,
+     * whatever discovery says, until a later incarnation appears; of several pauses the longest holds.
      */
-    void leaving(std::string_view id);
-
-    /** @brief The server wants no requests from this gateway for a time; the longest of several such times holds. */
-    void asked_for_pause(std::string_view id, base::duration pause);
+    void noticed(const server_incarnation &from, const server_notice &notice) { notices_.record(from, notice); }
 
     /** @return True while a pause that the server has asked for lasts. */
     [[nodiscard]] bool pausing(const backend_state &it) const;
@@ -157,17 +155,6 @@
         running_mean pending_prefill; /**< Pending prefill tokens per own request. */
     };
 
-    /** What an incarnation has said about itself in its answers. */
-    struct server_notice {
-        std::uint64_t incarnation_start_ms{0};
-        base::instant last_seen{}; /**< When its entry was last there. */
-        bool leaving{false};
-        base::instant paused_until{};
-    };
-
-    [[nodiscard]] const server_notice *notice_of(const backend_state &it) const;
-    [[nodiscard]] server_notice &make_notice(std::string_view id);
-
     [[nodiscard]] backend_state *find_mutable(std::string_view id);
     [[nodiscard]] bool has_report(const backend_state &it) const;
     [[nodiscard]] stage_totals &totals_of(const backend_state &it) { return stages_.at(stage_index(it)); }
@@ -184,7 +171,7 @@
     std::map<std::string, backend_state, std::less<>> states_;
     std::map<std::string, std::vector<const backend_state *>, std::less<>> services_; /**< Servers by service. */
     std::array<stage_totals, engine_stages> stages_{};                                /**< By stage. */
-    std::map<std::string, server_notice, std::less<>> notices_; /**< Kept while entries come and go. */
+    server_notices notices_;
     std::uint32_t gateways_{1};
 };
 
--- a/src/gateway/fwd.hpp
+++ b/src/gateway/fwd.hpp
@@ -16,6 +16,7 @@
 class prefix_reuse_estimator;
 class prompt_quarantine;
 class retry_after_scheduler;
+class server_notices;
 class start_counter;
 class traffic_config;
 struct backend_server;
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -220,7 +220,7 @@
     facts.priority = request_.priority;
     facts.time_left = left;
     backend_ = target.facts.id;
-    incarnation_ = incarnation_name(target.facts);
+    incarnation_ = incarnation_of(target.facts);
     address_ = target.facts.address;
     first_event_seen_ = false;
     progress_recorded_ = false;
@@ -243,7 +243,7 @@
                                       {"backend", backend_},
                                       {"events", last_event_at_.has_value()},
                                       {"parts", internal::shared_parts(request_.content.facts.prompt)}});
-        context_.quarantine.on_broken(incarnation_, address_, request_.content.facts.prompt);
+        context_.quarantine.on_broken(to_string(incarnation_), address_, request_.content.facts.prompt);
     }
     if (probably_began(how)) {
         count_start();
@@ -310,14 +310,13 @@
     if (head_.load) {
         context_.table.reported(backend_, *head_.load);
     }
-    if (head_.leaving) {
+    if (head_.notice.leaving) {
         context_.metrics.count("leaving_answers_total", "service=\"" + identity().service + "\"");
-        context_.table.leaving(backend_);
     }
-    if (head_.pause) {
+    if (head_.notice.pause) {
         context_.metrics.count("server_pauses_total", "service=\"" + identity().service + "\"");
-        context_.table.asked_for_pause(backend_, *head_.pause);
     }
+    context_.table.noticed(incarnation_, head_.notice);
 }
 
 call_event_result opaque_exchange::on_head(int status, const http::field_list &fields) {
@@ -352,7 +351,7 @@
 
 void opaque_exchange::record_progress() {
     if (!std::exchange(progress_recorded_, true)) {
-        context_.quarantine.on_progress(incarnation_, request_.content.facts.prompt, attempt_started());
+        context_.quarantine.on_progress(to_string(incarnation_), request_.content.facts.prompt, attempt_started());
     }
 }
 
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -135,7 +135,7 @@
     event_splitter events_;
     std::string body_;
     std::optional<http::response> server_answer_; /**< An answer other than 200, to be forwarded. */
-    std::string incarnation_;                     /**< Of the backend server of the last attempt. */
+    server_incarnation incarnation_;              /**< Of the backend server of the last attempt. */
     bool progress_recorded_{false};               /**< For the last attempt. */
     bool started_{false};                         /**< The caller has received the head. */
     std::optional<std::uint64_t> last_event_;
--- a/src/gateway/request_facts.hpp
+++ b/src/gateway/request_facts.hpp
@@ -55,6 +55,13 @@
     std::uint32_t slots{0};
 };
 
+/** @brief What a backend server says about itself in an answer; it concerns all requests. */
+struct server_notice {
+    bool leaving{false}; /**< It will stop soon and wants no new requests. */
+    /** Time for which it wants no requests from this gateway; it has not run the one that it answers. */
+    std::optional<base::duration> pause;
+};
+
 /** @brief Decoded head of a backend server's answer. */
 struct answer_head {
     int status{0};
@@ -62,9 +69,7 @@
     bool other_request{false}; /**< The answer is for a different request. */
     bool not_run{false};       /**< The backend server states that the request did not run and will not. */
     bool other_server{false};  /**< The address now belongs to another incarnation. */
-    bool leaving{false};       /**< The backend server that answered will stop soon and wants no new requests. */
-    /** Time for which the backend server wants no requests from this gateway; it has not run this one. */
-    std::optional<base::duration> pause;
+    server_notice notice;
     bool event_stream{false};
     std::optional<reported_load> load;
     http::field_list fields; /**< Fields to forward to the caller. */
--- /dev/null
+++ b/src/gateway/server_notices.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "base/clock.hpp"
+#include "gateway/backend_server.hpp"
+#include "gateway/request_facts.hpp"
+
+namespace dotterelstack::gateway {
+
+/**
+ * @brief What backend servers have said about themselves in their answers to this gateway. Not thread-safe.
+ *
+ * A notice belongs to the incarnation that has given it. It is kept while discovery entries come and go.
+ */
+class server_notices {
+public:
+    /** @param time Clock; must outlive this object. */
+    explicit server_notices(const base::clock &time) : time_{time} {}
+
+    /** @brief Records the notice of an answer, and logs what is new in it. */
+    void record(const server_incarnation &from, const server_notice &notice);
+
+    /** @brief Drops the notices of servers that have not been listed for long. @param listed Ids. */
+    void forget_unlisted(const std::set<std::string_view> &listed);
+
+    /** @return True once the incarnation has said that it is leaving. */
+    [[nodiscard]] bool leaving(const backend_server &it) const;
+
+    /** @return End of the longest pause that the incarnation has asked for; the past if there is none. */
+    [[nodiscard]] base::instant pause_end(const backend_server &it) const;
+
+private:
+    struct state {
+        std::uint64_t incarnation_start_ms{0};
+        base::instant last_listed{};
+        bool leaving{false};
+        base::instant pause_end{};
+    };
+
+    [[nodiscard]] const state *find(const backend_server &it) const;
+
+    const base::clock &time_;
+    std::map<std::string, state, std::less<>> states_;
+};
+
+} // namespace dotterelstack::gateway
--- a/test/platform/http_protocol.cpp
+++ b/test/platform/http_protocol.cpp
@@ -76,7 +76,7 @@
 // Guards against a pause that is taken from another status, that never ends, or that a date turns into none.
 TEST_CASE("a refusal may ask for a pause in seconds") {
     const auto pause_of = [](int status, const std::string &value) {
-        return protocol.decode_head(status, {{"Not-Executed", "1"}, {"Retry-After", value}}, "a1").pause;
+        return protocol.decode_head(status, {{"Not-Executed", "1"}, {"Retry-After", value}}, "a1").notice.pause;
     };
     CHECK(pause_of(503, "3") == 3s);
     CHECK(pause_of(503, " 0.25 ") == 250ms);
@@ -87,5 +87,5 @@
     CHECK(pause_of(503, "nan") == 1s);
     CHECK(pause_of(503, "Fri, 04 Dec 2026 15:00:00 GMT") == 1s);
     CHECK_FALSE(pause_of(429, "3"));
-    CHECK_FALSE(protocol.decode_head(503, {{"Not-Executed", "1"}}, "a1").pause);
+    CHECK_FALSE(protocol.decode_head(503, {{"Not-Executed", "1"}}, "a1").notice.pause);
 }
