--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -94,8 +94,11 @@
     /**
      * @brief Takes what a server says about itself in an answer. One that is leaving gets no new requests from then on,
      * whatever discovery says, until a later incarnation appears; of several pauses the longest holds.
+     * @param asked When the request was sent.
      */
-    void noticed(const server_incarnation &from, const server_notice &notice) { notices_.record(from, notice); }
+    void noticed(const server_incarnation &from, const server_notice &notice, base::instant asked) {
+        notices_.record(from, notice, asked);
+    }
 
     /** @return True while a pause that the server has asked for lasts. */
     [[nodiscard]] bool pausing(const backend_state &it) const;
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -316,7 +316,10 @@
     if (head_.notice.pause) {
         context_.metrics.count("server_pauses_total", "service=\"" + identity().service + "\"");
     }
-    context_.table.noticed(incarnation_, head_.notice);
+    if (head_.notice.limit) {
+        context_.metrics.count("limited_answers_total", "service=\"" + identity().service + "\"");
+    }
+    context_.table.noticed(incarnation_, head_.notice, attempt_started());
 }
 
 call_event_result opaque_exchange::on_head(int status, const http::field_list &fields) {
--- a/src/gateway/request_facts.hpp
+++ b/src/gateway/request_facts.hpp
@@ -60,6 +60,9 @@
     bool leaving{false}; /**< It will stop soon and wants no new requests. */
     /** Time for which it wants no requests from this gateway; it has not run the one that it answers. */
     std::optional<base::duration> pause;
+    /** Requests a second that it takes from all gateways together, for as long as its answers say so. */
+    std::optional<double> limit;
+    bool ends_limit{false}; /**< The answer is certainly its own, and names no limit. */
 };
 
 /** @brief Decoded head of a backend server's answer. */
--- a/src/gateway/server_notices.cpp
+++ b/src/gateway/server_notices.cpp
@@ -19,11 +19,15 @@
     return same ? &found->second : nullptr;
 }
 
-void server_notices::record(const server_incarnation &from, const server_notice &notice) {
-    if (!notice.leaving && !notice.pause) {
+void server_notices::record(const server_incarnation &from, const server_notice &notice, base::instant asked) {
+    const bool known = states_.contains(from.id);
+    if (!known && !notice.leaving && !notice.pause && !notice.limit) {
         return;
     }
     auto &it = states_[from.id];
+    if (from.start_ms < it.incarnation_start_ms) {
+        return;
+    }
     if (it.incarnation_start_ms != from.start_ms) {
         it = {};
     }
@@ -36,6 +40,20 @@
         it.pause_end = time_.now() + *notice.pause;
         log::write("server_pausing", {{"server", from.id}, {"pause_ms", base::to_milliseconds(*notice.pause)}});
     }
+    record_limit(from, notice, asked, it);
+}
+
+void server_notices::record_limit(const server_incarnation &from, const server_notice &notice, base::instant asked,
+                                  state &it) {
+    if (notice.limit) {
+        if (!it.limit) {
+            log::write("server_limited", {{"server", from.id}, {"requests_per_second", *notice.limit}});
+        }
+        it.limit = limit_state{*notice.limit, time_.now()};
+    } else if (it.limit && notice.ends_limit && asked > it.limit->last_named) {
+        log::write("server_limit_ended", {{"server", from.id}, {"requests_per_second", it.limit->requests_per_second}});
+        it.limit.reset();
+    }
 }
 
 void server_notices::forget_unlisted(const std::set<std::string_view> &listed) {
--- a/src/gateway/server_notices.hpp
+++ b/src/gateway/server_notices.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -22,8 +23,12 @@
     /** @param time Clock; must outlive this object. */
     explicit server_notices(const base::clock &time) : time_{time} {}
 
-    /** @brief Records the notice of an answer, and logs what is new in it. */
-    void record(const server_incarnation &from, const server_notice &notice);
+    /**
+     * @brief Records the notice of an answer, and logs what is new in it.
+     * @param asked When the request was sent. An answer ends a limit only if it was asked for after the limit was last
+     * named, because answers may overtake each other.
+     */
+    void record(const server_incarnation &from, const server_notice &notice, base::instant asked);
 
     /** @brief Drops the notices of servers that have not been listed for long. @param listed Ids. */
     void forget_unlisted(const std::set<std::string_view> &listed);
@@ -35,14 +40,21 @@
     [[nodiscard]] base::instant pause_end(const backend_server &it) const;
 
 private:
+    struct limit_state {
+        double requests_per_second{0};
+        base::instant last_named{};
+    };
+
     struct state {
         std::uint64_t incarnation_start_ms{0};
         base::instant last_listed{};
         bool leaving{false};
         base::instant pause_end{};
+        std::optional<limit_state> limit;
     };
 
     [[nodiscard]] const state *find(const backend_server &it) const;
+    void record_limit(const server_incarnation &from, const server_notice &notice, base::instant asked, state &it);
 
     const base::clock &time_;
     std::map<std::string, state, std::less<>> states_;
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -177,6 +177,9 @@
      "A backend server has answered that it is leaving; it gets no new requests.", "none"},
     {1925, "server_pausing", severity::info, "A backend server has asked this gateway to send nothing for a time.",
      "none; look at its load if it repeats."},
+    {1926, "server_limited", severity::info,
+     "A backend server has named a limit on the requests of all gateways together.", "Look at its load if it repeats."},
+    {1927, "server_limit_ended", severity::info, "A backend server names no limit on requests any more.", "none"},
 });
 
 } // namespace dotterelstack::log
--- a/test/gateway/backend_table.cpp
+++ b/test/gateway/backend_table.cpp
@@ -133,7 +133,7 @@
     const auto b = test::server("b", "desk");
     a.incarnation_start_ms = 5;
     it.subject.update({a, b});
-    it.subject.noticed({"a", 5}, {.leaving = true});
+    it.subject.noticed({"a", 5}, {.leaving = true}, it.clock.now());
     CHECK(it.subject.available("desk").size() == 1);
     CHECK(it.subject.any_accepting());
     it.subject.update({b});
@@ -151,8 +151,8 @@
 // its server.
 TEST_CASE("a server that asks for a pause is not available until the longest of its pauses ends") {
     fixture it;
-    it.subject.noticed({"a"}, {.pause = 5s});
-    it.subject.noticed({"a"}, {.pause = 1s});
+    it.subject.noticed({"a"}, {.pause = 5s}, it.clock.now());
+    it.subject.noticed({"a"}, {.pause = 1s}, it.clock.now());
     CHECK(it.subject.available("desk").size() == 1);
     CHECK(it.subject.accepts(it.state("a")));
     it.clock.advance(4900ms);
@@ -160,11 +160,11 @@
     it.subject.update({test::server("b", "desk")});
     it.subject.update({test::server("a", "desk"), test::server("b", "desk")});
     CHECK(it.subject.available("desk").size() == 1);
-    it.subject.noticed({"b"}, {.pause = 3s});
+    it.subject.noticed({"b"}, {.pause = 3s}, it.clock.now());
     CHECK(it.subject.pause_left("desk", {}) == 100ms);
     it.clock.advance(100ms);
     CHECK(it.subject.available("desk").size() == 1);
-    it.subject.noticed({"a"}, {.pause = 1min});
+    it.subject.noticed({"a"}, {.pause = 1min}, it.clock.now());
     auto next = test::server("a", "desk");
     next.incarnation_start_ms = 7;
     it.subject.update({next, test::server("b", "desk")});
