--- a/standin/runner/main.cpp
+++ b/standin/runner/main.cpp
@@ -24,6 +24,8 @@
     std::string stage;      /**< Empty for a plain service. */
     std::string crash_part; /**< Id of a part of a prompt; the runner ends when it begins to answer such a prompt. */
     bool leaves_quietly{false}; /**< Does not report in its entry that it leaves. */
+    std::string limit;          /**< Requests a second that it says it takes; empty for none. */
+    milliseconds limit_time{0}; /**< Time from its start until it names no limit any more; 0 for always. */
     std::size_t slots{6};
     std::size_t queue{6};
     milliseconds work{5};
@@ -45,9 +47,11 @@
         const auto &message = call.message();
         const std::scoped_lock lock{mutex_};
         if (message.path() == "/counts") {
-            return call.respond(
-                standin::json_response(200, {{"runs", runs_}, {"key_sightings", key_sightings_}, {"open", running_}}));
+            return call.respond(standin::json_response(
+                200,
+                {{"runs", runs_}, {"key_sightings", key_sightings_}, {"open", running_}, {"arrivals", arrivals_}}));
         }
+        arrivals_ += http::find_field(message.fields, "Attempt-Id") ? 1U : 0U;
         key_sightings_ += http::find_field(message.fields, "Authorization") ? 1U : 0U;
         if (field(message, "Expect-Instance") != options_.id) {
             return respond(call, 421, {{"Instance-Id", options_.id}}, "");
@@ -118,6 +122,10 @@
         if (draining_) {
             fields.push_back({"Server-Leaving", "1"});
         }
+        if (!options_.limit.empty() && (options_.limit_time == milliseconds{0} ||
+                                        std::chrono::steady_clock::now() < started_ + options_.limit_time)) {
+            fields.push_back({"Server-Limit", options_.limit});
+        }
     }
 
     void respond(const http::exchange &call, int status, http::field_list fields, std::string body) const {
@@ -201,6 +209,8 @@
     std::mutex mutex_;
     std::map<std::string, std::uint64_t> runs_;
     std::uint64_t key_sightings_{0};
+    std::uint64_t arrivals_{0}; /**< Requests of callers, whether they ran or not. */
+    const std::chrono::steady_clock::time_point started_{std::chrono::steady_clock::now()};
     std::size_t running_{0};
     bool draining_{false};
     standin::timer timer_;
@@ -231,6 +241,8 @@
     add("stage", "prefill or decode; none for a plain service", cxxopts::value<std::string>()->default_value(""));
     add("crash-part", "part of a prompt that ends the runner", cxxopts::value<std::string>()->default_value(""));
     add("leave-quietly", "say only in answers that it leaves");
+    add("limit", "requests a second that it says it takes", cxxopts::value<std::string>()->default_value(""));
+    add("limit-ms", "time until it names no limit any more; 0 for always", cxxopts::value<int>()->default_value("0"));
     add("slots", "requests at once", cxxopts::value<std::size_t>()->default_value("6"));
     add("work-ms", "time before the answer", cxxopts::value<int>()->default_value("5"));
     add("event-ms", "time between events", cxxopts::value<int>()->default_value("2"));
@@ -246,6 +258,8 @@
                         .stage = text("stage"),
                         .crash_part = text("crash-part"),
                         .leaves_quietly = args.count("leave-quietly") > 0,
+                        .limit = text("limit"),
+                        .limit_time = ms("limit-ms"),
                         .slots = args["slots"].as<std::size_t>(),
                         .work = ms("work-ms"),
                         .between_events = ms("event-ms")}};
--- a/test/support/forward_site.cpp
+++ b/test/support/forward_site.cpp
@@ -208,13 +208,19 @@
     return out;
 }
 
+json forward_site::counts(child_process &runner) const {
+    const auto answer = client_.call(runner.address("runner"), {"GET", "/counts", {}, ""}, {});
+    return answer ? json::parse(answer.value().body) : json::object();
+}
+
+std::uint64_t forward_site::arrivals(const std::string &id) const {
+    return counts(*runners_.at(id)).value("arrivals", std::uint64_t{0});
+}
+
 int forward_site::key_sightings() const {
     int out = 0;
     for (const auto &[id, it] : runners_) {
-        const auto answer = client_.call(it->address("runner"), {"GET", "/counts", {}, ""}, {});
-        if (answer) {
-            out += json::parse(answer.value().body).value("key_sightings", 0);
-        }
+        out += counts(*it).value("key_sightings", 0);
     }
     return out;
 }
--- a/test/support/forward_site.hpp
+++ b/test/support/forward_site.hpp
@@ -85,6 +85,9 @@
     /** @return How often each request ran, over all runners that ever were. */
     [[nodiscard]] std::map<std::string, int> runs() const;
 
+    /** @return Number of callers' requests that have reached a runner, whether they ran or not. */
+    [[nodiscard]] std::uint64_t arrivals(const std::string &id) const;
+
     /** @return Keys that runners which still run have seen. */
     [[nodiscard]] int key_sightings() const;
 
@@ -92,6 +95,7 @@
     [[nodiscard]] nlohmann::json usage() const;
 
 private:
+    [[nodiscard]] nlohmann::json counts(child_process &runner) const;
     [[nodiscard]] std::string callers(std::size_t n) const;
     [[nodiscard]] nlohmann::json next_config(const std::vector<std::string> &keys);
     void set_store_faults(const nlohmann::json &faults) const;
