Share the limits of servers among gateways

Cause: no gateway read the limit that answers name. Class: a statement of a server about all of its work, made to one gateway, that concerns the sum over all gateways.

Change: `server_notices` keeps the limit with its incarnation. `limit_share` gives this gateway its part: as many gateways as the limit bears, by rendezvous hashing, share it evenly, and the others have short turns far apart. Each of n gateways may be one request ahead of its part, so equal parts for all would add up to n requests at once. Until the others are known, a gateway takes little. Servers at their limit are not placed on; both calls of a split request count; if all copies are at their limits, a request is refused with the time until one takes it. A limit ends with an answer that names none and was asked for after the limit was last named.

--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -81,7 +81,7 @@
     out.reserve(found->second.size());
     for (const auto *it : found->second) {
         const bool paused = it->paused_until && (now < *it->paused_until || it->probing);
-        if (accepts(*it) && !paused && !pausing(*it)) {
+        if (accepts(*it) && !paused && open_at(*it) <= now) {
             out.push_back(it);
         }
     }
@@ -96,14 +96,19 @@
     return time_.now() < notices_.pause_end(it.facts);
 }
 
-std::optional<base::duration> backend_table::pause_left(std::string_view service,
-                                                        std::span<const std::string> excluded) const {
+base::instant backend_table::open_at(const backend_state &it) const {
+    return std::max(notices_.pause_end(it.facts), notices_.limit_end(it.facts));
+}
+
+std::optional<base::duration> backend_table::opens_in(std::string_view service,
+                                                      std::span<const std::string> excluded) const {
     std::optional<base::duration> out;
+    const auto now = time_.now();
     for (const auto &[id, it] : states_) {
         const bool considered = it.facts.service == service && std::ranges::find(excluded, id) == excluded.end();
-        if (considered && accepts(it) && pausing(it)) {
-            const auto left = notices_.pause_end(it.facts) - time_.now();
-            out = std::min(out.value_or(left), left);
+        const auto at = considered && accepts(it) ? open_at(it) : now;
+        if (at > now) {
+            out = std::min<base::duration>(out.value_or(at - now), at - now);
         }
     }
     return out;
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -66,13 +66,17 @@
     /** @brief Sets the number of gateways that send requests. */
     void set_gateways(std::uint32_t n) noexcept { gateways_ = n == 0 ? 1 : n; }
 
+    /** @brief Sets the gateways that share the limits of servers. */
+    void set_limit_sharers(gateway_group group) { notices_.set_gateways(std::move(group)); }
+
     /** @return The state of a backend server, or null. */
     [[nodiscard]] const backend_state *find(std::string_view id) const;
 
     /** @return True unless the server is draining, by its entry or by its own answers. */
     [[nodiscard]] bool accepts(const backend_state &it) const;
 
-    /** @return Backend servers of a service that accept new requests and are neither in back-off nor pausing. */
+    /** @return Backend servers of a service that accept new requests now: not in back-off, pausing, or at their limit.
+     */
     [[nodiscard]] std::vector<const backend_state *> available(std::string_view service) const;
 
     /** @return True when at least one backend server is not draining. */
@@ -103,12 +107,15 @@
     /** @return True while a pause that the server has asked for lasts. */
     [[nodiscard]] bool pausing(const backend_state &it) const;
 
+    /** @brief Counts a request that will be sent to the server against its limit. */
+    [[nodiscard]] limit_use use_limit(const backend_state &it) { return notices_.use_limit(it.facts); }
+
     /**
      * @param excluded Ids of servers that are not considered.
-     * @return Time until the first server of the service ends the pause that it has asked for, if any is pausing.
+     * @return Time until the first server of the service that is pausing or at its limit takes a request, if any is.
      */
-    [[nodiscard]] std::optional<base::duration> pause_left(std::string_view service,
-                                                           std::span<const std::string> excluded) const;
+    [[nodiscard]] std::optional<base::duration> opens_in(std::string_view service,
+                                                         std::span<const std::string> excluded) const;
 
     /** @brief The prefill of an attempt has ended. */
     void prefill_done(std::string_view id, double prefill_tokens);
@@ -158,6 +165,7 @@
         running_mean pending_prefill; /**< Pending prefill tokens per own request. */
     };
 
+    [[nodiscard]] base::instant open_at(const backend_state &it) const;
     [[nodiscard]] backend_state *find_mutable(std::string_view id);
     [[nodiscard]] bool has_report(const backend_state &it) const;
     [[nodiscard]] stage_totals &totals_of(const backend_state &it) { return stages_.at(stage_index(it)); }
--- a/src/gateway/events.hpp
+++ b/src/gateway/events.hpp
@@ -12,6 +12,7 @@
 #include "dispatch/events.hpp"
 #include "gateway/backend_server.hpp"
 #include "gateway/crash_report.hpp"
+#include "gateway/limit_share.hpp"
 #include "gateway/shutdown_phase.hpp"
 #include "gateway/traffic_config.hpp"
 #include "http/caller_port.hpp"
@@ -40,7 +41,7 @@
     std::vector<std::pair<std::string, std::optional<crash_report>>> reports;
 };
 struct gateways_event {
-    std::uint32_t count{1};
+    gateway_group all;
 };
 struct settings_event {
     retry::retry_window_settings retries;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -124,9 +124,11 @@
     }
 }
 
-void forwarder::set_gateways(std::uint32_t n) {
+void forwarder::set_gateways(const gateway_group &all) {
+    const auto n = all.size();
     budget_.set_gateways(n);
     table_.set_gateways(n);
+    table_.set_limit_sharers(all);
     placement_.set_gateways(n);
 }
 
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -75,8 +75,8 @@
     /** @brief Takes the observations of another gateway about engines that have ended; none if it has gone. */
     void on_crash_report(std::string_view gateway, const std::optional<crash_report> &report);
 
-    /** @brief Sets the number of gateways that share the traffic. */
-    void set_gateways(std::uint32_t n);
+    /** @brief Sets the gateways that share the traffic. */
+    void set_gateways(const gateway_group &all);
 
     /** @brief Sets the limits on retries. */
     void set_retries(const retry::retry_window_settings &values) { budget_.set_limits(values); }
--- a/src/gateway/fwd.hpp
+++ b/src/gateway/fwd.hpp
@@ -21,6 +21,8 @@
 class traffic_config;
 struct backend_server;
 struct exchange_request;
+struct gateway_group;
+struct limit_share;
 struct organisation;
 struct request_facts;
 struct traffic_route;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -149,8 +149,9 @@
     about.publish_every = settings_.bounds.usage_window / 2;
     members_ = std::make_unique<member_task>(
         about, member_task::dependencies{deps_.time, deps_.store, deps_.ids, starts_,
-                                         [this](std::uint32_t n) { events_.push(gateways_event{n}); }});
+                                         [this](gateway_group all) { events_.push(gateways_event{std::move(all)}); }});
     published_members_ = members_.get();
+    events_.push(gateways_event{{.own = std::string{members_prefix} + incarnation_}});
     forward_thread_ = std::thread{[this] { run_forwarder(); }};
     config_feed_->start();
     server_feed_->start();
@@ -271,7 +272,7 @@
                            forwarder_.on_crash_report(gateway, report);
                        }
                    },
-                   [this](const gateways_event &it) { forwarder_.set_gateways(it.count); },
+                   [this](const gateways_event &it) { forwarder_.set_gateways(it.all); },
                    [this](const settings_event &it) { forwarder_.set_retries(it.retries); },
                    [this](const stop_event &it) { forwarder_.stop(it.how); },
                },
--- a/src/gateway/member_task.cpp
+++ b/src/gateway/member_task.cpp
@@ -66,7 +66,7 @@
     const auto now = deps_.time.now();
     std::map<std::string, observed_version> seen;
     std::vector<std::string> others;
-    std::uint32_t live = 1;
+    gateway_group live{.own = own_.key(), .listed = true};
     std::size_t preceding = 0;
     for (const auto &item : all.value()) {
         const auto before = seen_.find(item.key);
@@ -77,7 +77,7 @@
             continue;
         }
         if (const auto record = parse_member(item)) {
-            ++live;
+            live.others.push_back(item.key);
             preceding += item.key < own_.key() ? 1U : 0U;
             others.push_back(record.value().peer_address);
         } else {
@@ -86,7 +86,7 @@
     }
     seen_ = std::move(seen);
     may_hold_leases_ = preceding < internal::lease_candidates;
-    deps_.on_count(live);
+    deps_.on_group(std::move(live));
     const std::scoped_lock lock{mutex_};
     peers_ = std::move(others);
 }
--- a/src/gateway/member_task.hpp
+++ b/src/gateway/member_task.hpp
@@ -11,6 +11,7 @@
 
 #include "base/clock.hpp"
 #include "base/id.hpp"
+#include "gateway/limit_share.hpp"
 #include "gateway/member_record.hpp"
 #include "gateway/own_record.hpp"
 #include "store/object_store.hpp"
@@ -38,7 +39,7 @@
         store::object_store &store;
         base::id_source &ids;
         const windowed_start_counter &starts;
-        std::function<void(std::uint32_t)> on_count; /**< Number of live gateways, this one included. */
+        std::function<void(gateway_group)> on_group; /**< Takes the live gateways. */
     };
 
     member_task(member_settings settings, dependencies deps);
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -204,6 +204,11 @@
                                   {"outstanding", context_.table.outstanding(*plan.run)},
                                   {"expected_ms", base::to_milliseconds(plan.expected)},
                                   {"uncached", static_cast<std::uint64_t>(plan.prefill_tokens)}});
+    // The choice is among servers that may get a request now, so both uses are within their limits.
+    if (plan.prefill != nullptr) {
+        (void)context_.table.use_limit(*plan.prefill);
+    }
+    run_limit_ = context_.table.use_limit(*plan.run);
     const std::string source = plan.fetch_from == nullptr ? "" : plan.fetch_from->facts.address;
     prefilling_ = plan.prefill != nullptr;
     if (!prefilling_) {
@@ -444,7 +449,8 @@
     handle_address_ = address_;
     prefill_tokens_ = 0;
     const auto *decoder = context_.table.find(decode_backend_);
-    const bool usable = decoder != nullptr && context_.table.accepts(*decoder) && !context_.table.pausing(*decoder);
+    const bool usable = decoder != nullptr && context_.table.accepts(*decoder) && !context_.table.pausing(*decoder) &&
+                        (run_limit_ == limit_use::counted || context_.table.use_limit(*decoder) != limit_use::exceeded);
     if (!usable || context_.quarantine.held(request_.content.facts.prompt)) {
         // The prefill succeeded, but its state cannot be used: the decode engine takes no requests, or the
         // prompt is held.
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -120,8 +120,9 @@
     std::vector<std::string> tried_;
     std::string backend_;
     std::string address_;
-    std::string decode_backend_; /**< During a prefill: id of the decode engine. */
-    std::string handle_;         /**< Of prefilled state that no engine has fetched yet. */
+    std::string decode_backend_;                /**< During a prefill: id of the decode engine. */
+    limit_use run_limit_{limit_use::unlimited}; /**< At the server that does the generation, as of the placement. */
+    std::string handle_;                        /**< Of prefilled state that no engine has fetched yet. */
     std::string handle_address_;
     double prefill_tokens_{0};
     base::duration expected_{0};        /**< Time to the answer or first event, as estimated at placement. */
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -339,10 +339,10 @@
 placement_result placement::choose(const placement_request &request) {
     auto usable = table_.available(request.service);
     if (usable.empty()) {
-        if (const auto pause = table_.pause_left(request.service, request.excluded)) {
-            return {{}, placement_rejection::full, *pause};
+        if (const auto wait = table_.opens_in(request.service, request.excluded)) {
+            return {{}, placement_rejection::full, *wait};
         }
-        const auto of_tried = table_.pause_left(request.service, {});
+        const auto of_tried = table_.opens_in(request.service, {});
         return {{},
                 of_tried ? placement_rejection::excluded : placement_rejection::no_backend,
                 of_tried.value_or(base::duration{0})};
--- a/src/gateway/request_facts.hpp
+++ b/src/gateway/request_facts.hpp
@@ -59,9 +59,9 @@
 struct server_notice {
     bool leaving{false}; /**< It will stop soon and wants no new requests. */
     /** Time for which it wants no requests from this gateway; it has not run the one that it answers. */
-    std::optional<base::duration> pause;
+    std::optional<base::duration> pause{};
     /** Requests a second that it takes from all gateways together, for as long as its answers say so. */
-    std::optional<double> limit;
+    std::optional<double> limit{};
     bool ends_limit{false}; /**< The answer is certainly its own, and names no limit. */
 };
 
--- a/src/gateway/server_notices.cpp
+++ b/src/gateway/server_notices.cpp
@@ -49,13 +49,29 @@
         if (!it.limit) {
             log::write("server_limited", {{"server", from.id}, {"requests_per_second", *notice.limit}});
         }
-        it.limit = limit_state{*notice.limit, time_.now()};
+        if (!it.limit) {
+            it.limit = limit_state{.first_named = time_.now()};
+        }
+        if (it.limit->requests_per_second != *notice.limit || it.limit->last_named == base::instant{}) {
+            it.limit->requests_per_second = *notice.limit;
+            it.limit->share = share_of_limit(*notice.limit, from.id, gateways_);
+        }
+        it.limit->last_named = time_.now();
     } else if (it.limit && notice.ends_limit && asked > it.limit->last_named) {
         log::write("server_limit_ended", {{"server", from.id}, {"requests_per_second", it.limit->requests_per_second}});
         it.limit.reset();
     }
 }
 
+void server_notices::set_gateways(gateway_group group) {
+    gateways_ = std::move(group);
+    for (auto &[id, it] : states_) {
+        if (it.limit) {
+            it.limit->share = share_of_limit(it.limit->requests_per_second, id, gateways_);
+        }
+    }
+}
+
 void server_notices::forget_unlisted(const std::set<std::string_view> &listed) {
     const auto now = time_.now();
     for (auto &[id, it] : states_) {
@@ -74,4 +90,25 @@
     return found == nullptr ? base::instant{} : found->pause_end;
 }
 
+base::instant server_notices::limit_end(const backend_server &it) const {
+    const auto *found = find(it);
+    if (found == nullptr || !found->limit) {
+        return base::instant{};
+    }
+    const auto &limit = *found->limit;
+    return limit.share.next(time_.now(), limit.first_named, limit.used);
+}
+
+limit_use server_notices::use_limit(const backend_server &it) {
+    const auto *found = find(it);
+    if (found == nullptr || !found->limit) {
+        return limit_use::unlimited;
+    }
+    if (limit_end(it) > time_.now()) {
+        return limit_use::exceeded;
+    }
+    states_.find(it.id)->second.limit->used = time_.now();
+    return limit_use::counted;
+}
+
 } // namespace dotterelstack::gateway
--- a/src/gateway/server_notices.hpp
+++ b/src/gateway/server_notices.hpp
@@ -9,10 +9,18 @@
 
 #include "base/clock.hpp"
 #include "gateway/backend_server.hpp"
+#include "gateway/limit_share.hpp"
 #include "gateway/request_facts.hpp"
 
 namespace dotterelstack::gateway {
 
+/** @brief Outcome of counting a request against a server's limit. */
+enum class limit_use : std::uint8_t {
+    unlimited, /**< The server has no limit. */
+    counted,
+    exceeded /**< The request must not be sent now. */
+};
+
 /**
  * @brief What backend servers have said about themselves in their answers to this gateway. Not thread-safe.
  *
@@ -30,6 +38,9 @@
      */
     void record(const server_incarnation &from, const server_notice &notice, base::instant asked);
 
+    /** @brief Sets the gateways that share the limits of servers. */
+    void set_gateways(gateway_group group);
+
     /** @brief Drops the notices of servers that have not been listed for long. @param listed Ids. */
     void forget_unlisted(const std::set<std::string_view> &listed);
 
@@ -39,10 +50,19 @@
     /** @return End of the longest pause that the incarnation has asked for; the past if there is none. */
     [[nodiscard]] base::instant pause_end(const backend_server &it) const;
 
+    /** @return When the incarnation's limit lets this gateway send the next request; the past without a limit. */
+    [[nodiscard]] base::instant limit_end(const backend_server &it) const;
+
+    /** @brief Counts a request against the incarnation's limit, if it has one. */
+    [[nodiscard]] limit_use use_limit(const backend_server &it);
+
 private:
     struct limit_state {
         double requests_per_second{0};
+        base::instant first_named{};
         base::instant last_named{};
+        limit_share share{};
+        std::optional<base::instant> used{}; /**< When the last request under the limit was sent. */
     };
 
     struct state {
@@ -58,6 +78,7 @@
 
     const base::clock &time_;
     std::map<std::string, state, std::less<>> states_;
+    gateway_group gateways_;
 };
 
 } // namespace dotterelstack::gateway
--- a/test/gateway/backend_table.cpp
+++ b/test/gateway/backend_table.cpp
@@ -161,7 +161,7 @@
     it.subject.update({test::server("a", "desk"), test::server("b", "desk")});
     CHECK(it.subject.available("desk").size() == 1);
     it.subject.noticed({"b"}, {.pause = 3s}, it.clock.now());
-    CHECK(it.subject.pause_left("desk", {}) == 100ms);
+    CHECK(it.subject.opens_in("desk", {}) == 100ms);
     it.clock.advance(100ms);
     CHECK(it.subject.available("desk").size() == 1);
     it.subject.noticed({"a"}, {.pause = 1min}, it.clock.now());
@@ -171,3 +171,38 @@
     CHECK(it.subject.available("desk").size() == 1);
     CHECK_FALSE(it.subject.pausing(it.state("a")));
 }
+
+// Guards against a limit that a late answer from before it ends, or that another incarnation inherits.
+TEST_CASE("a limit lasts until an answer that was asked for after it was last named does not name it") {
+    fixture it;
+    it.subject.set_limit_sharers({.own = "gateways/1", .listed = true});
+    const auto before = it.clock.now();
+    it.clock.advance(100ms);
+    it.subject.noticed({"a"}, {.limit = 2.0}, before);
+    CHECK(it.subject.available("desk").size() == 1);
+    CHECK(it.subject.opens_in("desk", {}) == 500ms);
+    it.subject.noticed({"a"}, {.ends_limit = true}, before);
+    CHECK(it.subject.available("desk").size() == 1);
+    it.clock.advance(500ms);
+    CHECK(it.subject.use_limit(it.state("a")) == gateway::limit_use::counted);
+    CHECK(it.subject.use_limit(it.state("a")) == gateway::limit_use::exceeded);
+    CHECK(it.subject.use_limit(it.state("b")) == gateway::limit_use::unlimited);
+    CHECK(it.subject.available("desk").size() == 1);
+    // A higher limit holds at once.
+    it.subject.noticed({"a"}, {.limit = 100.0}, it.clock.now());
+    it.clock.advance(10ms);
+    CHECK(it.subject.available("desk").size() == 2);
+    it.subject.noticed({"a"}, {.limit = 2.0}, it.clock.now());
+    CHECK(it.subject.available("desk").size() == 1);
+    SUBCASE("an answer ends it") {
+        it.clock.advance(1ms);
+        it.subject.noticed({"a"}, {.ends_limit = true}, it.clock.now());
+    }
+    SUBCASE("another incarnation has none") {
+        auto again = test::server("a", "desk");
+        again.incarnation_start_ms = 5;
+        it.subject.update({again, test::server("b", "desk")});
+        it.subject.noticed({"a", 0}, {.limit = 2.0}, it.clock.now());
+    }
+    CHECK(it.subject.available("desk").size() == 2);
+}
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -289,6 +289,64 @@
     CHECK(it.backends.calls.size() == calls);
 }
 
+// All copies of a service are in need. Guards against requests that wait for their deadline, and against a Retry-After
+// that brings callers back before a server takes anything.
+TEST_CASE("when all servers of a service are at their limits, requests are refused at once") {
+    forwarder_fixture it;
+    it.configure();
+    it.populate();
+    it.subject.set_gateways({.own = "gateways/1", .listed = true});
+    http::field_list limited = test::signed_answer;
+    limited.push_back({"Server-Limit", "0.25"});
+    for (int n = 0; n < 2; ++n) {
+        const auto caller = it.send("/read/1");
+        it.answer(200, limited);
+        CHECK(caller->status() == 200);
+    }
+    const auto calls = it.backends.calls.size();
+    const auto caller = it.send("/read/1", {{"Deadline-Ms", "15000"}});
+    CHECK(caller->status() == 503);
+    CHECK(std::stod(caller->field("Retry-After")) > 0.3);
+    CHECK(it.backends.calls.size() == calls);
+    it.clock.advance(4s);
+    (void)it.send("/read/1");
+    CHECK(it.backends.calls.size() == calls + 1);
+}
+
+// Guards against calls for a prefill, or for the generation after it, that are not counted against a server's limit.
+TEST_CASE("both calls of a split request count against the limits of their servers") {
+    forwarder_fixture it;
+    it.configure();
+    it.subject.set_gateways({.own = "gateways/1", .listed = true});
+    it.subject.on_backends({test::server("prefill-1", "llm", gateway::engine_stage::prefill, 12),
+                            test::server("engine-1", "llm", gateway::engine_stage::decode, 12)});
+    const http::field_list prompt{{"Token-Usage", "9000,50"}, {"Prompt-Prefix", "a1:8000,b1:1000"}};
+    const http::field limit{"Server-Limit", "1"};
+    const auto answer_both = [&] {
+        const auto n = it.backends.calls.size();
+        (void)it.send("/draft/1", prompt);
+        REQUIRE(it.backends.calls.size() == n + 1);
+        REQUIRE(it.last().field("Serving-Stage") == "prefill");
+        it.answer(200, {limit, {"Attempt-Id", "a1"}}, R"({"KvHandle":"h1","Tokens":1,"Version":1})");
+        REQUIRE(it.last().address == "engine-1:80");
+        it.subject.on_head(
+            it.last().call, 200,
+            {limit, {"Content-Type", "text/event-stream"}, {"Attempt-Id", "a1"}, {"Response-Signature", "s"}});
+        it.event(1);
+        it.end(call_end::complete);
+    };
+    answer_both();
+    auto calls = it.backends.calls.size();
+    (void)it.send("/draft/1", prompt);
+    (void)it.send("/query/1");
+    CHECK(it.backends.calls.size() == calls);
+    it.clock.advance(3s);
+    answer_both();
+    calls = it.backends.calls.size();
+    (void)it.send("/query/1");
+    CHECK(it.backends.calls.size() == calls);
+}
+
 // Guards against an empty success from an engine that ends as it begins to answer, on an answer without length.
 TEST_CASE("a stream that ends before its first event is not complete") {
     forwarder_fixture it;
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -165,9 +165,9 @@
     std::uint32_t count_a = 0;
     std::uint32_t count_b = 0;
     gateway::member_task a{{.name = "a", .incarnation = "i1", .peer_address = "10.0.0.1:7"},
-                           {clock, store, ids, starts, [&](std::uint32_t n) { count_a = n; }}};
+                           {clock, store, ids, starts, [&](const auto &all) { count_a = all.size(); }}};
     gateway::member_task b{{.name = "b", .incarnation = "i2", .peer_address = "10.0.0.2:7"},
-                           {clock, store, ids, starts, [&](std::uint32_t n) { count_b = n; }}};
+                           {clock, store, ids, starts, [&](const auto &all) { count_b = all.size(); }}};
     CHECK(a.publish());
     CHECK(b.publish());
     a.refresh_members();
@@ -190,7 +190,7 @@
     base::id_source ids{1};
     const gateway::windowed_start_counter starts{[] { return std::uint64_t{1}; }, 5s, 6};
     gateway::member_task it{{.name = "a", .incarnation = "i1", .peer_address = "10.0.0.1:7", .retry_after = 20ms},
-                            {clock, store, ids, starts, [](std::uint32_t) {}}};
+                            {clock, store, ids, starts, [](const auto &) {}}};
     store.set_faults({.outage = true});
     it.start();
     std::jthread recovery{[&store] {
@@ -208,7 +208,7 @@
     base::id_source ids{1};
     const gateway::windowed_start_counter starts{[] { return std::uint64_t{1}; }, 5s, 6};
     gateway::member_task it{{.name = "a", .incarnation = "i1", .peer_address = "10.0.0.1:7"},
-                            {clock, store, ids, starts, [](std::uint32_t) {}}};
+                            {clock, store, ids, starts, [](const auto &) {}}};
     store.set_faults({.outage = true});
     CHECK_FALSE(it.publish());
     store.set_faults({});
--- a/test/platform/http_protocol.cpp
+++ b/test/platform/http_protocol.cpp
@@ -89,3 +89,26 @@
     CHECK_FALSE(pause_of(429, "3"));
     CHECK_FALSE(protocol.decode_head(503, {{"Not-Executed", "1"}}, "a1").notice.pause);
 }
+
+// Guards against text that is no number, or an answer of another server, that sets or ends a limit.
+TEST_CASE("an answer may limit the requests to its server") {
+    const auto notice_of = [](int status, http::field_list fields, const std::string &limit) {
+        fields.push_back({"Server-Limit", limit});
+        return protocol.decode_head(status, fields, "a1").notice;
+    };
+    const http::field_list plain{{"Attempt-Id", "a1"}};
+    CHECK(notice_of(200, plain, "4.7").limit == 4.7);
+    CHECK(notice_of(503, plain, " 0 ").limit == 0);
+    for (const auto *text : {"", "-1", "nan", "inf", "1e999", "four", "4,7"}) {
+        CAPTURE(text);
+        const auto notice = notice_of(200, plain, text);
+        CHECK_FALSE(notice.limit);
+        CHECK_FALSE(notice.ends_limit);
+    }
+    CHECK_FALSE(notice_of(421, plain, "4.7").limit);
+    CHECK(protocol.decode_head(200, plain, "a1").notice.ends_limit);
+    CHECK(protocol.decode_head(503, {{"Not-Executed", "1"}}, "a1").notice.ends_limit);
+    CHECK_FALSE(protocol.decode_head(200, plain, "a2").notice.ends_limit);
+    CHECK_FALSE(protocol.decode_head(503, plain, "a1").notice.ends_limit);
+    CHECK_FALSE(protocol.decode_head(421, plain, "a1").notice.ends_limit);
+}
