Read the heads of refusals, also when the answer breaks off

A refusal whose connection broke before its body was whole said nothing about its server: heads were passed on for status 200 only, and other answers were decoded at their end. All final heads are passed on now, once, and the notices in them are taken at once.

--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -330,7 +330,7 @@
 call_event_result opaque_exchange::on_head(int status, const http::field_list &fields) {
     read_head(status, fields);
     // What follows is not an answer to this request, and it may go on without end.
-    if (!prefilling_ && !head_.genuine) {
+    if (status == 200 && !prefilling_ && !head_.genuine) {
         return call_failed{unknown_outcome(), attempt_outcome::broken};
     }
     return dispatch::call_pending{};
@@ -412,10 +412,6 @@
         return internal::unreachable();
     }
     const bool complete = how == call_end::complete;
-    // For status 200, `on_head` has already decoded the head.
-    if (complete && answer.status != 200) {
-        read_head(answer.status, answer.fields);
-    }
     if (prefilling_) {
         return after_prefill(complete, answer);
     }
--- a/src/http/async_client.hpp
+++ b/src/http/async_client.hpp
@@ -16,7 +16,7 @@
     body_sink on_data; /**< Parts of a body whose status is 200. */
     /** Status and fields, and the body if it was not streamed; or the error. */
     std::function<void(base::result<response>)> on_end;
-    head_sink on_head{}; /**< Status and fields of a response whose status is 200, before its body; may be absent. */
+    head_sink on_head{}; /**< Status and fields of the response, before its body; may be absent. */
 };
 
 /** @brief HTTP/1.1 client on libcurl's multi interface: any number of transfers on one thread. */
--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Smaller statuses announce an answer that is yet to come.
+constexpr long first_final_status = 200;
+
 /** Subtracts from what is left; false when the response is longer than permitted. */
 bool within_limit(transfer &it, std::size_t &left, std::size_t n) {
     it.too_long = it.too_long || n > left;
@@ -48,7 +51,7 @@
     } else if (it.head != nullptr && (line == "\r\n" || line == "\n")) {
         long status = 0;
         curl_easy_getinfo(it.handle, CURLINFO_RESPONSE_CODE, &status);
-        if (status == 200) {
+        if (status >= first_final_status) {
             (*it.head)(static_cast<int>(status), it.answer.fields);
         }
     } else if (colon != std::string_view::npos) {
--- a/test/gateway/fixture.hpp
+++ b/test/gateway/fixture.hpp
@@ -125,8 +125,8 @@
 
     void answer(int status, http::field_list fields, std::string body = "") {
         const auto call = last().call;
+        subject.on_head(call, status, fields);
         if (status == 200) {
-            subject.on_head(call, status, fields);
             subject.on_data(call, body);
             body.clear();
         }
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -259,6 +259,10 @@
         it.subject.on_head(it.last().call, 200, {leaving, {"Attempt-Id", "a1"}, {"Response-Signature", "s"}});
         it.end(call_end::broken);
     }));
+    CHECK(leaves_after([&](auto &it) {
+        it.subject.on_head(it.last().call, 503, {leaving, {"Not-Executed", "1"}});
+        it.end(call_end::broken);
+    }));
 }
 
 // Guards against waiting for servers that all ask for a longer pause than the caller has, and against a Retry-After
--- a/test/http/endless.cpp
+++ b/test/http/endless.cpp
@@ -65,3 +65,29 @@
     }
     client.stop();
 }
+
+// Guards against losing what a refusal says in its head, because the connection breaks before its body is whole.
+TEST_CASE("the head of any answer is reported before its body, and once") {
+    const test::endless_server server{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nServer-Leaving: 1\r\n"
+                                      "Content-Length: 999999999\r\n\r\n",
+                                      "x"};
+    http::async_client client;
+    std::promise<bool> ended;
+    std::vector<int> heads;
+    http::field_list fields;
+    http::call_options options;
+    options.timeout = 30s;
+    options.body_limit = 1U << 20U;
+    client.send(server.address(), {"GET", "/", {}, ""}, options,
+                {.on_data = {},
+                 .on_end = [&ended](const base::result<http::response> &answer) { ended.set_value(!answer); },
+                 .on_head =
+                     [&](int status, const http::field_list &seen) {
+                         heads.push_back(status);
+                         fields = seen;
+                     }});
+    CHECK(ended.get_future().get());
+    client.stop();
+    CHECK(heads == std::vector<int>{503});
+    CHECK(http::find_field(fields, "Server-Leaving") == "1");
+}
