Wait for an unknown holder after the store has returned from a copy

What could happen: a copy without the lease, or with one released before it was taken, made the lease look free. Another gateway acquired it at once, while the holder of before acted until its term ended; with `FencingRequired` false nobody would have refused its calls.

Cause: absence or age of a record in a copy, taken as news about its owner. The store's interface now names its history, and a candidate that sees a new one waits for a full term, margin and send time-out before it takes the lease, whatever the copy says. A process that has just started cannot know either, and waits as well where the store can return.

--- a/src/lease/lease_state_machine.cpp
+++ b/src/lease/lease_state_machine.cpp
@@ -32,7 +32,16 @@
     if (observed_->released) {
         return settings_.send_timeout;
     }
-    return std::max(settings_.term, observed_->term) + settings_.margin + settings_.send_timeout;
+    return full_term();
+}
+
+base::duration lease_state_machine::full_term() const {
+    return std::max(settings_.term, observed_ ? observed_->term : base::duration{0}) + settings_.margin +
+           settings_.send_timeout;
+}
+
+base::instant lease_state_machine::takeover_at() const {
+    return observed_ ? std::max(first_seen_ + takeover_delay(), unknown_holder_until_) : unknown_holder_until_;
 }
 
 lease_action lease_state_machine::write_record(lease_record record) {
@@ -46,10 +55,10 @@
     if (read_needed_ || now >= read_due_) {
         return {lease_step::read, lease_key(settings_.name), {}, 0, {}};
     }
-    if (!observed_ || now >= first_seen_ + takeover_delay()) {
+    if (now >= takeover_at()) {
         return write_record({settings_.holder, 0, 0, settings_.term, false});
     }
-    return {lease_step::wait, {}, {}, 0, std::min(read_due_, first_seen_ + takeover_delay())};
+    return {lease_step::wait, {}, {}, 0, std::min(read_due_, takeover_at())};
 }
 
 lease_action lease_state_machine::next_as_holder(base::instant now) {
@@ -91,7 +100,7 @@
     return {lease_step::wait, {}, {}, 0, base::instant::max()};
 }
 
-void lease_state_machine::on_read(const base::result<std::optional<store::object>> &found) {
+void lease_state_machine::on_read(const base::result<std::optional<store::object>> &found, std::uint64_t history) {
     const auto now = clock_.now();
     read_due_ = now + settings_.standby_read_every;
     // Versions only increase, so an object with a lower version comes from a stale read and is ignored.
@@ -113,6 +122,10 @@
     }
     version_ = version;
     observed_ = record;
+    if (history != history_) {
+        history_ = history;
+        unknown_holder_until_ = now + full_term();
+    }
     read_needed_ = false;
     const bool ours = record && record->holder == settings_.holder && record->fence == own_.fence && !record->released;
     if (phase_ == phase::releasing) {
@@ -164,7 +177,8 @@
 lease_action drive_lease(lease_state_machine &lease_state, store::object_store &store, base::id_source &ids) {
     auto action = lease_state.next();
     if (action.step == lease_step::read) {
-        lease_state.on_read(store.get(action.key));
+        const auto found = store.get(action.key);
+        lease_state.on_read(found, store.history());
     } else if (action.step == lease_step::write) {
         lease_state.on_written(store::settled_write(store, ids, action.key, action.value, action.expected));
     }
--- a/src/lease/lease_state_machine.hpp
+++ b/src/lease/lease_state_machine.hpp
@@ -54,8 +54,12 @@
     /** @return The next action. After `read` and `write` the outcome must be reported before the next call. */
     [[nodiscard]] lease_action next();
 
-    /** @brief Outcome of a `read`. */
-    void on_read(const base::result<std::optional<store::object>> &found);
+    /**
+     * @brief Outcome of a `read`.
+     * @param history Of the store, see `store::object_store::history`. In a new one, the lease may have a holder of
+     * whom the store knows nothing any more.
+     */
+    void on_read(const base::result<std::optional<store::object>> &found, std::uint64_t history = 0);
 
     /** @brief Outcome of a `write` (`store::settled_write`). */
     void on_written(const base::result<std::uint64_t> &written);
@@ -90,6 +94,8 @@
     [[nodiscard]] lease_action next_as_candidate(base::instant now);
     [[nodiscard]] lease_action next_as_holder(base::instant now);
     [[nodiscard]] base::duration takeover_delay() const;
+    [[nodiscard]] base::duration full_term() const;
+    [[nodiscard]] base::instant takeover_at() const;
     void mark_lost() noexcept;
 
     const base::clock &clock_;
@@ -100,6 +106,8 @@
     std::uint64_t version_{store::absent};
     std::optional<lease_record> observed_;
     base::instant first_seen_{};
+    std::uint64_t history_{0};
+    base::instant unknown_holder_until_{}; /**< Until then a holder may act whose record the store has lost. */
     base::instant read_due_{};
     lease_record own_;
     base::instant sent_at_{};
--- a/src/store/object_store.hpp
+++ b/src/store/object_store.hpp
@@ -70,6 +70,12 @@
      */
     [[nodiscard]] virtual base::result<watch_batch> watch(std::string_view prefix, std::uint64_t since,
                                                           base::duration wait) = 0;
+
+    /**
+     * @return Number of the store's history, as of the newest answer. It rises when the store has returned from a copy
+     * and lost acknowledged writes; 0 if that has not been seen to be possible. Callable from any thread.
+     */
+    [[nodiscard]] virtual std::uint64_t history() const noexcept { return 0; }
 };
 
 } // namespace dotterelstack::store
