Take records of a copy as no news about their gateways

Cause: a record more than one window behind counted as that of a gateway that has ended, and after a return all records are. Class: the age or absence of a record in a copy, taken as news about its owner. The same cause let the live count, by which retry budgets and limits are divided, drop to the gateways that the copy knew, and brought gateways back that had ended.

Change: `member_directory` joins all lists that a process has seen; only a record that advances shows that its gateway lives, counts never fall, and a missing record is kept. Until live gateways have written again after a return, old records are waited for or their gateways asked.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -75,12 +75,14 @@
       servers_{{deps_.time, deps_.codec, deps_.client, [this] { return peers(); },
                 [this](std::vector<backend_server> all) { events_.push(backends_event{std::move(all)}); }}},
       crash_reports_{{.incarnation = incarnation_},
-                     {deps_.time, deps_.store, deps_.ids, [this](std::string_view address) {
+                     {deps_.time, deps_.store, deps_.ids,
+                      [this](std::string_view address) {
                           http::call_options limits;
                           limits.connect_timeout = settings_.timings.connect_timeout;
                           limits.timeout = settings_.timings.connect_timeout;
                           return deps_.client.call(address, deps_.protocol.state_query(), limits).has_value();
-                      }}} {
+                      }}},
+      directory_{deps_.time} {
     const feed_settings feed{settings::effective_watch_wait(settings_), settings_.timings.store_retry,
                              internal::change_pause};
     config_feed_ = std::make_unique<store_feed>(
@@ -148,7 +150,7 @@
     member_settings about{.name = settings_.name, .incarnation = incarnation_, .peer_address = peers};
     about.publish_every = settings_.bounds.usage_window / 2;
     members_ = std::make_unique<member_task>(
-        about, member_task::dependencies{deps_.time, deps_.store, deps_.ids, starts_,
+        about, member_task::dependencies{deps_.time, deps_.store, deps_.ids, starts_, directory_,
                                          [this](gateway_group all) { events_.push(gateways_event{std::move(all)}); }});
     published_members_ = members_.get();
     events_.push(gateways_event{{.own = std::string{members_prefix} + incarnation_}});
@@ -166,9 +168,9 @@
         duty.window = settings_.bounds.usage_window;
         duty.due = settings_.bounds.usage_due;
         duty_ = std::make_unique<usage_window_reporter>(
-            duty,
-            usage_window_reporter::dependencies{[this] { return time_of_day_.now(); }, deps_.store, deps_.ids,
-                                                *deps_.duties, [this](auto address) { return ask_member(address); }});
+            duty, usage_window_reporter::dependencies{deps_.time, [this] { return time_of_day_.now(); }, deps_.store,
+                                                      deps_.ids, *deps_.duties, directory_,
+                                                      [this](auto address) { return ask_member(address); }});
         duty_thread_ = std::make_unique<usage_window_reporter_thread>(*duty_, *lease_, duty.step);
         lease_->start();
         duty_thread_->start();
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -13,6 +13,7 @@
 #include "gateway/forwarder.hpp"
 #include "gateway/http_backend_port.hpp"
 #include "gateway/jump_filter_clock.hpp"
+#include "gateway/member_directory.hpp"
 #include "gateway/member_task.hpp"
 #include "gateway/server_source.hpp"
 #include "gateway/site_codec.hpp"
@@ -100,6 +101,7 @@
     std::unique_ptr<store_feed> server_feed_;
     crash_report_task crash_reports_;
     std::unique_ptr<store_feed> crash_feed_;
+    member_directory directory_;
     std::unique_ptr<member_task> members_;
     std::atomic<const member_task *> published_members_{nullptr}; /**< For the peers' listener, which starts first. */
     std::unique_ptr<lease::lease_thread> lease_;
--- a/src/gateway/member_task.cpp
+++ b/src/gateway/member_task.cpp
@@ -63,28 +63,19 @@
         log::write("member_list_failed", {{"reason", all.error().code}});
         return;
     }
+    deps_.members.on_list(all.value());
     const auto now = deps_.time.now();
-    std::map<std::string, observed_version> seen;
     std::vector<std::string> others;
     gateway_group live{.own = own_.key(), .listed = true};
     std::size_t preceding = 0;
-    for (const auto &item : all.value()) {
-        const auto before = seen_.find(item.key);
-        const bool changed = before == seen_.end() || before->second.version != item.version;
-        auto &it = seen[item.key];
-        it = changed ? observed_version{item.version, now} : before->second;
-        if (item.key == own_.key() || now - it.changed_at > settings_.record_ttl) {
+    for (const auto &it : deps_.members.all()) {
+        if (it.key == own_.key() || now - it.advanced_at > settings_.record_ttl) {
             continue;
         }
-        if (const auto record = parse_member(item)) {
-            live.others.push_back(item.key);
-            preceding += item.key < own_.key() ? 1U : 0U;
-            others.push_back(record.value().peer_address);
-        } else {
-            log::write("member_unreadable", {{"object", item.key}, {"reason", record.error().message}});
-        }
+        live.others.push_back(it.key);
+        preceding += it.key < own_.key() ? 1U : 0U;
+        others.push_back(it.record.peer_address);
     }
-    seen_ = std::move(seen);
     may_hold_leases_ = preceding < internal::lease_candidates;
     deps_.on_group(std::move(live));
     const std::scoped_lock lock{mutex_};
--- a/src/gateway/member_task.hpp
+++ b/src/gateway/member_task.hpp
@@ -3,7 +3,6 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -12,7 +11,7 @@
 #include "base/clock.hpp"
 #include "base/id.hpp"
 #include "gateway/limit_share.hpp"
-#include "gateway/member_record.hpp"
+#include "gateway/member_directory.hpp"
 #include "gateway/own_record.hpp"
 #include "store/object_store.hpp"
 
@@ -27,7 +26,7 @@
     base::duration retry_after{std::chrono::milliseconds{500}};
     base::duration first_list_wait{std::chrono::seconds{2}}; /**< Doubled up to `list_every`. */
     base::duration list_every{std::chrono::seconds{10}};
-    /** A gateway whose record is unchanged for this long is considered gone. */
+    /** A gateway whose record does not advance for this long is considered gone. */
     base::duration record_ttl{std::chrono::seconds{25}};
 };
 
@@ -39,6 +38,7 @@
         store::object_store &store;
         base::id_source &ids;
         const windowed_start_counter &starts;
+        member_directory &members;
         std::function<void(gateway_group)> on_group; /**< Takes the live gateways. */
     };
 
@@ -68,17 +68,11 @@
     void refresh_members();
 
 private:
-    struct observed_version {
-        std::uint64_t version{0};
-        base::instant changed_at{};
-    };
-
     void run(const std::stop_token &token);
 
     const member_settings settings_;
     dependencies deps_;
     own_record own_;
-    std::map<std::string, observed_version> seen_;
     mutable std::mutex mutex_;
     std::vector<std::string> peers_;
     std::atomic<bool> may_hold_leases_{true};
--- a/src/gateway/usage_window_reporter.cpp
+++ b/src/gateway/usage_window_reporter.cpp
@@ -1,7 +1,7 @@
 #include "gateway/usage_window_reporter.hpp"
 
 #include <algorithm>
-#include <span>
+#include <utility>
 
 #include "base/interruptible_wait.hpp"
 #include "log/event.hpp"
@@ -15,17 +15,6 @@
 // so long that waiting for it would make the reports late.
 constexpr std::uint64_t max_record_lag = 1;
 
-/** @return True when the gateway may still add counts for the window to its record. */
-bool may_still_count(const known_member &it, std::span<const known_member> all, std::uint64_t window) {
-    if (it.record.window > window || it.record.window + max_record_lag < window) {
-        return false;
-    }
-    // A newer process at the same address has replaced this one.
-    return std::ranges::none_of(all, [&it](const known_member &other) {
-        return other.record.peer_address == it.record.peer_address && other.version > it.version;
-    });
-}
-
 } // namespace internal
 
 usage_window_reporter::usage_window_reporter(usage_window_reporter_settings settings, dependencies deps)
@@ -35,6 +24,37 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(1, base::to_milliseconds(settings_.window)));
 }
 
+void usage_window_reporter::note_history() {
+    const auto now = deps_.store.history();
+    if (now == history_) {
+        return;
+    }
+    if (history_ != 0) {
+        log::write("store_returned", {{"history", now}, {"before", history_}});
+    }
+    // A process that has just started cannot tell, so the first history counts as new, too.
+    history_ = now;
+    returned_at_ = deps_.time.now();
+}
+
+bool usage_window_reporter::may_still_count(const known_member &it, std::span<const known_member> all,
+                                            std::uint64_t window) const {
+    if (it.record.window > window) {
+        return false;
+    }
+    const auto now = deps_.time.now();
+    const bool rewriting = returned_at_ && now < *returned_at_ + settings_.rewrite_time;
+    const bool behind = it.record.window + internal::max_record_lag < window;
+    if (behind && (!rewriting || now - it.advanced_at > settings_.member_ttl)) {
+        return false;
+    }
+    // A newer process at the same address has replaced this one.
+    return std::ranges::none_of(all, [&it](const known_member &other) {
+        return other.key != it.key && other.record.peer_address == it.record.peer_address &&
+               std::pair{other.record.window, other.version} > std::pair{it.record.window, it.version};
+    });
+}
+
 std::vector<known_member> *usage_window_reporter::list_members(step_members &members) const {
     if (members.listed) {
         return members.records ? &*members.records : nullptr;
@@ -45,15 +65,8 @@
         log::write("member_list_failed", {{"reason", items.error().code}});
         return nullptr;
     }
-    auto &out = members.records.emplace();
-    for (const auto &item : items.value()) {
-        if (auto record = parse_member(item)) {
-            out.push_back({item.version, std::move(record.value())});
-        } else {
-            log::write("member_unreadable", {{"object", item.key}, {"reason", record.error().message}});
-        }
-    }
-    return &out;
+    deps_.members.on_list(items.value());
+    return &members.records.emplace(deps_.members.all());
 }
 
 bool usage_window_reporter::ask(known_member &of, std::uint64_t window, step_members &members) const {
@@ -66,6 +79,7 @@
     const bool same = answer && answer->name == of.record.name && answer->window > window;
     log::write("member_asked", {{"gateway", of.record.name}, {"window", window}, {"answered", same}});
     if (same) {
+        deps_.members.on_answer(of.key, *answer);
         of.record = std::move(*answer);
     }
     return same;
@@ -83,7 +97,7 @@
     const bool late = after_end(settings_.due - settings_.reserve);
     start_counts out;
     for (auto &it : *all) {
-        const bool missing = internal::may_still_count(it, *all, window);
+        const bool missing = may_still_count(it, *all, window);
         if (missing && !(after_end(settings_.ask_after) && ask(it, window, members)) && !late) {
             return std::nullopt;
         }
@@ -109,7 +123,8 @@
         return counts ? std::optional{counts.value()} : std::nullopt;
     }
     auto counts = sum(window, members);
-    if (!counts || !authority()) {
+    // After a return in the middle of a step, nothing that was read before it holds.
+    if (!counts || !authority() || deps_.store.history() != members.history) {
         return std::nullopt;
     }
     // After a conflict or a lost answer, the next step reads the stored object.
@@ -181,11 +196,11 @@
     if (superseded_) {
         return;
     }
-    const auto now = deps_.now();
-    const auto current = now / window_ms();
-    // Overdue reports are sent as well: late counts are better than none.
+    const auto current = deps_.now() / window_ms();
+    note_history();
     const auto oldest = current - std::min(current, settings_.keep_windows / 2);
-    step_members members;
+    // Overdue reports are sent as well: late counts are better than none.
+    step_members members{.history = history_};
     for (auto window = oldest; window < current && !superseded_ && authority(); ++window) {
         if (!reported_.contains(window)) {
             report(window, authority, members);
--- a/src/gateway/usage_window_reporter.hpp
+++ b/src/gateway/usage_window_reporter.hpp
@@ -5,24 +5,19 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "base/clock.hpp"
 #include "base/id.hpp"
-#include "gateway/member_record.hpp"
+#include "gateway/member_directory.hpp"
 #include "lease/lease_thread.hpp"
 #include "store/object_store.hpp"
 
 namespace dotterelstack::gateway {
 
-/** @brief A gateway's record and its store version. */
-struct known_member {
-    std::uint64_t version{0};
-    member_record record;
-};
-
 /** @brief Times of a `usage_window_reporter`. */
 struct usage_window_reporter_settings {
     base::duration window{std::chrono::seconds{5}};
@@ -33,6 +28,11 @@
     /** Time after the end of a window at which gateways that have not published it are asked for their counts. */
     base::duration ask_after{std::chrono::milliseconds{3500}};
     std::size_t asks_per_step{4};
+    /** Time after a return of the store in which live gateways write their records again: the interval at which they
+     * publish, and two repetitions of the first write, which fails. */
+    base::duration rewrite_time{std::chrono::milliseconds{3500}};
+    /** A gateway whose record has not advanced for this long has ended, whatever a copy of the store says. */
+    base::duration member_ttl{std::chrono::seconds{25}};
     std::uint64_t keep_windows{
         12}; /**< Age, in windows, at which sealed windows and stale gateway records are erased. */
 };
@@ -43,14 +43,19 @@
  * Before a report, the counts are sealed by a write that fails if the object exists, so every repetition of the report,
  * also by another holder, carries the same counts. A window is sealed when every gateway that may have counted in it
  * has published the end of the window, or when the report would otherwise be late.
+ *
+ * When the store has returned from a copy, records there are old although their gateways live. They count as current
+ * only once they have been written again.
  */
 class usage_window_reporter {
 public:
     struct dependencies {
+        const base::clock &time;
         wall_clock now;
         store::object_store &store;
         base::id_source &ids;
         usage_report_port &duties;
+        member_directory &members;
         member_query ask_member{}; /**< For gateways that cannot publish to the store; may be absent. */
     };
 
@@ -67,12 +72,16 @@
     /** Cache of the gateways' records, listed once for all windows of a step. */
     struct step_members {
         bool listed{false};
-        std::optional<std::vector<known_member>> records; /**< Empty when the list failed. */
+        std::optional<std::vector<known_member>> records{}; /**< Empty when the list failed. */
         std::size_t asked{0};
+        std::uint64_t history{0}; /**< Of the store, when the step began. */
     };
 
     [[nodiscard]] std::optional<start_counts> seal(std::uint64_t window, const lease::authority_check &authority,
                                                    step_members &members);
+    void note_history();
+    [[nodiscard]] bool may_still_count(const known_member &it, std::span<const known_member> all,
+                                       std::uint64_t window) const;
     [[nodiscard]] std::vector<known_member> *list_members(step_members &members) const;
     [[nodiscard]] bool ask(known_member &of, std::uint64_t window, step_members &members) const;
     [[nodiscard]] std::optional<start_counts> sum(std::uint64_t window, step_members &members) const;
@@ -86,6 +95,8 @@
     std::map<std::uint64_t, start_counts> sealed_;
     std::set<std::uint64_t> reported_;
     std::uint64_t cleaned_{0};
+    std::uint64_t history_{0};                 /**< Of the store, as last noted. */
+    std::optional<base::instant> returned_at_; /**< When this process noted that the store had returned from a copy. */
 };
 
 /** @brief Runs a `usage_window_reporter` on its own thread while the lease is held. */
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -67,6 +67,7 @@
     store::memory_store store;
     base::id_source ids{1};
     fake_duties duties;
+    gateway::member_directory members{clock};
     lease::lease_state_machine lease_state{clock, {.name = "usage", .holder = "me", .term = 60s}};
     gateway::usage_window_reporter subject{make()};
 
@@ -80,7 +81,7 @@
     }
 
     gateway::usage_window_reporter make() {
-        return gateway::usage_window_reporter{{}, {[this] { return now; }, store, ids, duties}};
+        return gateway::usage_window_reporter{{}, {clock, [this] { return now; }, store, ids, duties, members}};
     }
 
     /** @param window Window in which the gateway published; its counts of earlier windows are final. */
@@ -161,13 +162,16 @@
     base::manual_clock clock;
     store::memory_store store;
     base::id_source ids{1};
-    const gateway::windowed_start_counter starts{[] { return std::uint64_t{1}; }, 5s, 6};
+    std::uint64_t now_ms = 1;
+    const gateway::windowed_start_counter starts{[&now_ms] { return now_ms; }, 5s, 6};
+    gateway::member_directory members_a{clock};
+    gateway::member_directory members_b{clock};
     std::uint32_t count_a = 0;
     std::uint32_t count_b = 0;
     gateway::member_task a{{.name = "a", .incarnation = "i1", .peer_address = "10.0.0.1:7"},
-                           {clock, store, ids, starts, [&](const auto &all) { count_a = all.size(); }}};
+                           {clock, store, ids, starts, members_a, [&](const auto &all) { count_a = all.size(); }}};
     gateway::member_task b{{.name = "b", .incarnation = "i2", .peer_address = "10.0.0.2:7"},
-                           {clock, store, ids, starts, [&](const auto &all) { count_b = all.size(); }}};
+                           {clock, store, ids, starts, members_b, [&](const auto &all) { count_b = all.size(); }}};
     CHECK(a.publish());
     CHECK(b.publish());
     a.refresh_members();
@@ -176,6 +180,7 @@
     CHECK(count_b == 2);
     CHECK(a.peers() == std::vector<std::string>{"10.0.0.2:7"});
     clock.advance(26s);
+    now_ms += 26'000;
     CHECK(a.publish());
     b.refresh_members();
     a.refresh_members();
@@ -189,8 +194,9 @@
     store::memory_store store;
     base::id_source ids{1};
     const gateway::windowed_start_counter starts{[] { return std::uint64_t{1}; }, 5s, 6};
+    gateway::member_directory members{clock};
     gateway::member_task it{{.name = "a", .incarnation = "i1", .peer_address = "10.0.0.1:7", .retry_after = 20ms},
-                            {clock, store, ids, starts, [](const auto &) {}}};
+                            {clock, store, ids, starts, members, [](const auto &) {}}};
     store.set_faults({.outage = true});
     it.start();
     std::jthread recovery{[&store] {
@@ -207,8 +213,9 @@
     store::memory_store store;
     base::id_source ids{1};
     const gateway::windowed_start_counter starts{[] { return std::uint64_t{1}; }, 5s, 6};
+    gateway::member_directory members{clock};
     gateway::member_task it{{.name = "a", .incarnation = "i1", .peer_address = "10.0.0.1:7"},
-                            {clock, store, ids, starts, [](const auto &) {}}};
+                            {clock, store, ids, starts, members, [](const auto &) {}}};
     store.set_faults({.outage = true});
     CHECK_FALSE(it.publish());
     store.set_faults({});
@@ -389,7 +396,7 @@
     std::vector<std::string> asked;
     std::optional<gateway::member_record> reply;
     gateway::usage_window_reporter subject{{},
-                                           {[&it] { return it.now; }, it.store, it.ids, it.duties,
+                                           {it.clock, [&it] { return it.now; }, it.store, it.ids, it.duties, it.members,
                                             [&](std::string_view address) {
                                                 asked.emplace_back(address);
                                                 return reply;
