Write seals that the store has lost again, and leave out what nobody knows

Cause: the seal of a window, which makes repetitions equal, was in the part that the store had lost, and its absence was taken for a window that nobody had reported.

Change: gateways that may hold the lease remember the seals that they have seen and write them again after a return. A holder whose term reached to the return knows all of them, whether it holds the lease now or not, and states in the store from which window on a missing seal was never made. A holder without such a statement leaves out the windows that had ended before it asked: a missing report has a price, one with other counts breaks a rule.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -171,7 +171,8 @@
             duty, usage_window_reporter::dependencies{deps_.time, [this] { return time_of_day_.now(); }, deps_.store,
                                                       deps_.ids, *deps_.duties, directory_,
                                                       [this](auto address) { return ask_member(address); }});
-        duty_thread_ = std::make_unique<usage_window_reporter_thread>(*duty_, *lease_, duty.step);
+        duty_thread_ = std::make_unique<usage_window_reporter_thread>(*duty_, *lease_, duty.step,
+                                                                      [this] { return members_->may_hold_leases(); });
         lease_->start();
         duty_thread_->start();
     }
--- a/src/gateway/usage_window_reporter.cpp
+++ b/src/gateway/usage_window_reporter.cpp
@@ -1,6 +1,7 @@
 #include "gateway/usage_window_reporter.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "base/interruptible_wait.hpp"
@@ -15,6 +16,40 @@
 // so long that waiting for it would make the reports late.
 constexpr std::uint64_t max_record_lag = 1;
 
+// Key of the object in which a holder states from which window on a missing seal was never made.
+constexpr std::string_view seal_state_key = "usage-state/seals";
+
+/** Contents of that object. */
+struct seal_state {
+    std::uint64_t history{0};
+    std::uint64_t unsure_before{0};
+};
+
+nlohmann::json to_json(const seal_state &it) {
+    return {{"history", it.history}, {"unsure_before", it.unsure_before}};
+}
+
+seal_state parse_seal_state(const store::object &item) {
+    const auto value = store::parse_value(item);
+    if (!value) {
+        return {};
+    }
+    try {
+        return seal_state{value.value().at("history").get<std::uint64_t>(),
+                          value.value().at("unsure_before").get<std::uint64_t>()};
+    } catch (const nlohmann::json::exception &) {
+        // As of no history: the next holder writes it anew, and leaves out what it does not know.
+        return {};
+    }
+}
+
+std::uint64_t window_of_seal(std::string_view key) {
+    std::uint64_t out = 0;
+    key.remove_prefix(sealed_starts_prefix.size());
+    std::from_chars(key.data(), key.data() + key.size(), out);
+    return out;
+}
+
 } // namespace internal
 
 usage_window_reporter::usage_window_reporter(usage_window_reporter_settings settings, dependencies deps)
@@ -24,10 +59,10 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(1, base::to_milliseconds(settings_.window)));
 }
 
-void usage_window_reporter::note_history() {
+bool usage_window_reporter::note_history() {
     const auto now = deps_.store.history();
     if (now == history_) {
-        return;
+        return false;
     }
     if (history_ != 0) {
         log::write("store_returned", {{"history", now}, {"before", history_}});
@@ -35,6 +70,85 @@
     // A process that has just started cannot tell, so the first history counts as new, too.
     history_ = now;
     returned_at_ = deps_.time.now();
+    knew_last_history_ = seals_complete_ && *returned_at_ <= last_held_at_ + settings_.takeover_margin;
+    seals_complete_ = false;
+    return true;
+}
+
+std::uint64_t usage_window_reporter::oldest_due(std::uint64_t current) const noexcept {
+    return current - std::min(current, settings_.keep_windows / 2);
+}
+
+bool usage_window_reporter::load_seals(std::uint64_t current) {
+    seals_.forget_before(oldest_due(current));
+    const auto sealed = deps_.store.list(sealed_starts_prefix);
+    if (!sealed) {
+        return false;
+    }
+    std::set<std::uint64_t> stored;
+    for (const auto &it : sealed.value()) {
+        const auto window = internal::window_of_seal(it.key);
+        stored.insert(window);
+        if (auto counts = parse_counts(it); counts && window >= oldest_due(current)) {
+            seals_.remember(window, std::move(counts.value()));
+        }
+    }
+    for (const auto &[window, counts] : seals_.seals()) {
+        if (stored.contains(window)) {
+            continue;
+        }
+        const auto written =
+            store::settled_write(deps_.store, deps_.ids, sealed_starts_key(window), to_json(counts), store::absent);
+        log::write("usage_seal_restored", {{"window", window}, {"written", written.has_value()}});
+        if (!written) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool usage_window_reporter::complete_seals(std::uint64_t current) {
+    if (!load_seals(current)) {
+        return false;
+    }
+    const std::string key{internal::seal_state_key};
+    const auto found = deps_.store.get(key);
+    if (!found) {
+        return false;
+    }
+    const auto stated = found.value() ? internal::parse_seal_state(*found.value()) : internal::seal_state{};
+    if (stated.history > history_) {
+        // The store has returned again meanwhile, which the next step will note.
+        return false;
+    }
+    const bool is_stated = stated.history == history_ && found.value();
+    auto unsure_before = seals_.unsure_before();
+    if (!knew_last_history_ && history_ != 0) {
+        unsure_before = is_stated ? stated.unsure_before : current;
+    }
+    if (!is_stated || unsure_before < stated.unsure_before) {
+        const auto version = found.value() ? found.value()->version : store::absent;
+        const auto written =
+            store::settled_write(deps_.store, deps_.ids, key, internal::to_json({history_, unsure_before}), version);
+        if (!written) {
+            return false;
+        }
+    }
+    log::write("usage_seals_complete", {{"history", history_}, {"unsure_before", unsure_before}});
+    seals_.set_unsure_before(unsure_before);
+    seals_complete_ = true;
+    return true;
+}
+
+void usage_window_reporter::stand_by() {
+    const bool returned = note_history();
+    const auto current = deps_.now() / window_ms();
+    if (knew_last_history_ && !seals_complete_) {
+        // What a former holder knows of the lost history is true, whoever holds the lease now.
+        (void)complete_seals(current);
+    } else if ((returned || current != stood_by_in_) && load_seals(current)) {
+        stood_by_in_ = current;
+    }
 }
 
 bool usage_window_reporter::may_still_count(const known_member &it, std::span<const known_member> all,
@@ -122,6 +236,11 @@
         const auto counts = parse_counts(*found.value());
         return counts ? std::optional{counts.value()} : std::nullopt;
     }
+    if (seals_.missing(window) == missing_seal::unknown) {
+        log::write("usage_window_left_out", {{"window", window}, {"unsure_before", seals_.unsure_before()}});
+        reported_.insert(window);
+        return std::nullopt;
+    }
     auto counts = sum(window, members);
     // After a return in the middle of a step, nothing that was read before it holds.
     if (!counts || !authority() || deps_.store.history() != members.history) {
@@ -139,17 +258,17 @@
 
 void usage_window_reporter::report(std::uint64_t window, const lease::authority_check &authority,
                                    step_members &members) {
-    if (!sealed_.contains(window)) {
+    if (seals_.find(window) == nullptr) {
         auto counts = seal(window, authority, members);
         if (!counts) {
             return;
         }
-        sealed_.emplace(window, std::move(*counts));
+        seals_.remember(window, std::move(*counts));
     }
     if (!authority()) {
         return;
     }
-    const auto done = deps_.duties.report_usage(window, sealed_.at(window), authority.fence());
+    const auto done = deps_.duties.report_usage(window, *seals_.find(window), authority.fence());
     if (done) {
         reported_.insert(window);
         log::write("usage_reported", {{"window", window}, {"fence", authority.fence()}});
@@ -166,11 +285,11 @@
     }
     cleaned_ = current;
     const auto oldest = current - settings_.keep_windows;
-    std::erase_if(sealed_, [oldest](const auto &it) { return it.first < oldest; });
+    seals_.forget_before(oldest);
     std::erase_if(reported_, [oldest](std::uint64_t it) { return it < oldest; });
     if (const auto sealed = deps_.store.list(sealed_starts_prefix)) {
         for (const auto &it : sealed.value()) {
-            if (std::strtoull(it.key.c_str() + sealed_starts_prefix.size(), nullptr, 10) < oldest) {
+            if (internal::window_of_seal(it.key) < oldest) {
                 (void)deps_.store.erase(it.key, it.version);
             }
         }
@@ -187,21 +306,24 @@
 }
 
 void usage_window_reporter::work(const lease::authority_check &authority) {
+    (void)note_history();
     if (authority.fence() != fence_) {
         fence_ = authority.fence();
         superseded_ = false;
-        sealed_.clear();
+        seals_complete_ = false;
         reported_.clear();
     }
     if (superseded_) {
         return;
     }
     const auto current = deps_.now() / window_ms();
-    note_history();
-    const auto oldest = current - std::min(current, settings_.keep_windows / 2);
+    if (!authority() || (!seals_complete_ && !complete_seals(current))) {
+        return;
+    }
+    last_held_at_ = deps_.time.now();
     // Overdue reports are sent as well: late counts are better than none.
     step_members members{.history = history_};
-    for (auto window = oldest; window < current && !superseded_ && authority(); ++window) {
+    for (auto window = oldest_due(current); window < current && !superseded_ && authority(); ++window) {
         if (!reported_.contains(window)) {
             report(window, authority, members);
         }
@@ -212,8 +334,9 @@
 }
 
 usage_window_reporter_thread::usage_window_reporter_thread(usage_window_reporter &duty,
-                                                           const lease::lease_thread &lease, base::duration step)
-    : duty_{duty}, lease_{lease}, step_{step} {}
+                                                           const lease::lease_thread &lease, base::duration step,
+                                                           std::function<bool()> candidate)
+    : duty_{duty}, lease_{lease}, step_{step}, candidate_{std::move(candidate)} {}
 
 usage_window_reporter_thread::~usage_window_reporter_thread() {
     stop();
@@ -224,6 +347,8 @@
         while (!token.stop_requested()) {
             if (const auto authority = lease_.authority()) {
                 duty_.work(*authority);
+            } else if (candidate_()) {
+                duty_.stand_by();
             }
             base::wait_unless_stopped(token, step_);
         }
