Treat servers that a copy of the store lacks or still lists by what was known

What could happen after a return of the store from a copy: a gateway that had noticed no outage dropped every server that the copy lacked at once, two seconds before those had to write themselves again; and a server that had left came back with the copy's entry, since reports that differ only in their sequence are not sent to watches.

Cause: the same class, absence or age of an entry in a copy taken as news about its owner. The list after a return now gives missing servers the grace that they have after an outage, and an entry of a server that had left counts only when it is newer than the one in the copy.

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -33,7 +33,7 @@
     if (stale) {
         return false;
     }
-    newest = {server.incarnation_start_ms, server.sequence};
+    newest = {server.incarnation_start_ms, server.sequence, false};
     auto &it = members_[server.id];
     if (entry.revision < it.entry.revision) {
         return false;
@@ -52,13 +52,30 @@
     it.remove_at = expired_in_outage ? grace_end : std::min(grace_end, now + settings_.removal_grace);
 }
 
+void fleet_view::on_store_returned() {
+    reachable_since_ = time_.now();
+    list_is_copy_ = true;
+}
+
+void fleet_view::ignore_departed(const backend_server &listed) {
+    const auto found = newest_reports_.find(listed.id);
+    if (found != newest_reports_.end() && found->second.departed &&
+        found->second.incarnation_start_ms == listed.incarnation_start_ms) {
+        found->second.sequence = std::max(found->second.sequence, listed.sequence + 1);
+    }
+}
+
 void fleet_view::on_list(const std::vector<fleet_entry> &all) {
     known_ = true;
     std::set<std::string_view> listed;
     for (const auto &it : all) {
+        if (list_is_copy_) {
+            ignore_departed(it.server);
+        }
         apply(it);
         listed.insert(it.server.id);
     }
+    list_is_copy_ = false;
     for (auto &[id, it] : members_) {
         if (!listed.contains(id)) {
             mark_missing(it);
@@ -85,8 +102,13 @@
 
 bool fleet_view::expire() {
     const auto now = time_.now();
-    const auto due = [now](const auto &it) { return it.second.remove_at && *it.second.remove_at <= now; };
-    return reachable_ && std::erase_if(members_, due) > 0;
+    return reachable_ && std::erase_if(members_, [this, now](const auto &it) {
+                             const bool due = it.second.remove_at && *it.second.remove_at <= now;
+                             if (due) {
+                                 newest_reports_[it.first].departed = true;
+                             }
+                             return due;
+                         }) > 0;
 }
 
 std::optional<base::instant> fleet_view::next_expiry() const {
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -34,7 +34,8 @@
  * An entry that is removed while the store is available is dropped at once. One that is removed during a store outage
  * is kept until the grace after the outage has passed. One that is removed shortly after an outage has a shorter grace,
  * because the server may have left permanently. Reports of an earlier incarnation, and reports older than the newest
- * one seen, are ignored.
+ * one seen, are ignored. A server that had left before the store returned from a copy comes back only with a report
+ * that is newer than the one in the copy.
  */
 class fleet_view {
 public:
@@ -53,6 +54,12 @@
     /** @brief Sets whether the store answered the last call. */
     void set_store_reachable(bool reachable);
 
+    /**
+     * @brief The store has returned from a copy; the next list is that of the copy. Servers that it lacks have the time
+     * to write themselves again that they have after an outage, and what it says of servers that had left is no news.
+     */
+    void on_store_returned();
+
     /** @brief Drops removed entries whose grace has passed. @return True when the set changed. */
     [[nodiscard]] bool expire();
 
@@ -74,10 +81,12 @@
     struct report_position {
         std::uint64_t incarnation_start_ms{0};
         std::uint64_t sequence{0};
+        bool departed{false}; /**< The entry has been removed since. */
     };
 
     bool apply(const fleet_entry &entry);
     void mark_missing(member &it);
+    void ignore_departed(const backend_server &listed);
 
     const base::clock &time_;
     const fleet_settings settings_;
@@ -87,6 +96,7 @@
     bool reachable_{false};
     base::instant reachable_since_{};
     bool known_{false};
+    bool list_is_copy_{false}; /**< The next list is that of a copy. */
 };
 
 } // namespace dotterelstack::gateway
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -73,7 +73,8 @@
       config_{{deps_.codec, deps_.client, [this] { return peers(); },
                [this](traffic_config_ptr it) { events_.push(config_event{std::move(it)}); }}},
       servers_{{deps_.time, deps_.codec, deps_.client, [this] { return peers(); },
-                [this](std::vector<backend_server> all) { events_.push(backends_event{std::move(all)}); }}},
+                [this](std::vector<backend_server> all) { events_.push(backends_event{std::move(all)}); },
+                [this] { return deps_.store.history(); }}},
       crash_reports_{{.incarnation = incarnation_},
                      {deps_.time, deps_.store, deps_.ids,
                       [this](std::string_view address) {
--- a/src/gateway/server_source.cpp
+++ b/src/gateway/server_source.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "gateway/peer_call.hpp"
 #include "log/event.hpp"
@@ -34,6 +35,9 @@
 }
 
 void server_source::on_list(const std::vector<store::object> &all) {
+    if (const auto now = deps_.store_history ? deps_.store_history() : 0; now != std::exchange(history_, now)) {
+        fleet_.on_store_returned();
+    }
     std::vector<fleet_entry> entries;
     for (const auto &it : all) {
         if (auto entry = to_entry(it)) {
--- a/src/gateway/server_source.hpp
+++ b/src/gateway/server_source.hpp
@@ -31,6 +31,7 @@
         http::client &client;
         std::function<std::vector<std::string>()> peers; /**< Addresses of other gateways. */
         std::function<void(std::vector<backend_server>)> on_servers;
+        std::function<std::uint64_t()> store_history{}; /**< See `store::object_store::history`; may be absent. */
     };
 
     explicit server_source(dependencies deps);
@@ -61,6 +62,7 @@
 
     dependencies deps_;
     fleet_view fleet_;
+    std::uint64_t history_{0};                        /**< Of the store, at the latest list. */
     std::map<std::string, std::uint64_t> unreadable_; /**< Revision of each unreadable entry, to log it only once. */
     mutable std::mutex mutex_;
     std::map<std::string, store::object> entries_; /**< As stored, for queries of other gateways. */
--- a/test/gateway/fleet_view.cpp
+++ b/test/gateway/fleet_view.cpp
@@ -101,3 +101,54 @@
     it.subject.on_removed("a", 10);
     CHECK(it.subject.servers().size() == 2);
 }
+
+// The gateway has noticed no outage. Guards against dropping every server that the copy lacks, before it has had the
+// time to write itself again.
+TEST_CASE("servers that a copy of the store lacks are kept until they must have written again") {
+    fixture it;
+    it.subject.on_store_returned();
+    it.subject.on_list({fixture::entry("a", 1)});
+    CHECK(it.subject.servers().size() == 2);
+    it.clock.advance(2s);
+    (void)it.subject.expire();
+    CHECK(it.subject.servers().size() == 2);
+    it.clock.advance(300ms);
+    CHECK(it.subject.expire());
+    CHECK(it.subject.servers().size() == 1);
+}
+
+// Guards against new requests to a server that has left, because a copy of the store still lists it.
+TEST_CASE("a server that had left before the store returned from a copy stays away") {
+    fixture it;
+    it.subject.on_removed("a", 2);
+    REQUIRE(it.subject.servers().size() == 1);
+    it.subject.on_store_returned();
+    // Reports in between, which differ in their sequence only, are not sent to watches.
+    it.subject.on_list({fixture::entry("a", 1, 100, 8), fixture::entry("b", 1)});
+    CHECK(it.subject.servers().size() == 1);
+    SUBCASE("a newer report of the same process brings it back") {
+        CHECK(it.subject.on_change(fixture::entry("a", 20, 100, 9)));
+        CHECK(it.subject.servers().size() == 2);
+    }
+    SUBCASE("and so does another process under its id") {
+        CHECK(it.subject.on_change(fixture::entry("a", 20, 200, 1)));
+        CHECK(it.subject.servers().size() == 2);
+    }
+    SUBCASE("without a return, a list is news") {
+        it.subject.on_list({fixture::entry("a", 21, 100, 9), fixture::entry("b", 1)});
+        CHECK(it.subject.servers().size() == 2);
+    }
+}
+
+// Guards against a draining server that a copy lists in its earlier state.
+TEST_CASE("a server that drains goes on draining when a copy says that it is ready") {
+    fixture it;
+    auto leaving = fixture::entry("a", 6, 100, 8);
+    leaving.server.draining = true;
+    CHECK(it.subject.on_change(leaving));
+    it.subject.on_store_returned();
+    it.subject.on_list({fixture::entry("a", 9, 100, 6), fixture::entry("b", 9)});
+    for (const auto &server : it.subject.servers()) {
+        CHECK(server.draining == (server.id == "a"));
+    }
+}
