Read answers of the store without an era as those of the newest one

An answer without Store-Era, or with one that is no number, counted as one of era 0 and was refused once an era had been seen: a store that leaves the field out would have been away for good. Text that was read in part counts as unreadable.

--- a/test/platform/object_store.cpp
+++ b/test/platform/object_store.cpp
@@ -200,3 +200,32 @@
     status = 503;
     CHECK(duties.report_usage(9, {}, 12).error().kind == base::error_kind::unavailable);
 }
+
+// Guards against a store that is refused for good because some answers name no era, and against text that is half read.
+TEST_CASE("answers without a readable era count as those of the newest one") {
+    fixture it;
+    auto store = it.store();
+    std::string era = "7";
+    it.answer = [&era](const auto &) {
+        auto out = fixture::json(200, item);
+        if (era != "none") {
+            out.fields.push_back({"Store-Era", era});
+        }
+        return out;
+    };
+    const auto version = store.get("k/a").value()->version;
+    CHECK(store.history() == 7);
+    for (const auto *text : {"none", "", "8x", "-9", "99999999999", "1e3", " "}) {
+        CAPTURE(text);
+        era = text;
+        const auto found = store.get("k/a");
+        REQUIRE(found);
+        CHECK(found.value()->version == version);
+        CHECK(store.history() == 7);
+    }
+    era = "6";
+    CHECK(store.get("k/a").error().code == "store_returned");
+    era = "4000";
+    CHECK(store.get("k/a").value()->version > version);
+    CHECK(store.history() == 4000);
+}
