Let the store return from copies in the soak

Two more harms of the soak: a copy of the store, and its return after an outage, whereupon the operator writes the configuration again. Overlaps with ends, freezes, cuts and stops of gateways as the others do.

--- a/test/process/soak.cpp
+++ b/test/process/soak.cpp
@@ -146,7 +146,7 @@
     /** Does one drawn harm; some of them last, so that harms overlap. */
     void harm() {
         const auto n = static_cast<std::size_t>(draw(0, static_cast<int>(gateway_count) - 1));
-        const int kind = draw(0, 9);
+        const int kind = draw(0, 11);
         story_ += std::to_string(kind) + "@" + std::to_string(n) + " ";
         switch (kind) {
         case 0:
@@ -180,11 +180,27 @@
         case 8:
             site_.gateway(n).signal(SIGHUP);
             return;
+        case 10:
+            copied_ = true;
+            return site_.copy_store();
+        case 11:
+            return return_from_copy();
         default:
             return withdraw();
         }
     }
 
+    /** Lets the store come back from the last copy; the operator repeats what it has written since. */
+    void return_from_copy() {
+        if (!copied_) {
+            return;
+        }
+        site_.set_store_down(true);
+        std::this_thread::sleep_for(std::chrono::milliseconds{draw(100, 2500)});
+        site_.restore_store(withdrawn_at_ == 0 ? std::vector<std::string>{"key-1", "key-2"}
+                                               : std::vector<std::string>{"key-1"});
+    }
+
     void replace_runner() {
         const auto all = site_.runners();
         const auto &id = all.at(static_cast<std::size_t>(draw(0, static_cast<int>(all.size()) - 1)));
@@ -216,6 +232,7 @@
     std::atomic<steady::rep> withdrawn_at_{0};
     int probes_{0};
     int next_runner_{10};
+    bool copied_{false};
 };
 
 unsigned int from_environment(const char *name, unsigned int otherwise) {
@@ -225,8 +242,9 @@
 
 } // namespace
 
-// Guards the promises to callers against processes that die, freeze and restart and a store that comes and goes, in
-// drawn series that overlap. SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS play other and longer series.
+// Guards the promises to callers against processes that die, freeze and restart and a store that comes and goes, or
+// comes back from a copy, in drawn series that overlap. SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS play other and longer
+// series.
 TEST_CASE("what callers are promised holds while processes and connections fail") {
     const auto first = from_environment("SOAK_SEED", 1);
     const auto count = from_environment("SOAK_SEEDS", 1);
