--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -386,6 +386,7 @@
     std::mt19937 random{11};
     gateway::placement subject{clock, table, [] { return 0.0; }, settings};
     std::vector<gateway::backend_server> all;
+    all.reserve(engines);
     for (int n = 0; n < engines; ++n) {
         all.push_back(test::server("decode-" + std::to_string(n), "llm", engine_stage::decode, 12));
     }
