--- a/src/gateway/usage_window_reporter.hpp
+++ b/src/gateway/usage_window_reporter.hpp
@@ -36,8 +36,8 @@
     base::duration takeover_margin{std::chrono::milliseconds{1500}};
     /** A gateway whose record has not advanced for this long has ended, whatever a copy of the store says. */
     base::duration member_ttl{std::chrono::seconds{25}};
-    std::uint64_t keep_windows{
-        12}; /**< Age, in windows, at which sealed windows and stale gateway records are erased. */
+    /** Age, in windows, at which sealed windows and stale gateway records are erased. */
+    std::uint64_t keep_windows{12};
 };
 
 /**
@@ -113,9 +113,10 @@
     std::uint64_t history_{0};                 /**< Of the store, as last noted. */
     std::optional<base::instant> returned_at_; /**< When this process noted that the store had returned from a copy. */
     base::instant last_held_at_{};             /**< When this process last held the lease. */
-    bool seals_complete_{false}; /**< Every seal of the history is known, but for windows that are stated as unsure. */
-    bool knew_last_history_{
-        false};                    /**< The same, for the history before; nobody else has held the lease in it since. */
+    /** Every seal of the history is known, but for windows that are stated as unsure. */
+    bool seals_complete_{false};
+    /** The same held for the history before, and nobody else has held the lease in it since. */
+    bool knew_last_history_{false};
     std::uint64_t stood_by_in_{0}; /**< Window of the latest `stand_by`. */
 };
 
