Derive the times of usage after a return from those that they depend on

With longer windows, gateways publish less often, and their records would have counted as those of ended ones again. The group of gateways gets a header of its own.

--- a/src/gateway/events.hpp
+++ b/src/gateway/events.hpp
@@ -12,7 +12,7 @@
 #include "dispatch/events.hpp"
 #include "gateway/backend_server.hpp"
 #include "gateway/crash_report.hpp"
-#include "gateway/limit_share.hpp"
+#include "gateway/gateway_group.hpp"
 #include "gateway/shutdown_phase.hpp"
 #include "gateway/traffic_config.hpp"
 #include "http/caller_port.hpp"
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -168,6 +168,11 @@
         usage_window_reporter_settings duty;
         duty.window = settings_.bounds.usage_window;
         duty.due = settings_.bounds.usage_due;
+        // After a return of the store the first write of each record fails.
+        duty.rewrite_time = about.publish_every + 2 * about.retry_after;
+        duty.member_ttl = about.record_ttl;
+        const auto term = internal::lease_of(settings_, incarnation_);
+        duty.takeover_margin = term.margin + term.send_timeout;
         duty_ = std::make_unique<usage_window_reporter>(
             duty, usage_window_reporter::dependencies{deps_.time, [this] { return time_of_day_.now(); }, deps_.store,
                                                       deps_.ids, *deps_.duties, directory_,
--- a/src/gateway/limit_share.hpp
+++ b/src/gateway/limit_share.hpp
@@ -1,24 +1,13 @@
 #pragma once
 
-#include <cstdint>
 #include <optional>
-#include <string>
 #include <string_view>
-#include <vector>
 
 #include "base/clock.hpp"
+#include "gateway/gateway_group.hpp"
 
 namespace dotterelstack::gateway {
 
-/** @brief The live gateways of the site, as far as this one knows. */
-struct gateway_group {
-    std::string own{};                 /**< Incarnation of this gateway. */
-    std::vector<std::string> others{}; /**< Incarnations of the others. */
-    bool listed{false};                /**< False while the others are not known yet. */
-
-    [[nodiscard]] std::uint32_t size() const noexcept { return static_cast<std::uint32_t>(others.size()) + 1; }
-};
-
 /**
  * @brief When this gateway may send to a server that limits the requests of all gateways together.
  *
@@ -28,8 +17,8 @@
  */
 struct limit_share {
     base::duration interval{0}; /**< At least this time lies between two requests, or between two turns. */
-    std::optional<base::duration>
-        turn{};              /**< Length of a turn, in which one request may be sent; none without turns. */
+    /** Length of a turn, in which one request may be sent; none without turns. */
+    std::optional<base::duration> turn{};
     base::duration phase{0}; /**< Of the turns. */
 
     /**
--- a/src/gateway/member_task.hpp
+++ b/src/gateway/member_task.hpp
@@ -10,7 +10,7 @@
 
 #include "base/clock.hpp"
 #include "base/id.hpp"
-#include "gateway/limit_share.hpp"
+#include "gateway/gateway_group.hpp"
 #include "gateway/member_directory.hpp"
 #include "gateway/own_record.hpp"
 #include "store/object_store.hpp"
--- a/src/gateway/seal_memory.hpp
+++ b/src/gateway/seal_memory.hpp
@@ -2,8 +2,7 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
-#include <set>
+#include <utility>
 
 #include "gateway/member_record.hpp"
 
