--- a/src/gateway/config_source.cpp
+++ b/src/gateway/config_source.cpp
@@ -49,6 +49,7 @@
 void config_source::ask_peers() {
     const auto peers = deps_.peers();
     const auto n = std::min(peers.size(), internal::peers_per_round);
+    std::size_t newer = 0;
     for (std::size_t it = 0; it < n; ++it) {
         const auto &address = peers[next_peer_++ % peers.size()];
         std::string target{traffic_config_path};
@@ -59,9 +60,11 @@
             }
         }
         if (const auto value = ask_peer(deps_.client, address, std::move(target))) {
+            ++newer;
             adopt(*value, address);
         }
     }
+    log::write("config_peers_asked", {{"asked", n}, {"newer", newer}});
 }
 
 std::uint64_t config_source::version() const {
--- a/src/gateway/store_feed.cpp
+++ b/src/gateway/store_feed.cpp
@@ -43,6 +43,7 @@
             handlers_.on_answered();
             return base::duration{0};
         }
+        log::write("store_call_failed", {{"prefix", prefix_}, {"since", since_}, {"reason", batch.error().message}});
         handlers_.on_failed();
         return settings_.retry_after;
     }
--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -139,7 +139,11 @@
 }
 
 base::error describe(CURLcode ec, const transfer &it, std::string_view address) {
-    const std::string where = std::string{address} + ": " + curl_easy_strerror(ec);
+    long connects = 0;
+    curl_easy_getinfo(it.handle, CURLINFO_NUM_CONNECTS, &connects);
+    const bool reached = !never_connected(ec);
+    const std::string where = std::string{address} + ": " + curl_easy_strerror(ec) +
+                              (reached && connects == 0 ? " on a kept connection" : "");
     if (it.check_failed) {
         return {base::error_kind::refused, "authority_lost", "the order was abandoned before its last byte; " + where};
     }
@@ -147,15 +151,14 @@
         return {base::error_kind::unknown_outcome, "answer_too_long",
                 where + "; the response has no end within the limit, check the server"};
     }
-    if (never_connected(ec)) {
+    if (!reached) {
         return {base::error_kind::unavailable, "not_reached", where + "; check that the server is running"};
     }
-    long connects = 0;
-    curl_easy_getinfo(it.handle, CURLINFO_NUM_CONNECTS, &connects);
+    long request_bytes = 0;
     curl_off_t sent_bytes = 0;
-    curl_easy_getinfo(it.handle, CURLINFO_REQUEST_SIZE, &connects);
+    curl_easy_getinfo(it.handle, CURLINFO_REQUEST_SIZE, &request_bytes);
     curl_easy_getinfo(it.handle, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
-    if (ec == CURLE_OPERATION_TIMEDOUT && connects == 0 && sent_bytes == 0) {
+    if (ec == CURLE_OPERATION_TIMEDOUT && request_bytes == 0 && sent_bytes == 0) {
         return {base::error_kind::unavailable, "connect_timeout", where + "; check that the server is reachable"};
     }
     return {base::error_kind::unknown_outcome, "no_answer", where + "; read the server's state before repeating"};
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -86,6 +86,11 @@
      "Look at the store."},
     {1313, "store_era_behind", severity::warning, "An answer of the store names an earlier era and is not used.",
      "none if it is rare; such answers have been overtaken by the store's return."},
+    {1314, "store_call_failed", severity::warning, "A feed's call to the store failed; it is made again.",
+     "Check the network path if calls fail on new connections as well; a kept connection may have gone silent."},
+    {1315, "config_peers_asked", severity::info,
+     "Other gateways were asked for the configuration, because the store does not confirm it.",
+     "none; check the store if this repeats."},
     // Keys
     {1401, "key_withdrawn", severity::info, "A key withdrawal is in force in this process.", "none"},
     {1402, "stream_ended_key_withdrawn", severity::info, "An open stream was ended because its key was withdrawn.",
