Close the idle connections to an address when a call to it fails

What callers saw: 401, 403 or 404 as an older configuration says, up to 2.9 s after the newer one had been acknowledged. Cause: the client keeps connections of all threads, several in one libcurl handle. When all of them went silent, each call of a feed waited for its whole time-out on the next one. Class: a kept connection trusted without evidence. Change: a handle keeps one connection, and belongs to its address; a call that fails closes the idle ones to the same address, so the next call is made on a new connection. Calls on connections of their own leave no handle behind.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,37 +1,78 @@
 #include "http/client.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <mutex>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "http/curl_transfer.hpp"
 
 namespace dotterelstack::http {
 
+namespace internal {
+
+// Kept connections over all addresses; the one that has been idle for longest is closed first.
+constexpr std::size_t max_idle_connections = 16;
+
+/** A handle that keeps one open connection. */
+struct idle_handle {
+    std::string address;
+    easy_ptr handle;
+};
+
+easy_ptr new_handle() {
+    return {curl_easy_init(), &curl_easy_cleanup};
+}
+
+} // namespace internal
+
 struct curl_client::pool {
     std::mutex mutex;
-    std::vector<internal::easy_ptr> idle;
+    std::vector<internal::idle_handle> idle; /**< In the order in which they were given back. */
 
-    internal::easy_ptr take() {
+    internal::easy_ptr take(std::string_view address) {
         const std::scoped_lock lock{mutex};
-        if (idle.empty()) {
-            return {curl_easy_init(), &curl_easy_cleanup};
+        const auto newest = std::ranges::find(idle.rbegin(), idle.rend(), address, &internal::idle_handle::address);
+        if (newest == idle.rend()) {
+            return internal::new_handle();
         }
-        auto handle = std::move(idle.back());
-        idle.pop_back();
+        auto handle = std::move(newest->handle);
+        idle.erase(std::next(newest).base());
         return handle;
     }
 
-    void give_back(internal::easy_ptr handle) {
+    void give_back(std::string_view address, internal::easy_ptr handle) {
+        std::optional<internal::idle_handle> closed;
+        const std::scoped_lock lock{mutex};
+        if (idle.size() == internal::max_idle_connections) {
+            closed = std::move(idle.front());
+            idle.erase(idle.begin());
+        }
+        idle.push_back({std::string{address}, std::move(handle)});
+    }
+
+    /** What made a call fail may concern all connections to the address, and a silent one shows it only to a call. */
+    void close_idle(std::string_view address) {
+        std::vector<internal::idle_handle> closed;
         const std::scoped_lock lock{mutex};
-        idle.push_back(std::move(handle));
+        const auto rest =
+            std::ranges::stable_partition(idle, [address](const auto &it) { return it.address != address; });
+        std::ranges::move(rest, std::back_inserter(closed));
+        idle.erase(rest.begin(), rest.end());
     }
 
     base::result<response> run(internal::transfer &it, std::string_view address, const call_options &options) {
-        auto handle = take();
+        auto handle = options.fresh_connection ? internal::new_handle() : take(address);
         internal::prepare(handle.get(), it, address, options);
+        // A new connection replaces the one that the handle has kept.
+        curl_easy_setopt(handle.get(), CURLOPT_MAXCONNECTS, 1L);
         auto answer = internal::conclude(curl_easy_perform(handle.get()), it, address);
-        if (answer) {
-            give_back(std::move(handle));
+        if (!answer) {
+            close_idle(address);
+        } else if (!options.fresh_connection) {
+            give_back(address, std::move(handle));
         }
         return answer;
     }
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -65,7 +65,11 @@
                                                               const final_check &check) = 0;
 };
 
-/** @brief `client` on libcurl. Thread-safe; keeps idle connections per thread. */
+/**
+ * @brief `client` on libcurl. Thread-safe; keeps idle connections for later reads.
+ *
+ * A call that fails closes the idle connections to its address, so that the next one is made on a new connection.
+ */
 class curl_client final : public client {
 public:
     curl_client();
