Repeat a feed's failed call at once and without a wait at the store

What callers saw: after a call on a silent connection had failed, a gateway stayed with the older configuration for the pause of 200 ms and, where a watch was repeated, for a wait of 1.5 s at the store before it counted as answering. Cause: the pause after a failure is meant for a store that is away; the usual cause of one failure is the connection. Change: the first failed call is repeated without pause, and repeated calls ask for an answer within 100 ms.

--- a/src/gateway/store_feed.cpp
+++ b/src/gateway/store_feed.cpp
@@ -1,6 +1,7 @@
 #include "gateway/store_feed.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/interruptible_wait.hpp"
 #include "log/event.hpp"
@@ -34,19 +35,22 @@
 
 base::duration store_feed::step() {
     const auto limit = handlers_.longest_wait ? handlers_.longest_wait() : settings_.watch_wait;
-    const auto wait = std::clamp(limit, internal::shortest_wait, settings_.watch_wait);
+    const auto wait =
+        failed_ ? internal::shortest_wait : std::clamp(limit, internal::shortest_wait, settings_.watch_wait);
     const auto batch = store_.watch(prefix_, since_, wait);
     if (!batch) {
         if (batch.error().code == "history_lost") {
             log::write("store_history_lost", {{"prefix", prefix_}, {"since", since_}});
             since_ = 0;
+            failed_ = false;
             handlers_.on_answered();
             return base::duration{0};
         }
         log::write("store_call_failed", {{"prefix", prefix_}, {"since", since_}, {"reason", batch.error().message}});
         handlers_.on_failed();
-        return settings_.retry_after;
+        return std::exchange(failed_, true) ? settings_.retry_after : base::duration{0};
     }
+    failed_ = false;
     handlers_.on_answered();
     const auto &seen = batch.value();
     if (since_ == 0) {
--- a/src/gateway/store_feed.hpp
+++ b/src/gateway/store_feed.hpp
@@ -24,12 +24,14 @@
     /** Changes of one answer of the store, in order. */
     std::function<void(std::span<const store::watch_event> changes)> on_changes;
     std::function<void()> on_answered;              /**< After each successful call to the store. */
-    std::function<void()> on_failed;                /**< After each failed call. */
+    std::function<void()> on_failed;                /**< After each failed call; delays the next one. */
     std::function<base::duration()> longest_wait{}; /**< Upper limit of the next watch; optional. */
 };
 
 /**
  * @brief Watches the objects under one prefix. Lists them first, and again when the store no longer has the history.
+ *
+ * A failed call is repeated at once and without a wait at the store, since the cause may be the connection alone.
  */
 class store_feed {
 public:
@@ -56,6 +58,7 @@
     const feed_settings settings_;
     const feed_handlers handlers_;
     std::uint64_t since_{0}; /**< Revision to watch from; 0 requests a list. */
+    bool failed_{false};     /**< The last call failed. */
     std::jthread thread_;
 };
 
