Ask peers for the configuration while a call to the store hangs

What callers saw: a gateway refused a key that another gateway had accepted for two seconds and more. Change: config_peer_task asks on a thread of its own, when a call has failed or an answer is overdue by 200 ms, then every 300 ms until the store answers.

'peers are asked when the store has failed or its answer is overdue' is new with the class.

--- a/src/gateway/config_source.hpp
+++ b/src/gateway/config_source.hpp
@@ -17,8 +17,8 @@
 /**
  * @brief Holds the newest traffic configuration, from the store or from other gateways; never reverts to an older one.
  *
- * While the store is unavailable, other gateways are queried: one that still reaches the store may know that a key has
- * been revoked. Thread-safe.
+ * While the store does not answer, other gateways are queried: one that still reaches the store may know that a key has
+ * been revoked. Thread-safe, except for `ask_peers`, which one thread calls.
  */
 class config_source {
 public:
@@ -34,7 +34,7 @@
     /** @brief Handles a stored object under the configuration's prefix. */
     void on_object(const store::object &item);
 
-    /** @brief Queries other gateways while the store is unavailable. Blocks for up to three calls. */
+    /** @brief Queries other gateways. Blocks for up to three calls. */
     void ask_peers();
 
     /** @return Current version; 0 before the first configuration. */
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint64_t kept_windows = 6;
 // Small compared with the limits on applying configurations and removing servers, which are 2 s and more.
 constexpr auto change_pause = std::chrono::milliseconds{250};
+// Time from the end of a watch's wait until its answer counts as overdue.
+constexpr auto answer_margin = std::chrono::milliseconds{200};
 // A part of prompts must be held within the contact time of its fifth end, and is after the third one.
 constexpr int report_pause_divisor = 3;
 constexpr auto stop_poll = std::chrono::milliseconds{50};
@@ -50,6 +52,10 @@
     return out;
 }
 
+config_peer_settings config_peers_of(const settings::gateway_settings &from) {
+    return {.overdue = settings::effective_watch_wait(from) + change_pause + answer_margin};
+}
+
 placement::random_source uniform_source() {
     const auto engine = std::make_shared<std::mt19937_64>(std::random_device{}());
     return [engine] { return std::uniform_real_distribution<double>{0, 1}(*engine); };
@@ -72,6 +78,7 @@
                   [this](crash_report it) { crash_reports_.offer(std::move(it)); }}},
       config_{{deps_.codec, deps_.client, [this] { return peers(); },
                [this](traffic_config_ptr it) { events_.push(config_event{std::move(it)}); }}},
+      config_peers_{internal::config_peers_of(settings_), deps_.time, [this] { config_.ask_peers(); }},
       servers_{{deps_.time, deps_.codec, deps_.client, [this] { return peers(); },
                 [this](std::vector<backend_server> all) { events_.push(backends_event{std::move(all)}); },
                 [this] { return deps_.store.history(); }}},
@@ -99,11 +106,7 @@
                     config_.on_object(newest->item);
                 }
             },
-            [this] { record_store_answer(true); },
-            [this] {
-                record_store_answer(false);
-                config_.ask_peers();
-            }});
+            [this] { record_store_answer(true); }, [this] { record_store_answer(false); }});
     server_feed_ = std::make_unique<store_feed>(
         deps_.store, std::string{deps_.codec.servers_prefix()}, feed,
         feed_handlers{[this](const auto &all) { servers_.on_list(all); },
@@ -157,6 +160,7 @@
     events_.push(gateways_event{{.own = std::string{members_prefix} + incarnation_}});
     forward_thread_ = std::thread{[this] { run_forwarder(); }};
     config_feed_->start();
+    config_peers_.start();
     server_feed_->start();
     crash_feed_->start();
     crash_reports_.start();
@@ -262,6 +266,7 @@
 }
 
 void gateway_daemon::record_store_answer(bool answered) {
+    config_peers_.on_store_call(answered);
     if (store_answers_.exchange(answered) != answered) {
         log::write(answered ? log::event{"store_recovered"} : log::event{"store_unavailable"},
                    {{"config_version", config_.version()}});
@@ -336,6 +341,7 @@
 
 void gateway_daemon::stop_feeds() {
     config_feed_->request_stop();
+    config_peers_.request_stop();
     server_feed_->request_stop();
     crash_feed_->request_stop();
     if (duty_thread_) {
@@ -345,6 +351,7 @@
         lease_->request_stop(stop_limit_);
     }
     config_feed_->stop();
+    config_peers_.stop();
     server_feed_->stop();
     crash_feed_->stop();
     crash_reports_.stop();
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -7,6 +7,7 @@
 
 #include "base/clock.hpp"
 #include "base/id.hpp"
+#include "gateway/config_peer_task.hpp"
 #include "gateway/config_source.hpp"
 #include "gateway/crash_report_task.hpp"
 #include "gateway/events.hpp"
@@ -41,8 +42,8 @@
 /**
  * @brief The gateway process: listeners, the forwarder's thread, store feeds and background tasks.
  *
- * Threads: four listeners (libmicrohttpd), transfers (libcurl), forwarder, configuration, discovery, crash reports (one
- * that reads, one that writes), membership, lease, usage.
+ * Threads: four listeners (libmicrohttpd), transfers (libcurl), forwarder, configuration (one that follows the
+ * store, one that asks peers), discovery, crash reports (one that reads, one that writes), membership, lease, usage.
  */
 class gateway_daemon {
 public:
@@ -95,6 +96,7 @@
     http_backend_port link_;
     forwarder forwarder_;
     config_source config_;
+    config_peer_task config_peers_;
     server_source servers_;
     std::atomic<bool> store_answers_{true};
     std::unique_ptr<store_feed> config_feed_;
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <map>
 
+#include "gateway/config_peer_task.hpp"
 #include "gateway/config_source.hpp"
 #include "gateway/fixture.hpp"
 #include "gateway/member_task.hpp"
@@ -336,6 +337,35 @@
     CHECK(it.duties.reports.empty());
 }
 
+// Guards against asking peers only between two calls to the store that hang, and against asking while the store
+// answers.
+TEST_CASE("peers are asked when the store has failed or its answer is overdue, and then at intervals") {
+    base::manual_clock clock;
+    int rounds = 0;
+    gateway::config_peer_task it{{.overdue = 1700ms, .ask_every = 300ms}, clock, [&rounds] { ++rounds; }};
+    CHECK(it.step() == 1700ms);
+    clock.advance(1500ms);
+    it.on_store_call(true);
+    clock.advance(1600ms);
+    CHECK(it.step() == 100ms);
+    CHECK(rounds == 0);
+    clock.advance(100ms);
+    (void)it.step();
+    CHECK(rounds == 1);
+    CHECK(it.step() == 300ms);
+    it.on_store_call(false);
+    CHECK(it.step() == 300ms);
+    clock.advance(300ms);
+    (void)it.step();
+    CHECK(rounds == 2);
+    it.on_store_call(true);
+    clock.advance(1s);
+    CHECK(it.step() == 700ms);
+    it.on_store_call(false);
+    (void)it.step();
+    CHECK(rounds == 3);
+}
+
 // Guards against accepting revoked keys at gateways that cannot reach the store.
 TEST_CASE("a gateway without the store takes newer configurations from its peers, and never older ones") {
     base::manual_clock clock;
