Query peers and engines' states on new connections

Looked for elsewhere: queries to peers and of an engine's state are rare, so their kept connections are old. One that had gone silent cost 300 ms for each peer, and made an engine that lives look like one that has ended. Change: both kinds of query use a connection of their own.

Test: 'a query to a peer does not depend on an earlier connection' failed before. The query of an engine's state has no test of its own.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -88,6 +88,8 @@
                           http::call_options limits;
                           limits.connect_timeout = settings_.timings.connect_timeout;
                           limits.timeout = settings_.timings.connect_timeout;
+                          // A kept connection that has gone silent would look like an engine that has ended.
+                          limits.fresh_connection = true;
                           return deps_.client.call(address, deps_.protocol.state_query(), limits).has_value();
                       }}},
       directory_{deps_.time} {
--- a/src/gateway/peer_call.cpp
+++ b/src/gateway/peer_call.cpp
@@ -15,6 +15,8 @@
     http::call_options options;
     options.connect_timeout = internal::peer_timeout;
     options.timeout = internal::peer_timeout;
+    // Peers are asked so rarely that a kept connection may have gone silent unnoticed.
+    options.fresh_connection = true;
     auto answer = client.call(address, {"GET", std::move(target), {}, ""}, options);
     if (!answer || answer.value().status != 200) {
         return std::nullopt;
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -7,6 +7,7 @@
 #include "gateway/config_source.hpp"
 #include "gateway/fixture.hpp"
 #include "gateway/member_task.hpp"
+#include "gateway/peer_call.hpp"
 #include "gateway/server_source.hpp"
 #include "gateway/store_feed.hpp"
 #include "gateway/usage_window_reporter.hpp"
@@ -14,6 +15,7 @@
 #include "lease/lease_state_machine.hpp"
 #include "platform/object_codec.hpp"
 #include "store/memory_store.hpp"
+#include "support/tcp_relay.hpp"
 
 using namespace dotterelstack;
 using namespace std::chrono_literals;
@@ -366,6 +368,20 @@
     CHECK(rounds == 3);
 }
 
+// Guards against queries that fail one after the other, each on a connection to another peer that has gone silent.
+TEST_CASE("a query to a peer does not depend on an earlier connection") {
+    http::server server;
+    auto address = server.start("127.0.0.1:0", http::answer_with([](const http::request &) {
+                                    return http::response{200, {}, "known"};
+                                }));
+    REQUIRE(address);
+    test::tcp_relay path{address.value()};
+    http::curl_client client;
+    REQUIRE(gateway::ask_peer(client, path.address(), "/"));
+    path.silence_open();
+    CHECK(gateway::ask_peer(client, path.address(), "/"));
+}
+
 // Guards against accepting revoked keys at gateways that cannot reach the store.
 TEST_CASE("a gateway without the store takes newer configurations from its peers, and never older ones") {
     base::manual_clock clock;
