Let the stand-in store name removed objects in valid JSON

What the tests saw: since the first removal of a server's entry a gateway's feed of servers failed with every call, so that servers which had ended stayed known and new ones were never found (E1314: parse error at '"Spec":<'). Cause: a removed object has no value, and the stand-in wrote the text <discarded> for it. Fault of the stand-in alone.

--- a/standin/objects/main.cpp
+++ b/standin/objects/main.cpp
@@ -119,8 +119,9 @@
 
     static json shown(const store::object &it) {
         const auto slash = it.key.find('/');
+        // A removed object has no value.
         return {{"Metadata", {{"Name", it.key.substr(slash + 1)}, {"Revision", it.version}}},
-                {"Spec", json::parse(it.value, nullptr, false)},
+                {"Spec", it.value.empty() ? json{} : json::parse(it.value)},
                 {"Status", nullptr}};
     }
 
