--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -4,6 +4,7 @@
 #include <span>
 #include <utility>
 
+#include "gateway/request_traits.hpp"
 #include "log/event.hpp"
 
 namespace dotterelstack::gateway {
@@ -247,6 +248,7 @@
         log::write("attempt_broken", {{"request", identity().id},
                                       {"backend", backend_},
                                       {"events", last_event_at_.has_value()},
+                                      {"digest", digest_of(request_.content, identity().organisation)},
                                       {"parts", internal::shared_parts(request_.content.facts.prompt)}});
         context_.quarantine.on_broken(to_string(incarnation_), address_, request_.content.facts.prompt);
     }
