--- a/standin/runner/main.cpp
+++ b/standin/runner/main.cpp
@@ -21,8 +21,9 @@
     std::string id;
     std::string service;
     std::string failure_domain;
-    std::string stage;      /**< Empty for a plain service. */
-    std::string crash_part; /**< Id of a part of a prompt; the runner ends when it begins to answer such a prompt. */
+    std::string stage;        /**< Empty for a plain service. */
+    std::string crash_part;   /**< Id of a part of a prompt; the runner ends when it begins to answer such a prompt. */
+    std::string crash_target; /**< The runner ends when it has worked on a request with this path and query. */
     bool leaves_quietly{false}; /**< Does not report in its entry that it leaves. */
     std::string limit;          /**< Requests a second that it says it takes; empty for none. */
     milliseconds limit_time{0}; /**< Time from its start until it names no limit any more; 0 for always. */
@@ -150,6 +151,9 @@
         }
         const bool lose = field(call.message(), "Test-Lose").find(options_.id) != std::string::npos;
         timer_.after(options_.work, [this, call, id, lose] {
+            if (!options_.crash_target.empty() && call.message().target == options_.crash_target) {
+                std::_Exit(EXIT_FAILURE);
+            }
             const std::scoped_lock lock{mutex_};
             --running_;
             if (lose) {
@@ -240,6 +244,7 @@
     add("failure-domain", "failure domain", cxxopts::value<std::string>()->default_value("east"));
     add("stage", "prefill or decode; none for a plain service", cxxopts::value<std::string>()->default_value(""));
     add("crash-part", "part of a prompt that ends the runner", cxxopts::value<std::string>()->default_value(""));
+    add("crash-target", "target of requests that end the runner", cxxopts::value<std::string>()->default_value(""));
     add("leave-quietly", "say only in answers that it leaves");
     add("limit", "requests a second that it says it takes", cxxopts::value<std::string>()->default_value(""));
     add("limit-ms", "time until it names no limit any more; 0 for always", cxxopts::value<int>()->default_value("0"));
@@ -257,6 +262,7 @@
                         .failure_domain = text("failure-domain"),
                         .stage = text("stage"),
                         .crash_part = text("crash-part"),
+                        .crash_target = text("crash-target"),
                         .leaves_quietly = args.count("leave-quietly") > 0,
                         .limit = text("limit"),
                         .limit_time = ms("limit-ms"),
