--- a/src/gateway/prompt_quarantine.cpp
+++ b/src/gateway/crash_quarantine.cpp
@@ -1,4 +1,4 @@
-#include "gateway/prompt_quarantine.hpp"
+#include "gateway/crash_quarantine.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -34,11 +34,11 @@
 
 } // namespace internal
 
-prompt_quarantine::prompt_quarantine(const base::clock &time, quarantine_settings settings)
+crash_quarantine::crash_quarantine(const base::clock &time, quarantine_settings settings)
     : time_{time}, settings_{settings} {}
 
-void prompt_quarantine::on_broken(std::string_view server, std::string_view address,
-                                  std::span<const prompt_part> prompt) {
+void crash_quarantine::on_broken(std::string_view server, std::string_view address,
+                                 std::span<const prompt_part> prompt) {
     auto parts = internal::ids_of(internal::shared(prompt));
     if (!parts.empty()) {
         add_end(server, parts);
@@ -46,8 +46,8 @@
     }
 }
 
-void prompt_quarantine::on_progress(std::string_view server, std::span<const prompt_part> prompt,
-                                    base::instant started) {
+void crash_quarantine::on_progress(std::string_view server, std::span<const prompt_part> prompt,
+                                   base::instant started) {
     // An engine that answers an attempt made later has not ended.
     std::erase_if(ends_, [&](const auto &it) { return it.server == server && it.learned_at < started; });
     const auto now = time_.now();
@@ -70,7 +70,7 @@
     }
 }
 
-void prompt_quarantine::on_report(std::string_view gateway, const crash_report &report) {
+void crash_quarantine::on_report(std::string_view gateway, const crash_report &report) {
     auto &last = read_[std::string{gateway}];
     for (const auto &it : report) {
         if (it.number <= last) {
@@ -91,13 +91,13 @@
     }
 }
 
-void prompt_quarantine::on_report_removed(std::string_view gateway) {
+void crash_quarantine::on_report_removed(std::string_view gateway) {
     if (const auto it = read_.find(gateway); it != read_.end()) {
         read_.erase(it);
     }
 }
 
-std::optional<base::duration> prompt_quarantine::held(std::span<const prompt_part> prompt) const {
+std::optional<base::duration> crash_quarantine::held(std::span<const prompt_part> prompt) const {
     std::optional<base::duration> out;
     const auto now = time_.now();
     for (const auto &it : internal::shared(prompt)) {
@@ -109,14 +109,14 @@
     return out;
 }
 
-bool prompt_quarantine::suspected(std::span<const prompt_part> prompt) const {
+bool crash_quarantine::suspected(std::span<const prompt_part> prompt) const {
     return std::ranges::any_of(internal::shared(prompt), [this](const auto &it) {
         const auto found = suspects_.find(it.id);
         return found != suspects_.end() && !found->second;
     });
 }
 
-void prompt_quarantine::add_end(std::string_view server, std::span<const part_id> parts) {
+void crash_quarantine::add_end(std::string_view server, std::span<const part_id> parts) {
     const auto now = time_.now();
     auto it = std::ranges::find_if(
         ends_, [&](const auto &end) { return end.server == server && now - end.learned_at < internal::same_end; });
@@ -136,7 +136,7 @@
     changed_ = true;
 }
 
-void prompt_quarantine::add_sound(part_id part) {
+void crash_quarantine::add_sound(part_id part) {
     sound_[part] = time_.now();
     marked_.erase(part);
     released_.erase(part);
@@ -146,15 +146,15 @@
     changed_ = true;
 }
 
-void prompt_quarantine::adopt_hold(part_id part) {
+void crash_quarantine::adopt_hold(part_id part) {
     if (held_.try_emplace(part, hold{time_.now() + settings_.first_hold, settings_.first_hold}).second) {
         log::write("prompt_part_held", {{"part", part}, {"origin", "peer"}});
         changed_ = true;
     }
 }
 
-void prompt_quarantine::observe(observation_kind kind, std::string server, std::span<const part_id> parts,
-                                std::string address) {
+void crash_quarantine::observe(observation_kind kind, std::string server, std::span<const part_id> parts,
+                               std::string address) {
     const bool extends = !own_.empty() && own_.back().what.number > published_ && own_.back().what.kind == kind &&
                          own_.back().what.server == server;
     if (!extends) {
@@ -172,7 +172,7 @@
     unpublished_ = true;
 }
 
-std::optional<crash_report> prompt_quarantine::take_report() {
+std::optional<crash_report> crash_quarantine::take_report() {
     if (!std::exchange(unpublished_, false)) {
         return std::nullopt;
     }
@@ -184,7 +184,7 @@
     return out;
 }
 
-std::size_t prompt_quarantine::weigh(std::span<const server_end *const> ends) const {
+std::size_t crash_quarantine::weigh(std::span<const server_end *const> ends) const {
     // Ends that follow each other closely count once, and so do those of one engine.
     std::set<std::string_view> servers;
     std::size_t groups = 0;
@@ -199,7 +199,7 @@
     return std::min(groups, servers.size());
 }
 
-std::vector<prompt_quarantine::candidate> prompt_quarantine::candidates() const {
+std::vector<crash_quarantine::candidate> crash_quarantine::candidates() const {
     std::map<part_id, candidate> found;
     for (const auto &end : ends_) {
         if (end.explained) {
@@ -223,20 +223,20 @@
     return out;
 }
 
-std::size_t prompt_quarantine::needed(const candidate &of) const {
+std::size_t crash_quarantine::needed(const candidate &of) const {
     if (released_.contains(of.part)) {
         return 1;
     }
     return of.known ? settings_.ends_of_known_part : settings_.ends_of_new_part;
 }
 
-void prompt_quarantine::explain() {
+void crash_quarantine::explain() {
     for (auto &end : ends_) {
         end.explained = std::ranges::any_of(end.parts, [this](part_id part) { return held_.contains(part); });
     }
 }
 
-void prompt_quarantine::start_hold(const candidate &of) {
+void crash_quarantine::start_hold(const candidate &of) {
     const auto before = released_.find(of.part);
     const auto length =
         before == released_.end() ? settings_.first_hold : std::min(2 * before->second, settings_.longest_hold);
@@ -250,7 +250,7 @@
                                     {"hold_s", std::chrono::duration_cast<std::chrono::seconds>(length).count()}});
 }
 
-void prompt_quarantine::decide() {
+void crash_quarantine::decide() {
     explain();
     while (true) {
         const auto all = candidates();
@@ -277,7 +277,7 @@
     }
 }
 
-void prompt_quarantine::expire() {
+void crash_quarantine::expire() {
     const auto now = time_.now();
     for (const auto &[part, it] : held_) {
         if (now >= it.until) {
@@ -297,7 +297,7 @@
     }
 }
 
-void prompt_quarantine::tick() {
+void crash_quarantine::tick() {
     const auto now = time_.now();
     if (now >= expire_due_) {
         expire_due_ = now + internal::expire_interval;
--- a/src/gateway/prompt_quarantine.hpp
+++ b/src/gateway/crash_quarantine.hpp
@@ -18,7 +18,7 @@
 
 namespace dotterelstack::gateway {
 
-/** @brief Parameters of a `prompt_quarantine`. */
+/** @brief Parameters of a `crash_quarantine`. */
 struct quarantine_settings {
     /** Engines that must have ended, one after the other, before a part that was never answered is held. */
     std::size_t ends_of_new_part{3};
@@ -46,10 +46,10 @@
  *
  * Gateways exchange their observations, because each sees only some of the requests of an engine.
  */
-class prompt_quarantine {
+class crash_quarantine {
 public:
     /** @param time Clock; must outlive this object. */
-    explicit prompt_quarantine(const base::clock &time, quarantine_settings settings = {});
+    explicit crash_quarantine(const base::clock &time, quarantine_settings settings = {});
 
     /**
      * @brief A connection ended in the middle of an attempt.
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -13,9 +13,9 @@
 #include "gateway/backend_port.hpp"
 #include "gateway/backend_protocol.hpp"
 #include "gateway/backend_table.hpp"
+#include "gateway/crash_quarantine.hpp"
 #include "gateway/opaque_exchange.hpp"
 #include "gateway/placement.hpp"
-#include "gateway/prompt_quarantine.hpp"
 #include "gateway/shutdown_phase.hpp"
 #include "gateway/start_counter.hpp"
 #include "gateway/traffic_config.hpp"
@@ -113,7 +113,7 @@
     wait_limiter waits_;
     retry::retry_window budget_;
     retry::retry_policy retries_;
-    prompt_quarantine quarantine_;
+    crash_quarantine quarantine_;
     shutdown_phase stop_{shutdown_phase::none};
     const exchange_context context_;
     traffic_config_ptr config_;
--- a/src/gateway/fwd.hpp
+++ b/src/gateway/fwd.hpp
@@ -5,6 +5,7 @@
 class backend_port;
 class backend_protocol;
 class backend_table;
+class crash_quarantine;
 class crash_report_task;
 class event_splitter;
 class fleet_view;
@@ -14,7 +15,6 @@
 class placement;
 class prefix_cache_tracker;
 class prefix_reuse_estimator;
-class prompt_quarantine;
 class retry_after_scheduler;
 class server_notices;
 class start_counter;
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -12,9 +12,9 @@
 #include "gateway/backend_port.hpp"
 #include "gateway/backend_protocol.hpp"
 #include "gateway/backend_table.hpp"
+#include "gateway/crash_quarantine.hpp"
 #include "gateway/event_splitter.hpp"
 #include "gateway/placement.hpp"
-#include "gateway/prompt_quarantine.hpp"
 #include "gateway/request_facts.hpp"
 #include "gateway/retry_after_scheduler.hpp"
 #include "gateway/shutdown_phase.hpp"
@@ -40,7 +40,7 @@
     retry_after_scheduler &retry_schedule;
     wait_limiter &waits;
     retry::retry_window &retry_budget;
-    prompt_quarantine &quarantine;
+    crash_quarantine &quarantine;
 };
 
 /** @brief A caller's request with its route and configuration. */
--- a/test/gateway/prompt_quarantine.cpp
+++ b/test/gateway/crash_quarantine.cpp
@@ -1,4 +1,4 @@
-#include "gateway/prompt_quarantine.hpp"
+#include "gateway/crash_quarantine.hpp"
 
 #include <doctest/doctest.h>
 #include <string>
@@ -19,7 +19,7 @@
 
 struct fixture {
     base::manual_clock clock;
-    gateway::prompt_quarantine subject{clock};
+    gateway::crash_quarantine subject{clock};
     int next{0};
 
     /** @return A prompt with these shared parts and one of its own. */
