Hold a request that crashes the servers that run it

Cause: a request that comes again has another id each time, and is sent to as many servers as one id may try. Nothing connected the ids, and only parts of prompts were counted at the ends of servers. Class: a limit for each request where the fault is a property that several requests share. Change: crash_quarantine counts traits: parts of prompts, and now the whole request by a digest of organisation, host, method, target and body. A request that was never answered is held after three ends, counted one by one, since it was sent again after each of them, and is not repeated after two. Its ends count once for the parts of its prompt. A request that was answered lately needs five ends, and a gateway that has answered it says so when another one holds it. Reports have a field more ('requests'); a gateway of the release before reads them without it.

Six new cases of test/gateway/crash_quarantine.cpp and one of forwarder.cpp. 'requests with a part that engines end on are refused' sent the same target and body each time, so its requests are one request now; they differ as users' requests do, and everything it checks is unchanged.

--- a/src/gateway/crash_quarantine.cpp
+++ b/src/gateway/crash_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "gateway/crash_quarantine.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "log/event.hpp"
@@ -11,25 +12,22 @@
 
 // Bounds on what is kept; the oldest is dropped.
 constexpr std::size_t max_ends = 128;
-constexpr std::size_t max_parts_of_end = 512;
+constexpr std::size_t max_traits_of_end = 512;
 constexpr std::size_t max_observations = 64;
-constexpr std::size_t max_sound_parts = 20'000;
-// Attempts at one engine that break off within this time were cut off by the same end; reports of other gateways take a
+constexpr std::size_t max_sound_traits = 20'000;
+// Attempts at one server that break off within this time were cut off by the same end; reports of other gateways take a
 // few hundred milliseconds.
 constexpr auto same_end = std::chrono::seconds{2};
 constexpr auto expire_interval = std::chrono::seconds{1};
-// Ends after which a request with a part that was never answered is not repeated.
+// Ends after which a request with a trait that was never answered is not repeated.
 constexpr std::size_t ends_of_suspect = 2;
 
-/** The last part of a prompt belongs to one request or session. */
-std::span<const prompt_part> shared(std::span<const prompt_part> prompt) noexcept {
-    return prompt.first(prompt.empty() ? 0 : prompt.size() - 1);
+log::event held_event(trait_kind kind) {
+    return kind == trait_kind::prompt_part ? log::event{"prompt_part_held"} : log::event{"request_held"};
 }
 
-std::vector<std::uint64_t> ids_of(std::span<const prompt_part> parts) {
-    std::vector<std::uint64_t> out(parts.size());
-    std::ranges::transform(parts, out.begin(), &prompt_part::id);
-    return out;
+log::event released_event(trait_kind kind) {
+    return kind == trait_kind::prompt_part ? log::event{"prompt_part_released"} : log::event{"request_released"};
 }
 
 } // namespace internal
@@ -38,31 +36,31 @@
     : time_{time}, settings_{settings} {}
 
 void crash_quarantine::on_broken(std::string_view server, std::string_view address,
-                                 std::span<const prompt_part> prompt) {
-    auto parts = internal::ids_of(internal::shared(prompt));
-    if (!parts.empty()) {
-        add_end(server, parts);
-        observe(observation_kind::ended, std::string{server}, parts, std::string{address});
-    }
+                                 std::span<const request_trait> traits) {
+    add_end(server, traits);
+    observe(observation_kind::ended, std::string{server}, traits, std::string{address});
 }
 
-void crash_quarantine::on_progress(std::string_view server, std::span<const prompt_part> prompt,
+void crash_quarantine::on_progress(std::string_view server, std::span<const request_trait> traits,
                                    base::instant started) {
-    // An engine that answers an attempt made later has not ended.
+    // A server that answers an attempt made later has not ended.
     std::erase_if(ends_, [&](const auto &it) { return it.server == server && it.learned_at < started; });
     const auto now = time_.now();
-    std::vector<part_id> cleared;
-    for (const auto &it : internal::shared(prompt)) {
-        const auto mark = marked_.find(it.id);
+    std::vector<request_trait> cleared;
+    for (const auto &it : traits) {
+        const auto mark = marked_.find(it);
         const bool counts_against = mark != marked_.end() && mark->second < started;
-        if (counts_against || held_.contains(it.id)) {
-            // Other gateways need to know only of parts that they may come to hold.
-            if (held_.contains(it.id) || suspects_.contains(it.id)) {
-                cleared.push_back(it.id);
+        if (counts_against || held_.contains(it)) {
+            // Other gateways need to know only of traits that they may come to hold.
+            if (held_.contains(it) || suspects_.contains(it)) {
+                cleared.push_back(it);
             }
-            add_sound(it.id);
-        } else if (mark == marked_.end()) {
-            sound_[it.id] = now;
+            add_sound(it);
+        } else if (mark == marked_.end() && it.kind == trait_kind::prompt_part) {
+            sound_[it] = now;
+        }
+        if (it.kind == trait_kind::whole_request) {
+            answered_.add(it.id);
         }
     }
     if (!cleared.empty()) {
@@ -79,13 +77,13 @@
         last = it.number;
         switch (it.kind) {
         case observation_kind::ended:
-            add_end(it.server, it.parts);
+            add_end(it.server, it.traits);
             break;
         case observation_kind::sound:
-            std::ranges::for_each(it.parts, [this](part_id part) { add_sound(part); });
+            std::ranges::for_each(it.traits, [this](const auto &trait) { add_sound(trait); });
             break;
         case observation_kind::held:
-            std::ranges::for_each(it.parts, [this](part_id part) { adopt_hold(part); });
+            std::ranges::for_each(it.traits, [this](const auto &trait) { adopt_hold(trait); });
             break;
         }
     }
@@ -97,26 +95,34 @@
     }
 }
 
-std::optional<base::duration> crash_quarantine::held(std::span<const prompt_part> prompt) const {
-    std::optional<base::duration> out;
+std::optional<crash_hold> crash_quarantine::held(std::span<const request_trait> traits) const {
+    std::optional<crash_hold> out;
     const auto now = time_.now();
-    for (const auto &it : internal::shared(prompt)) {
-        const auto found = held_.find(it.id);
-        if (found != held_.end() && now < found->second.until) {
-            out = std::max(out.value_or(base::duration{0}), found->second.until - now);
+    for (const auto &it : traits) {
+        const auto found = held_.find(it);
+        if (found == held_.end() || now >= found->second.until) {
+            continue;
+        }
+        if (const auto left = found->second.until - now; !out || left > out->left) {
+            out = crash_hold{it.kind, left};
         }
     }
     return out;
 }
 
-bool crash_quarantine::suspected(std::span<const prompt_part> prompt) const {
-    return std::ranges::any_of(internal::shared(prompt), [this](const auto &it) {
-        const auto found = suspects_.find(it.id);
+bool crash_quarantine::suspected(std::span<const request_trait> traits) const {
+    return std::ranges::any_of(traits, [this](const auto &it) {
+        const auto found = suspects_.find(it);
         return found != suspects_.end() && !found->second;
     });
 }
 
-void crash_quarantine::add_end(std::string_view server, std::span<const part_id> parts) {
+std::size_t crash_quarantine::held_count(trait_kind kind) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(held_, [kind](const auto &it) { return it.first.kind == kind; }));
+}
+
+void crash_quarantine::add_end(std::string_view server, std::span<const request_trait> traits) {
     const auto now = time_.now();
     auto it = std::ranges::find_if(
         ends_, [&](const auto &end) { return end.server == server && now - end.learned_at < internal::same_end; });
@@ -124,36 +130,43 @@
         if (ends_.size() == internal::max_ends) {
             ends_.pop_front();
         }
-        ends_.push_back({std::string{server}, now, {}});
+        ends_.push_back({std::string{server}, now, {}, {}});
         it = std::prev(ends_.end());
     }
-    for (const auto part : parts) {
-        if (it->parts.size() < internal::max_parts_of_end) {
-            it->parts.insert(part);
-            marked_.try_emplace(part, it->learned_at);
+    for (const auto &trait : traits) {
+        if (it->traits.size() < internal::max_traits_of_end) {
+            it->traits.insert(trait);
+            marked_.try_emplace(trait, it->learned_at);
         }
     }
     changed_ = true;
 }
 
-void crash_quarantine::add_sound(part_id part) {
-    sound_[part] = time_.now();
-    marked_.erase(part);
-    released_.erase(part);
-    if (held_.erase(part) > 0) {
-        log::write("prompt_part_released", {{"part", part}, {"reason", "answered"}});
+void crash_quarantine::add_sound(const request_trait &trait) {
+    sound_[trait] = time_.now();
+    marked_.erase(trait);
+    released_.erase(trait);
+    if (held_.erase(trait) > 0) {
+        log::write(internal::released_event(trait.kind), {{"id", trait.id}, {"reason", "answered"}});
     }
     changed_ = true;
 }
 
-void crash_quarantine::adopt_hold(part_id part) {
-    if (held_.try_emplace(part, hold{time_.now() + settings_.first_hold, settings_.first_hold}).second) {
-        log::write("prompt_part_held", {{"part", part}, {"origin", "peer"}});
+void crash_quarantine::adopt_hold(const request_trait &trait) {
+    // A request that comes often may have been at several ends of one cause. Gateways that have seen it answered say so
+    // once; after that, further ends count.
+    if (trait.kind == trait_kind::whole_request && answered_.contains(trait.id) && !sound_.contains(trait)) {
+        add_sound(trait);
+        observe(observation_kind::sound, "", std::span{&trait, 1});
+        return;
+    }
+    if (held_.try_emplace(trait, hold{time_.now() + settings_.first_hold, settings_.first_hold}).second) {
+        log::write(internal::held_event(trait.kind), {{"id", trait.id}, {"origin", "peer"}});
         changed_ = true;
     }
 }
 
-void crash_quarantine::observe(observation_kind kind, std::string server, std::span<const part_id> parts,
+void crash_quarantine::observe(observation_kind kind, std::string server, std::span<const request_trait> traits,
                                std::string address) {
     const bool extends = !own_.empty() && own_.back().what.number > published_ && own_.back().what.kind == kind &&
                          own_.back().what.server == server;
@@ -163,10 +176,10 @@
         }
         own_.push_back({time_.now(), {next_number_++, kind, std::move(server), {}, std::move(address)}});
     }
-    auto &known = own_.back().what.parts;
-    for (const auto part : parts) {
-        if (std::ranges::find(known, part) == known.end()) {
-            known.push_back(part);
+    auto &seen = own_.back().what.traits;
+    for (const auto &it : traits) {
+        if (std::ranges::find(seen, it) == seen.end()) {
+            seen.push_back(it);
         }
     }
     unpublished_ = true;
@@ -184,86 +197,102 @@
     return out;
 }
 
-std::size_t crash_quarantine::weigh(std::span<const server_end *const> ends) const {
-    // Ends that follow each other closely count once, and so do those of one engine.
+bool crash_quarantine::known(const request_trait &trait) const {
+    return sound_.contains(trait) || (trait.kind == trait_kind::whole_request && answered_.contains(trait.id));
+}
+
+std::size_t crash_quarantine::weigh(const candidate &of) const {
     std::set<std::string_view> servers;
     std::size_t groups = 0;
     base::instant group_begin{};
-    for (const auto *it : ends) {
+    for (const auto *it : of.ends) {
         servers.insert(it->server);
         if (groups == 0 || it->learned_at - group_begin >= settings_.same_cause) {
             ++groups;
             group_begin = it->learned_at;
         }
     }
-    return std::min(groups, servers.size());
+    // Many requests with one part, or with one often repeated content, may be cut off by one cause at several servers.
+    // A new request is at several servers only if it was sent again after each end.
+    const bool repeated = of.trait.kind == trait_kind::whole_request && !of.known;
+    return repeated ? servers.size() : std::min(groups, servers.size());
 }
 
 std::vector<crash_quarantine::candidate> crash_quarantine::candidates() const {
-    std::map<part_id, candidate> found;
+    std::map<request_trait, candidate> found;
     for (const auto &end : ends_) {
-        if (end.explained) {
+        const auto &why = end.explanation;
+        if (why && why->kind == trait_kind::prompt_part) {
             continue;
         }
-        for (const auto part : end.parts) {
-            const auto sound = sound_.find(part);
-            if (sound == sound_.end() || end.learned_at > sound->second) {
-                found[part].ends.push_back(&end);
+        for (const auto &trait : end.traits) {
+            const auto sound = sound_.find(trait);
+            if ((why && trait.kind == trait_kind::whole_request) ||
+                (sound != sound_.end() && end.learned_at <= sound->second)) {
+                continue;
+            }
+            auto &ends = found[trait].ends;
+            // All ends by one request tell no more of its parts than one of them.
+            if (!why || std::ranges::find(ends, why, &server_end::explanation) == ends.end()) {
+                ends.push_back(&end);
             }
         }
     }
     std::vector<candidate> out;
     out.reserve(found.size());
-    for (auto &[part, it] : found) {
-        it.part = part;
-        it.weight = weigh(it.ends);
-        it.known = sound_.contains(part);
+    for (auto &[trait, it] : found) {
+        it.trait = trait;
+        it.known = known(trait);
+        it.weight = weigh(it);
         out.push_back(std::move(it));
     }
     return out;
 }
 
 std::size_t crash_quarantine::needed(const candidate &of) const {
-    if (released_.contains(of.part)) {
+    if (released_.contains(of.trait)) {
         return 1;
     }
-    return of.known ? settings_.ends_of_known_part : settings_.ends_of_new_part;
+    return of.known ? settings_.ends_of_known_trait : settings_.ends_of_new_trait;
 }
 
 void crash_quarantine::explain() {
     for (auto &end : ends_) {
-        end.explained = std::ranges::any_of(end.parts, [this](part_id part) { return held_.contains(part); });
+        // Parts of prompts come first in the order of traits.
+        const auto why = std::ranges::find_if(end.traits, [this](const auto &it) { return held_.contains(it); });
+        end.explanation = why == end.traits.end() ? std::nullopt : std::optional{*why};
     }
 }
 
 void crash_quarantine::start_hold(const candidate &of) {
-    const auto before = released_.find(of.part);
+    const auto before = released_.find(of.trait);
     const auto length =
         before == released_.end() ? settings_.first_hold : std::min(2 * before->second, settings_.longest_hold);
-    held_[of.part] = {time_.now() + length, length};
-    observe(observation_kind::held, "", std::span{&of.part, 1});
-    log::write("prompt_part_held", {{"part", of.part},
-                                    {"origin", "own"},
-                                    {"servers_ended", of.ends.size()},
-                                    {"weight", of.weight},
-                                    {"answered_before", of.known},
-                                    {"hold_s", std::chrono::duration_cast<std::chrono::seconds>(length).count()}});
+    held_[of.trait] = {time_.now() + length, length};
+    observe(observation_kind::held, "", std::span{&of.trait, 1});
+    log::write(internal::held_event(of.trait.kind),
+               {{"id", of.trait.id},
+                {"origin", "own"},
+                {"servers_ended", of.ends.size()},
+                {"weight", of.weight},
+                {"answered_before", of.known},
+                {"hold_s", std::chrono::duration_cast<std::chrono::seconds>(length).count()}});
 }
 
 void crash_quarantine::decide() {
     explain();
     while (true) {
-        const auto all = candidates();
-        // The strongest explanation first; of equal ones, a part that was never answered.
+        auto all = candidates();
+        std::erase_if(all, [this](const auto &it) { return it.weight < needed(it); });
+        // What was never answered first, then the strongest explanation, then the narrower one.
         const auto best = std::ranges::max_element(all, {}, [](const auto &it) {
-            return std::pair{it.weight, !it.known};
+            return std::tuple{!it.known, it.weight, it.trait.kind};
         });
-        if (best == all.end() || best->weight < needed(*best) ||
-            time_.now() - best->ends.back()->learned_at < settings_.settle) {
+        if (best == all.end() || time_.now() - best->ends.back()->learned_at < settings_.settle) {
             break;
         }
         for (const auto &it : all) {
-            if (it.ends == best->ends && it.known == best->known) {
+            if (it.ends == best->ends && it.known == best->known && it.trait.kind == best->trait.kind) {
                 start_hold(it);
             }
         }
@@ -272,19 +301,19 @@
     suspects_.clear();
     for (const auto &it : candidates()) {
         if (it.weight >= internal::ends_of_suspect) {
-            suspects_.emplace(it.part, it.known);
+            suspects_.emplace(it.trait, it.known);
         }
     }
 }
 
 void crash_quarantine::expire() {
     const auto now = time_.now();
-    for (const auto &[part, it] : held_) {
+    for (const auto &[trait, it] : held_) {
         if (now >= it.until) {
-            released_[part] = it.length;
+            released_[trait] = it.length;
             // Only ends from now on count against it again.
-            std::ranges::for_each(ends_, [id = part](auto &end) { end.parts.erase(id); });
-            log::write("prompt_part_released", {{"part", part}, {"reason", "time"}});
+            std::ranges::for_each(ends_, [&which = trait](auto &end) { end.traits.erase(which); });
+            log::write(internal::released_event(trait.kind), {{"id", trait.id}, {"reason", "time"}});
         }
     }
     std::erase_if(held_, [now](const auto &it) { return now >= it.second.until; });
@@ -292,7 +321,7 @@
     std::erase_if(ends_, [&](const auto &it) { return it.learned_at < oldest; });
     std::erase_if(marked_, [&](const auto &it) { return it.second < oldest; });
     unpublished_ = std::erase_if(own_, [&](const auto &it) { return it.observed_at < oldest; }) > 0 || unpublished_;
-    if (sound_.size() > internal::max_sound_parts) {
+    if (sound_.size() > internal::max_sound_traits) {
         std::erase_if(sound_, [&](const auto &it) { return it.second < oldest; });
     }
 }
--- a/src/gateway/crash_quarantine.hpp
+++ b/src/gateway/crash_quarantine.hpp
@@ -13,38 +13,45 @@
 #include <vector>
 
 #include "base/clock.hpp"
+#include "gateway/answered_requests.hpp"
 #include "gateway/crash_report.hpp"
-#include "gateway/request_facts.hpp"
+#include "gateway/request_traits.hpp"
 
 namespace dotterelstack::gateway {
 
 /** @brief Parameters of a `crash_quarantine`. */
 struct quarantine_settings {
-    /** Engines that must have ended, one after the other, before a part that was never answered is held. */
-    std::size_t ends_of_new_part{3};
-    /** The same for a part that has been answered before; it is also in the prompts of others that were cut off. */
-    std::size_t ends_of_known_part{5};
+    /** Servers that must have ended, one after the other, before a trait that was never answered is held. */
+    std::size_t ends_of_new_trait{3};
+    /** The same for a trait that has been answered before; requests with it are also cut off with those of others. */
+    std::size_t ends_of_known_trait{5};
     /**
      * Ends within this time probably have one cause, such as the loss of a failure domain. Reports of other gateways
      * about one loss arrive within it.
      */
     base::duration same_cause{std::chrono::milliseconds{500}};
-    /** Time after the latest end in which answers may still show that a part is sound. */
+    /** Time after the latest end in which answers may still show that a trait is sound. */
     base::duration settle{std::chrono::milliseconds{300}};
-    base::duration first_hold{std::chrono::minutes{10}}; /**< Doubles each time that the part ends an engine again. */
+    base::duration first_hold{std::chrono::minutes{10}}; /**< Doubles each time that the trait ends a server again. */
     base::duration longest_hold{std::chrono::hours{2}};
     base::duration memory{std::chrono::minutes{10}}; /**< Age at which observations are dropped. */
 };
 
+/** @brief Why a request is held back, and for how long. */
+struct crash_hold {
+    trait_kind kind{trait_kind::prompt_part};
+    base::duration left{0};
+};
+
 /**
- * @brief Finds parts of prompts that crash engines, and holds back requests with them. Not thread-safe.
+ * @brief Finds what in requests crashes servers, and holds back requests with it. Not thread-safe.
  *
- * Pattern: different requests share a part of their prompts, and each engine that begins to answer one of them ends.
- * The requests that ran there at that time are cut off, too, so most parts seen at one end are sound. The part wanted
- * is in the prompts at each of several ends, and no answer with it ever gets on. Parts of prompts that were cut off
- * only where such a part explains the end are left alone.
+ * Pattern: requests share a part of their prompts, or are one request that comes again, and each server that begins to
+ * work on one of them ends. The requests that ran there at that time are cut off, too, so most traits seen at one end
+ * are sound. The trait wanted is at each of several ends, and no answer with it ever gets on. Traits of requests that
+ * were cut off only where such a trait explains the end are left alone.
  *
- * Gateways exchange their observations, because each sees only some of the requests of an engine.
+ * Gateways exchange their observations, because each sees only some of the requests of a server.
  */
 class crash_quarantine {
 public:
@@ -53,13 +60,13 @@
 
     /**
      * @brief A connection ended in the middle of an attempt.
-     * @param server Incarnation of the engine.
+     * @param server Incarnation of the server.
      * @param address Where it was reached.
      */
-    void on_broken(std::string_view server, std::string_view address, std::span<const prompt_part> prompt);
+    void on_broken(std::string_view server, std::string_view address, std::span<const request_trait> traits);
 
     /** @brief An answer is complete, or has gone on after its first event. @param started Start of the attempt. */
-    void on_progress(std::string_view server, std::span<const prompt_part> prompt, base::instant started);
+    void on_progress(std::string_view server, std::span<const request_trait> traits, base::instant started);
 
     /** @brief Takes the observations of another gateway that are new. */
     void on_report(std::string_view gateway, const crash_report &report);
@@ -67,11 +74,11 @@
     /** @brief Another gateway's report has been erased. */
     void on_report_removed(std::string_view gateway);
 
-    /** @return Time for which requests with this prompt are held back; nothing if they may run. */
-    [[nodiscard]] std::optional<base::duration> held(std::span<const prompt_part> prompt) const;
+    /** @return The longest hold on a request with these traits; nothing if it may run. */
+    [[nodiscard]] std::optional<crash_hold> held(std::span<const request_trait> traits) const;
 
-    /** @return True when a part that was never answered has seen several ends, so that the request is not repeated. */
-    [[nodiscard]] bool suspected(std::span<const prompt_part> prompt) const;
+    /** @return True when a trait that was never answered has seen several ends, so that the request is not repeated. */
+    [[nodiscard]] bool suspected(std::span<const request_trait> traits) const;
 
     /** @brief Weighs new observations and drops old ones. Call it with the forwarder's periodic work. */
     void tick();
@@ -79,17 +86,16 @@
     /** @return This gateway's latest observations, if they have changed since the last call; empty once all are old. */
     [[nodiscard]] std::optional<crash_report> take_report();
 
-    [[nodiscard]] std::size_t held_parts() const noexcept { return held_.size(); }
+    /** @return Number of traits of a kind that are held. */
+    [[nodiscard]] std::size_t held_count(trait_kind kind) const;
 
 private:
-    using part_id = std::uint64_t;
-
-    /** End of an engine, from the attempts that were cut off there. */
+    /** End of a server, from the attempts that were cut off there. */
     struct server_end {
         std::string server;
         base::instant learned_at{};
-        std::set<part_id> parts;
-        bool explained{false}; /**< By a part that is held. */
+        std::set<request_trait> traits;
+        std::optional<request_trait> explanation; /**< One that is held; a part of prompts rather than a request. */
     };
 
     struct hold {
@@ -97,9 +103,9 @@
         base::duration length{0};
     };
 
-    /** A part with the unexplained ends that it was seen at. */
+    /** A trait with the ends that nothing else explains. */
     struct candidate {
-        part_id part{0};
+        request_trait trait;
         std::vector<const server_end *> ends;
         std::size_t weight{0};
         bool known{false}; /**< It has been answered before. */
@@ -110,12 +116,14 @@
         crash_observation what;
     };
 
-    void add_end(std::string_view server, std::span<const part_id> parts);
-    void add_sound(part_id part);
-    void adopt_hold(part_id part);
-    void observe(observation_kind kind, std::string server, std::span<const part_id> parts, std::string address = {});
+    void add_end(std::string_view server, std::span<const request_trait> traits);
+    void add_sound(const request_trait &trait);
+    void adopt_hold(const request_trait &trait);
+    void observe(observation_kind kind, std::string server, std::span<const request_trait> traits,
+                 std::string address = {});
+    [[nodiscard]] bool known(const request_trait &trait) const;
     [[nodiscard]] std::vector<candidate> candidates() const;
-    [[nodiscard]] std::size_t weigh(std::span<const server_end *const> ends) const;
+    [[nodiscard]] std::size_t weigh(const candidate &of) const;
     [[nodiscard]] std::size_t needed(const candidate &of) const;
     void decide();
     void start_hold(const candidate &of);
@@ -125,12 +133,14 @@
     const base::clock &time_;
     const quarantine_settings settings_;
     std::deque<server_end> ends_;
-    std::unordered_map<part_id, base::instant> marked_; /**< First end of each part since it was last known as sound. */
-    std::unordered_map<part_id, base::instant> sound_;  /**< When each part was last known as sound. */
-    std::unordered_map<part_id, bool> suspects_; /**< Parts at several ends; true if they were answered before. */
-    std::unordered_map<part_id, hold> held_;
-    std::unordered_map<part_id, base::duration> released_;   /**< Length of the last hold. */
-    std::map<std::string, std::uint64_t, std::less<>> read_; /**< Newest observation taken from each gateway. */
+    /** First end of each trait since it was last known as sound. */
+    std::unordered_map<request_trait, base::instant> marked_;
+    std::unordered_map<request_trait, base::instant> sound_; /**< When each trait was last known as sound. */
+    answered_requests answered_;
+    std::unordered_map<request_trait, bool> suspects_; /**< Traits at several ends; true if answered before. */
+    std::unordered_map<request_trait, hold> held_;
+    std::unordered_map<request_trait, base::duration> released_; /**< Length of the last hold. */
+    std::map<std::string, std::uint64_t, std::less<>> read_;     /**< Newest observation taken from each gateway. */
     std::deque<dated_observation> own_;
     std::uint64_t next_number_{1};
     std::uint64_t published_{0}; /**< Number of the newest observation that was handed out. */
--- a/src/gateway/crash_report.cpp
+++ b/src/gateway/crash_report.cpp
@@ -1,7 +1,6 @@
 #include "gateway/crash_report.hpp"
 
-#include <algorithm>
-#include <iterator>
+#include <array>
 
 #include "store/settled_write.hpp"
 
@@ -13,14 +12,33 @@
                                                 {observation_kind::sound, "sound"},
                                                 {observation_kind::held, "held"}})
 
+namespace internal {
+
+struct trait_field {
+    trait_kind kind;
+    const char *name;
+};
+
+constexpr std::array trait_fields{trait_field{trait_kind::prompt_part, "parts"},
+                                  trait_field{trait_kind::whole_request, "requests"}};
+
+} // namespace internal
+
 json to_json(const crash_report &report) {
     json items = json::array();
     for (const auto &it : report) {
-        // As text: ids use all 64 bits, which not every JSON implementation keeps.
-        json parts = json::array();
-        std::ranges::transform(it.parts, std::back_inserter(parts),
-                               [](std::uint64_t id) { return std::to_string(id); });
-        items.push_back({{"number", it.number}, {"kind", it.kind}, {"server", it.server}, {"parts", std::move(parts)}});
+        json item{{"number", it.number}, {"kind", it.kind}, {"server", it.server}};
+        for (const auto &field : internal::trait_fields) {
+            // As text: ids use all 64 bits, which not every JSON implementation keeps.
+            json ids = json::array();
+            for (const auto &trait : it.traits) {
+                if (trait.kind == field.kind) {
+                    ids.push_back(std::to_string(trait.id));
+                }
+            }
+            item[field.name] = std::move(ids);
+        }
+        items.push_back(std::move(item));
     }
     return json{{"observations", std::move(items)}};
 }
@@ -34,8 +52,10 @@
                                    it.at("kind").get<observation_kind>(),
                                    it.at("server").get<std::string>(),
                                    {}};
-            for (const auto &id : it.at("parts")) {
-                next.parts.push_back(std::stoull(id.get<std::string>()));
+            for (const auto &field : internal::trait_fields) {
+                for (const auto &id : it.value(field.name, json::array())) {
+                    next.traits.push_back({field.kind, std::stoull(id.get<std::string>())});
+                }
             }
             out.push_back(std::move(next));
         }
--- a/src/gateway/crash_report.hpp
+++ b/src/gateway/crash_report.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/error.hpp"
+#include "gateway/request_traits.hpp"
 #include "store/object_store.hpp"
 
 namespace dotterelstack::gateway {
@@ -14,20 +15,20 @@
 /** @brief Prefix of the store keys of crash reports; one object for each gateway incarnation. */
 inline constexpr std::string_view crash_reports_prefix = "crash-reports/";
 
-/** @brief What a gateway has observed of parts of prompts. */
+/** @brief What a gateway has observed of traits. */
 enum class observation_kind : std::uint8_t {
-    ended, /**< Attempts with the parts broke off at an engine. */
-    sound, /**< Answers to prompts with the parts went on. */
-    held   /**< Requests with the parts are held back. */
+    ended, /**< Attempts with the traits broke off at a server. */
+    sound, /**< Answers to requests with the traits went on. */
+    held   /**< Requests with the traits are held back. */
 };
 
-/** @brief One observation of a gateway about the prompts that engines have worked on. */
+/** @brief One observation of a gateway about the requests that servers have worked on. */
 struct crash_observation {
     std::uint64_t number{0}; /**< Grows with each observation of the gateway. */
     observation_kind kind{observation_kind::ended};
-    std::string server;               /**< Incarnation of the engine that ended. */
-    std::vector<std::uint64_t> parts; /**< Ids of shared parts of prompts. */
-    std::string address{};            /**< Where that incarnation was; not stored. */
+    std::string server; /**< Incarnation of the server that ended. */
+    request_traits traits;
+    std::string address{}; /**< Where that incarnation was; not stored. */
 };
 
 /** @brief The latest observations of a gateway, oldest first. */
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -4,7 +4,6 @@
 #include <span>
 #include <utility>
 
-#include "gateway/request_traits.hpp"
 #include "log/event.hpp"
 
 namespace dotterelstack::gateway {
@@ -47,11 +46,13 @@
     return fields;
 }
 
-/** @return Ids of the parts of a prompt that other requests may have, too. */
-std::string shared_parts(std::span<const prompt_part> prompt) {
+/** @return Ids of the parts of the prompt among the traits, separated by commas. */
+std::string part_ids(std::span<const request_trait> traits) {
     std::string out;
-    for (const auto &it : prompt.first(prompt.empty() ? 0 : prompt.size() - 1)) {
-        out += (out.empty() ? "" : ",") + std::to_string(it.id);
+    for (const auto &it : traits) {
+        if (it.kind == trait_kind::prompt_part) {
+            out += (out.empty() ? "" : ",") + std::to_string(it.id);
+        }
     }
     return out;
 }
@@ -88,14 +89,16 @@
 }
 
 opaque_exchange::opaque_exchange(const exchange_context &context, dispatch::request_identity of, opaque_request request)
-    : exchange{std::move(of)}, context_{context}, request_{std::move(request)} {}
+    : exchange{std::move(of)}, context_{context}, request_{std::move(request)}, traits_{traits_of(
+                                                                                    request_.content,
+                                                                                    identity().organisation)} {}
 
 dispatch::place_result opaque_exchange::place() {
     // Without ids, events already delivered cannot be recognised in the stream of another run.
     if (started_ && !last_event_) {
         return refusal_with("not_resumable", ran_claim::unknown);
     }
-    if (auto why = refusal_for_prompt()) {
+    if (auto why = refusal_for_traits()) {
         return std::move(*why);
     }
     const auto &facts = request_.content.facts;
@@ -121,20 +124,23 @@
     return start(placed.plan);
 }
 
-std::optional<dispatch::refusal> opaque_exchange::refusal_for_prompt() const {
-    const auto &prompt = request_.content.facts.prompt;
-    if (const auto hold = context_.quarantine.held(prompt)) {
-        const auto ran = dispatch::ran_claim_of(*this);
+std::optional<dispatch::refusal> opaque_exchange::refusal_for_traits() const {
+    const auto ran = dispatch::ran_claim_of(*this);
+    if (const auto hold = context_.quarantine.held(traits_)) {
+        const bool part = hold->kind == trait_kind::prompt_part;
+        const auto *code = part ? "prompt_held" : "request_held";
         if (ran == ran_claim::unknown) {
-            return refusal_with("prompt_held", ran);
+            return refusal_with(code, ran);
         }
-        return dispatch::refusal{503, "prompt_held",
-                                 "engines that began to answer prompts with a part of this one have ended; ask the "
-                                 "operator, or leave out the part",
-                                 ran, hold};
+        return dispatch::refusal{503, code,
+                                 part ? "engines that began to answer prompts with a part of this one have ended; ask "
+                                        "the operator, or leave out the part"
+                                      : "the backend servers that worked on this request have ended; ask the operator, "
+                                        "or change the request",
+                                 ran, hold->left};
     }
-    if (history().may_have_run() && context_.quarantine.suspected(prompt)) {
-        return refusal_with("prompt_suspected", ran_claim::unknown);
+    if (history().may_have_run() && context_.quarantine.suspected(traits_)) {
+        return refusal_with("crash_suspected", ran_claim::unknown);
     }
     return std::nullopt;
 }
@@ -248,9 +254,9 @@
         log::write("attempt_broken", {{"request", identity().id},
                                       {"backend", backend_},
                                       {"events", last_event_at_.has_value()},
-                                      {"digest", digest_of(request_.content, identity().organisation)},
-                                      {"parts", internal::shared_parts(request_.content.facts.prompt)}});
-        context_.quarantine.on_broken(to_string(incarnation_), address_, request_.content.facts.prompt);
+                                      {"digest", traits_.back().id},
+                                      {"parts", internal::part_ids(traits_)}});
+        context_.quarantine.on_broken(to_string(incarnation_), address_, traits_);
     }
     if (probably_began(how)) {
         count_start();
@@ -361,7 +367,7 @@
 
 void opaque_exchange::record_progress() {
     if (!std::exchange(progress_recorded_, true)) {
-        context_.quarantine.on_progress(to_string(incarnation_), request_.content.facts.prompt, attempt_started());
+        context_.quarantine.on_progress(to_string(incarnation_), traits_, attempt_started());
     }
 }
 
@@ -449,9 +455,9 @@
     const auto *decoder = context_.table.find(decode_backend_);
     const bool usable = decoder != nullptr && context_.table.accepts(*decoder) && !context_.table.pausing(*decoder) &&
                         (run_limit_ == limit_use::counted || context_.table.use_limit(*decoder) != limit_use::exceeded);
-    if (!usable || context_.quarantine.held(request_.content.facts.prompt)) {
+    if (!usable || context_.quarantine.held(traits_)) {
         // The prefill succeeded, but its state cannot be used: the decode engine takes no requests, or the
-        // prompt is held.
+        // request is held.
         return call_failed{{evidence_kind::never_sent}, attempt_outcome::cancelled};
     }
     on_attempt_end(attempt_outcome::answered);
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -16,6 +16,7 @@
 #include "gateway/event_splitter.hpp"
 #include "gateway/placement.hpp"
 #include "gateway/request_facts.hpp"
+#include "gateway/request_traits.hpp"
 #include "gateway/retry_after_scheduler.hpp"
 #include "gateway/shutdown_phase.hpp"
 #include "gateway/start_counter.hpp"
@@ -87,7 +88,7 @@
 private:
     [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed);
     void end_wait(bool placed);
-    [[nodiscard]] std::optional<dispatch::refusal> refusal_for_prompt() const;
+    [[nodiscard]] std::optional<dispatch::refusal> refusal_for_traits() const;
     void record_progress();
     [[nodiscard]] base::instant admission_limit() const noexcept;
     [[nodiscard]] base::duration retry_after(base::duration free_in) const;
@@ -111,6 +112,7 @@
 
     const exchange_context &context_;
     const opaque_request request_;
+    const request_traits traits_;
 
     bool waiting_{false}; /**< Counted by the wait limiter. */
 
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -200,6 +200,10 @@
     {1926, "server_limited", severity::info,
      "A backend server has named a limit on the requests of all gateways together.", "Look at its load if it repeats."},
     {1927, "server_limit_ended", severity::info, "A backend server names no limit on requests any more.", "none"},
+    {1928, "request_held", severity::warning,
+     "A request is refused when it comes again, because the backend servers that worked on it have ended.",
+     "Ask the organisation for the request, and look into the backend servers; it is tried again after the hold."},
+    {1929, "request_released", severity::info, "A request that was held may run again.", "none"},
 });
 
 } // namespace dotterelstack::log
--- a/test/gateway/crash_quarantine.cpp
+++ b/test/gateway/crash_quarantine.cpp
@@ -12,23 +12,33 @@
 
 namespace {
 
-using prompt = std::vector<gateway::prompt_part>;
+using gateway::request_traits;
+using gateway::trait_kind;
 
 constexpr std::uint64_t crashing = 0xbad;
 constexpr std::uint64_t common = 0xc0;
 
+gateway::request_trait part(std::uint64_t id) {
+    return {trait_kind::prompt_part, id};
+}
+
 struct fixture {
     base::manual_clock clock;
     gateway::crash_quarantine subject{clock};
     int next{0};
 
-    /** @return A prompt with these shared parts and one of its own. */
-    prompt of(const std::vector<std::uint64_t> &shared) {
-        prompt out;
+    /** @return Traits of a new request whose prompt has these shared parts. */
+    request_traits of(const std::vector<std::uint64_t> &shared) {
+        return of(shared, 0x10000U + static_cast<std::uint64_t>(next++));
+    }
+
+    /** @return The same of the request with this digest. */
+    static request_traits of(const std::vector<std::uint64_t> &shared, std::uint64_t digest) {
+        request_traits out;
         for (const auto id : shared) {
-            out.push_back({id, 100});
+            out.push_back({trait_kind::prompt_part, id});
         }
-        out.push_back({0x10000U + static_cast<std::uint64_t>(next++), 100});
+        out.push_back({trait_kind::whole_request, digest});
         return out;
     }
 
@@ -42,6 +52,24 @@
         subject.tick();
     }
 
+    /** A server ends while it works on one request and on others, each with its own parts of prompts. */
+    void server_ends_on(const request_traits &one, base::duration after, int others = 0) {
+        clock.advance(after);
+        const auto id = "server-" + std::to_string(next++) + "@1";
+        subject.on_broken(id, "10.0.0.1:80", one);
+        for (int n = 0; n < others; ++n) {
+            subject.on_broken(id, "10.0.0.1:80", of({common}));
+        }
+        subject.tick();
+    }
+
+    void answer_request(const request_traits &traits) {
+        const auto started = clock.now();
+        clock.advance(10ms);
+        subject.on_progress("server-sound@1", traits, started);
+        subject.tick();
+    }
+
     void answer(const std::vector<std::uint64_t> &shared) {
         const auto started = clock.now();
         clock.advance(50ms);
@@ -73,7 +101,7 @@
     CHECK(it.held({crashing, 55}));
     CHECK_FALSE(it.held({common, 10}));
     CHECK_FALSE(it.held({22, 32}));
-    CHECK(it.subject.held_parts() == 1);
+    CHECK(it.subject.held_count(trait_kind::prompt_part) == 1);
 }
 
 // Guards against a shared part whose requests are only cut off because the culprit is popular there.
@@ -199,13 +227,105 @@
         it.engine_ends({{crashing}});
     }
     it.settle();
-    CHECK(it.subject.held(it.of({crashing})).value() <= 10min);
+    CHECK(it.subject.held(it.of({crashing})).value().left <= 10min);
     it.clock.advance(11min);
     it.subject.tick();
     CHECK_FALSE(it.held({crashing}));
     it.engine_ends({{crashing}});
     it.settle();
-    CHECK(it.subject.held(it.of({crashing})).value() > 19min);
+    CHECK(it.subject.held(it.of({crashing})).value().left > 19min);
+}
+
+// Guards against a request that comes again under another id and ends one server after the other within moments.
+TEST_CASE("a request that was at three ends is held, even if they follow each other at once") {
+    fixture it;
+    const auto bad = fixture::of({}, 0xbad);
+    for (int n = 0; n < 3; ++n) {
+        CHECK_FALSE(it.subject.held(bad));
+        it.server_ends_on(bad, 90ms, 5);
+    }
+    it.settle();
+    REQUIRE(it.subject.held(bad));
+    CHECK(it.subject.held(bad)->kind == trait_kind::whole_request);
+    CHECK(it.subject.held_count(trait_kind::whole_request) == 1);
+    CHECK(it.subject.held_count(trait_kind::prompt_part) == 0);
+    CHECK_FALSE(it.subject.held(fixture::of({}, 0xbad + 1)));
+}
+
+// Guards against holding a part of prompts, and all other requests with it, for the fault of one request.
+TEST_CASE("the parts of a request that comes again are not held with it") {
+    fixture it;
+    const auto bad = fixture::of({common}, 0xbad);
+    for (int n = 0; n < 12; ++n) {
+        it.server_ends_on(bad, 600ms);
+    }
+    it.settle();
+    CHECK(it.subject.held(bad));
+    CHECK_FALSE(it.held({common}));
+}
+
+// Guards against taking each repeated request for the cause when it is a part that they share.
+TEST_CASE("a part is held although each request with it has crashed several servers") {
+    fixture it;
+    for (std::uint64_t n = 0; n < 4; ++n) {
+        for (int repeat = 0; repeat < 3; ++repeat) {
+            it.server_ends_on(fixture::of({common, crashing}, 0x100 + n), 600ms);
+            it.answer({common});
+        }
+    }
+    it.settle();
+    CHECK(it.held({crashing}));
+    CHECK_FALSE(it.held({common}));
+}
+
+// Guards against refusing a request that many send, because all servers were lost at the same moment.
+TEST_CASE("a request answered before is not held when several servers that work on it end together") {
+    fixture it;
+    const auto popular = fixture::of({}, 0x600d);
+    it.answer_request(popular);
+    for (int n = 0; n < 12; ++n) {
+        it.server_ends_on(popular, 1ms);
+    }
+    it.settle();
+    CHECK_FALSE(it.subject.held(popular));
+    fixture other;
+    for (int n = 0; n < 3; ++n) {
+        other.server_ends_on(popular, 1ms);
+    }
+    other.settle();
+    REQUIRE(other.subject.held(popular));
+    it.subject.on_report("other", other.subject.take_report().value());
+    CHECK_FALSE(it.subject.held(popular));
+    // It tells the other gateway so.
+    other.subject.on_report("it", it.subject.take_report().value());
+    CHECK_FALSE(other.subject.held(popular));
+}
+
+// Guards against ends that no gateway sees often enough by itself.
+TEST_CASE("gateways recognise a request that comes again at another one each time") {
+    fixture gateways[3];
+    const auto bad = fixture::of({}, 0xbad);
+    for (int n = 0; n < 3; ++n) {
+        gateways[n].next = 100 * n; // Names other servers.
+        gateways[n].server_ends_on(bad, 100ms);
+    }
+    for (int n = 1; n < 3; ++n) {
+        gateways[0].subject.on_report(std::to_string(n), gateways[n].subject.take_report().value());
+    }
+    gateways[0].settle();
+    CHECK(gateways[0].subject.held(bad));
+}
+
+// Guards against one more end by the repetition that follows the second one.
+TEST_CASE("a request that was at two ends and never answered is not repeated") {
+    fixture it;
+    const auto bad = fixture::of({}, 0xbad);
+    it.server_ends_on(bad, 90ms);
+    CHECK_FALSE(it.subject.suspected(bad));
+    it.server_ends_on(bad, 90ms);
+    CHECK(it.subject.suspected(bad));
+    it.answer_request(bad);
+    CHECK_FALSE(it.subject.suspected(bad));
 }
 
 // Guards against waking all gateways for each answer that an engine breaks off and lives on.
@@ -218,8 +338,9 @@
                                                                    ++asked;
                                                                    return address == "alive";
                                                                }}};
-    const gateway::crash_observation living{1, gateway::observation_kind::ended, "engine-1@1", {crashing}, "alive"};
-    const gateway::crash_observation gone{2, gateway::observation_kind::ended, "engine-2@1", {crashing}, "gone"};
+    const gateway::crash_observation living{
+        1, gateway::observation_kind::ended, "engine-1@1", {part(crashing)}, "alive"};
+    const gateway::crash_observation gone{2, gateway::observation_kind::ended, "engine-2@1", {part(crashing)}, "gone"};
     subject.offer({living});
     CHECK(subject.publish());
     CHECK(store.counters().writes == 0);
@@ -234,13 +355,15 @@
 
 // Guards against reports that cannot be read back, and against objects that stay for good.
 TEST_CASE("crash reports are stored under the gateway's incarnation and erased when they are empty or old") {
+    const request_traits traits{
+        part(crashing), part(~std::uint64_t{0}), {trait_kind::whole_request, ~std::uint64_t{0} - 1}};
     base::manual_clock clock;
     store::memory_store store;
     base::id_source ids{1};
     gateway::crash_report_task subject{
         {.incarnation = "me"}, {clock, store, ids, [](std::string_view address) { return address == "alive"; }}};
-    subject.offer({{7, gateway::observation_kind::ended, "engine-1@5", {crashing, ~std::uint64_t{0}}, "gone"},
-                   {8, gateway::observation_kind::held, "", {crashing}}});
+    subject.offer({{7, gateway::observation_kind::ended, "engine-1@5", traits, "gone"},
+                   {8, gateway::observation_kind::held, "", {part(crashing)}}});
     store.set_faults_once({.outage = true});
     CHECK_FALSE(subject.publish());
     CHECK(subject.publish());
@@ -250,7 +373,7 @@
     REQUIRE(back);
     REQUIRE(back.value().size() == 2);
     CHECK(back.value()[0].server == "engine-1@5");
-    CHECK(back.value()[0].parts == std::vector<std::uint64_t>{crashing, ~std::uint64_t{0}});
+    CHECK(back.value()[0].traits == traits);
     CHECK(back.value()[1].kind == gateway::observation_kind::held);
     REQUIRE(store.put("crash-reports/gone", "{}", store::absent));
     subject.on_object("crash-reports/gone", store.revision());
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -371,7 +371,7 @@
     };
     for (int n = 0; n < 3; ++n) {
         it.subject.on_backends({test::server("engine-" + std::to_string(n), "llm", gateway::engine_stage::decode, 12)});
-        const auto caller = it.send("/query/1", with("bad", n));
+        const auto caller = it.send("/query/" + std::to_string(n), with("bad", n));
         it.begin_stream();
         it.end(call_end::broken);
         CHECK(caller->status() == 502);
@@ -382,10 +382,34 @@
     it.subject.tick();
     it.subject.on_backends({test::server("engine-9", "llm", gateway::engine_stage::decode, 12)});
     const auto calls = it.backends.calls.size();
-    const auto refused = it.send("/query/1", with("bad", 7));
+    const auto refused = it.send("/query/7", with("bad", 7));
     CHECK(refused->status() == 503);
     CHECK(it.backends.calls.size() == calls);
-    (void)it.send("/query/1", {{"Prompt-Prefix", "a2:100,600d:100,f8:100"}});
+    (void)it.send("/query/8", {{"Prompt-Prefix", "a2:100,600d:100,f8:100"}});
+    CHECK(it.backends.calls.size() == calls + 1);
+}
+
+// Guards against a request that goes on ending servers when it comes again, and against refusing others on its route.
+TEST_CASE("a request that servers end on is not repeated, and refused as not run when it comes again") {
+    forwarder_fixture it;
+    it.configure();
+    for (int n = 0; n < 3; ++n) {
+        it.subject.on_backends({test::server("desk-" + std::to_string(n), "desk", gateway::engine_stage::none, 4)});
+        const auto caller = it.send("/read/bad");
+        it.end(call_end::broken);
+        it.clock.advance(100ms);
+        it.subject.tick();
+        CHECK(caller->status() == 502);
+    }
+    it.clock.advance(500ms);
+    it.subject.tick();
+    it.subject.on_backends({test::server("desk-9", "desk", gateway::engine_stage::none, 4)});
+    const auto calls = it.backends.calls.size();
+    const auto refused = it.send("/read/bad");
+    CHECK(refused->status() == 503);
+    CHECK_FALSE(refused->field("Retry-After").empty());
+    CHECK(it.backends.calls.size() == calls);
+    (void)it.send("/read/good");
     CHECK(it.backends.calls.size() == calls + 1);
 }
 
