Add silent connections at all gateways, and a request that crashes servers, to the soak

Two more kinds of harm: all open connections to the store go silent just before a key is withdrawn, and a request ends the desks that run it. All requests of a kind are one by path, caller and body here, so the soak also guards against holding what many callers ask for.

--- a/test/process/soak.cpp
+++ b/test/process/soak.cpp
@@ -45,8 +45,9 @@
             site_.start_runner(id, "decode");
         }
         site_.start_runner("reader-0", "prefill");
-        site_.start_runner("desk-0", "");
-        site_.start_runner("desk-1", "");
+        for (const auto *id : {"desk-0", "desk-1"}) {
+            start_desk(id);
+        }
         for (std::size_t n = 0; n < gateway_count; ++n) {
             site_.start_gateway(n);
         }
@@ -146,7 +147,7 @@
     /** Does one drawn harm; some of them last, so that harms overlap. */
     void harm() {
         const auto n = static_cast<std::size_t>(draw(0, static_cast<int>(gateway_count) - 1));
-        const int kind = draw(0, 11);
+        const int kind = draw(0, 13);
         story_ += std::to_string(kind) + "@" + std::to_string(n) + " ";
         switch (kind) {
         case 0:
@@ -185,6 +186,13 @@
             return site_.copy_store();
         case 11:
             return return_from_copy();
+        case 12:
+            for (std::size_t it = 0; it < gateway_count; ++it) {
+                site_.store_path(it).silence_open();
+            }
+            return withdraw();
+        case 13:
+            return crash_desks(n);
         default:
             return withdraw();
         }
@@ -201,12 +209,29 @@
                                                : std::vector<std::string>{"key-1"});
     }
 
+    void start_desk(const std::string &id) { site_.start_runner(id, "", {"--crash-target", "/read/bad/1"}); }
+
+    /** Sends a request that ends the desks that run it, and starts them again. */
+    void crash_desks(std::size_t gateway) {
+        (void)site_.send(gateway, "read/bad", "bad-" + std::to_string(probes_++), "key-1");
+        for (const auto &id : site_.drop_ended_runners()) {
+            (void)id;
+            start_desk("desk-" + std::to_string(next_runner_++));
+        }
+    }
+
     void replace_runner() {
         const auto all = site_.runners();
         const auto &id = all.at(static_cast<std::size_t>(draw(0, static_cast<int>(all.size()) - 1)));
-        const std::string stage = id.starts_with("engine") ? "decode" : id.starts_with("reader") ? "prefill" : "";
+        const auto next = id.substr(0, id.find('-')) + "-" + std::to_string(next_runner_++);
+        const bool desk = id.starts_with("desk");
+        const std::string stage = id.starts_with("engine") ? "decode" : "prefill";
         site_.kill_runner(id);
-        site_.start_runner(id.substr(0, id.find('-')) + "-" + std::to_string(next_runner_++), stage);
+        if (desk) {
+            start_desk(next);
+        } else {
+            site_.start_runner(next, stage);
+        }
     }
 
     void withdraw() {
