--- a/test/platform/object_store.cpp
+++ b/test/platform/object_store.cpp
@@ -106,6 +106,24 @@
     CHECK(store.list("k/").value().size() == 2);
 }
 
+// Guards against a gateway that ends because another writer has nested a value so deeply that printing it needs more
+// stack than there is.
+TEST_CASE("values that are nested deeply are cut off, and the other objects of the list are read") {
+    constexpr std::size_t depth = 300'000;
+    fixture it;
+    auto store = it.store();
+    it.answer = [](const auto &) {
+        return fixture::json(200, R"({"items":[{"Metadata":{"Name":"b","Revision":13},"Spec":{"Address":)" +
+                                      std::string(depth, '[') + std::string(depth, ']') + "}}," + item +
+                                      R"(],"Truncated":false,"StoreRevision":531})");
+    };
+    const auto all = store.list("k/");
+    REQUIRE(all);
+    REQUIRE(all.value().size() == 2);
+    CHECK(all.value()[0].value.size() < 1000);
+    CHECK(all.value()[1].value == R"({"x":1})");
+}
+
 // Guards against watches that miss changes or removals.
 TEST_CASE("watches report changes and removals") {
     fixture it;
