--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -91,6 +91,8 @@
     {1315, "config_peers_asked", severity::info,
      "Other gateways were asked for the configuration, because the store does not confirm it.",
      "none; check the store if this repeats."},
+    {1316, "object_unreadable", severity::warning,
+     "An object in the store has no readable name or revision and is left out.", "Look for its writer."},
     // Keys
     {1401, "key_withdrawn", severity::info, "A key withdrawal is in force in this process.", "none"},
     {1402, "stream_ended_key_withdrawn", severity::info, "An open stream was ended because its key was withdrawn.",
--- a/test/platform/object_store.cpp
+++ b/test/platform/object_store.cpp
@@ -124,6 +124,33 @@
     CHECK(all.value()[1].value == R"({"x":1})");
 }
 
+// Guards against one object that hides all others and their changes: text with half a surrogate pair, or no name.
+TEST_CASE("objects that cannot be read cost only themselves") {
+    fixture it;
+    auto store = it.store();
+    const std::string half_pair = R"({"Metadata":{"Name":"b","Revision":13},"Spec":{"t":"\udcff \ud83d\ude00"}})";
+    const std::string nameless = R"({"Metadata":{"Name":7,"Revision":14},"Spec":{}})";
+    it.answer = [&](const auto &) {
+        return fixture::json(200, R"({"items":[)" + nameless + "," + half_pair + "," + item +
+                                      R"(],"Truncated":false,"StoreRevision":531})");
+    };
+    const auto all = store.list("k/");
+    REQUIRE(all);
+    REQUIRE(all.value().size() == 2);
+    CHECK(all.value()[0].key == "k/b");
+    CHECK(all.value()[0].value.find("\xf0\x9f\x98\x80") != std::string::npos);
+    CHECK(all.value()[1].key == "k/a");
+    it.answer = [&](const auto &) {
+        return fixture::json(200, R"({"events":[{"Deleted":false,"Object":)" + nameless +
+                                      R"(},{"Deleted":false,"Object":)" + half_pair + R"(},{"Object":)" + item +
+                                      R"(}],"StoreRevision":533})");
+    };
+    const auto seen = store.watch("k/", 530, 20ms);
+    REQUIRE(seen);
+    CHECK(seen.value().events.size() == 2);
+    CHECK(seen.value().revision == 533);
+}
+
 // Guards against watches that miss changes or removals.
 TEST_CASE("watches report changes and removals") {
     fixture it;
