Take only complete entries for backend servers

Cause: the decoder did not ask for these fields, and took true, 6.5 and -1 for whole numbers. Class: foreign input that is accepted in part.

The sample entry of test/gateway/tasks.cpp lacked both fields, and is complete now.

--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -111,7 +111,8 @@
 };
 
 const std::string server_entry =
-    R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Slots":2,"State":"ready","Sequence":4})";
+    R"({"Service":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1","Slots":2,"State":"ready",)"
+    R"("ColdRemainingMs":0,"Sequence":4})";
 
 const std::string config_text = R"({"Version":7,"Routes":[],"Services":[],"Tenants":[]})";
 
--- a/test/platform/object_codec.cpp
+++ b/test/platform/object_codec.cpp
@@ -72,5 +72,24 @@
     CHECK_FALSE(codec.decode_server("i-1", with("10.128.0.9:8080", "nowhere")));
     CHECK_FALSE(codec.decode_server("i-1", with("1770096422686", "1.5")));
     CHECK_FALSE(codec.decode_server("i-1", "\"text\""));
+    for (const std::string bad : {"true", "6.5", "-1", "4294967296", "null", "0"}) {
+        CAPTURE(bad);
+        CHECK_FALSE(codec.decode_server("i-1", with(R"("Slots":12)", R"("Slots":)" + bad)));
+    }
+    for (const std::string bad : {"true", "1.5", "-1", "null"}) {
+        CAPTURE(bad);
+        CHECK_FALSE(codec.decode_server("i-1", with(R"("Sequence":4)", R"("Sequence":)" + bad)));
+    }
+    for (const std::string bad : {"true", "\"0\"", "-1", "null", "1e300"}) {
+        CAPTURE(bad);
+        CHECK_FALSE(codec.decode_server("i-1", with(R"("ColdRemainingMs":1500)", R"("ColdRemainingMs":)" + bad)));
+    }
+    for (const std::string field :
+         {R"("Service":"s",)", R"("Address":"10.128.0.9:8080",)", R"("Zone":"rajkot",)", R"("Version":"v1",)",
+          R"("Slots":12,)", R"("State":"ready",)", R"("ColdRemainingMs":1500,)", R"("Sequence":4,)"}) {
+        CAPTURE(field);
+        CHECK_FALSE(codec.decode_server("i-1", with(field, "")));
+    }
+    CHECK_FALSE(codec.decode_server("i-1", with(R"("Version":"v1")", R"("Version":1)")));
     CHECK_FALSE(codec.decode_server("i-1", "\xff\xfe"));
 }
