Pass on no answer that names no request

Cause: any answer that was neither 2xx nor 5xx counted as the backend server's own. Class: foreign input taken for evidence. Change: an answer that does not name the request is not from a backend server; the attempt counts as misdirected with an unknown outcome, and the address is paused like one that another incarnation uses.

Test: 'an answer that names no request is not passed on, and its address is left alone' failed before (302, 404, 500 and 503).

--- a/src/dispatch/attempt.hpp
+++ b/src/dispatch/attempt.hpp
@@ -10,7 +10,7 @@
     answered,     /**< A complete answer other than a server error. */
     server_error, /**< A complete answer with status 5xx that the backend server itself produced. */
     full,         /**< Rejected before it ran. */
-    misdirected,  /**< Another incarnation now uses the address. */
+    misdirected,  /**< Another incarnation, or something else, now uses the address. */
     unreachable,  /**< No connection could be opened. */
     broken,       /**< The connection was lost, or the answer was not authentic. */
     silent,       /**< No answer in time. */
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -482,6 +482,10 @@
     if (head_.other_request || (success && !head_.genuine)) {
         return call_failed{unknown_outcome(), attempt_outcome::broken};
     }
+    // Backend servers name the request in all their answers, so something else uses the address.
+    if (!head_.own_request) {
+        return call_failed{unknown_outcome(), attempt_outcome::misdirected};
+    }
     count_start();
     server_answer_ = {head_.status, head_.fields, answer.body};
     if (head_.status >= internal::first_server_error) {
--- a/src/gateway/request_facts.hpp
+++ b/src/gateway/request_facts.hpp
@@ -69,7 +69,8 @@
 struct answer_head {
     int status{0};
     bool genuine{false};       /**< Signed by the backend server, without content encoding, and for the request sent. */
-    bool other_request{false}; /**< The answer is for a different request. */
+    bool own_request{false};   /**< The answer names the request that was sent. */
+    bool other_request{false}; /**< It names a different one. */
     bool not_run{false};       /**< The backend server states that the request did not run and will not. */
     bool other_server{false};  /**< The address now belongs to another incarnation. */
     server_notice notice;
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -362,6 +362,22 @@
     CHECK(caller->status() == 502);
 }
 
+// Guards against passing on as a backend server's what some other server at its address has answered.
+TEST_CASE("an answer that names no request is not passed on, and its address is left alone") {
+    for (const int status : {302, 404, 500, 503}) {
+        CAPTURE(status);
+        forwarder_fixture it;
+        it.configure();
+        it.subject.on_backends({test::server("desk-1", "desk")});
+        const auto caller = it.send("/book/1");
+        it.answer(status, {{"Content-Type", "text/html"}}, "no such page");
+        CHECK(caller->status() == 502);
+        CHECK(caller->answers.back().body.find("no such page") == std::string::npos);
+        (void)it.send("/book/2");
+        CHECK(it.backends.calls.size() == 1);
+    }
+}
+
 // Guards against telling a caller that its key or route does not exist when a newer configuration may have it.
 TEST_CASE("what an unconfirmed configuration does not know is refused as not run, and the rest is served") {
     forwarder_fixture it;
