Tell a list of organisations that is missing from one that is empty

Cause: whether keys are needed was read from the emptiness of the list. Class: a field that is missing, one that is empty and one that cannot be read were one fact.

--- a/src/gateway/traffic_config.cpp
+++ b/src/gateway/traffic_config.cpp
@@ -26,9 +26,11 @@
     for (const auto &it : values_.services) {
         services_.emplace(it.name, &it);
     }
-    for (const auto &it : values_.organisations) {
-        for (const auto &key : it.keys) {
-            keys_.emplace(key, &it);
+    if (values_.organisations) {
+        for (const auto &it : *values_.organisations) {
+            for (const auto &key : it.keys) {
+                keys_.emplace(key, &it);
+            }
         }
     }
 }
--- a/src/gateway/traffic_config.hpp
+++ b/src/gateway/traffic_config.hpp
@@ -74,7 +74,8 @@
     std::uint64_t version{0};
     std::vector<traffic_route> routes;
     std::vector<traffic_service> services;
-    std::vector<organisation> organisations; /**< If empty, requests need no key. */
+    /** Those whose keys are accepted; requests need no key only if there is no list at all. */
+    std::optional<std::vector<organisation>> organisations;
     caller_limits limits;
 };
 
@@ -99,7 +100,7 @@
     [[nodiscard]] const organisation *find_organisation(std::string_view key) const;
 
     /** @return True when requests on routes that are not public need a key. */
-    [[nodiscard]] bool needs_key() const noexcept { return !values_.organisations.empty(); }
+    [[nodiscard]] bool needs_key() const noexcept { return values_.organisations.has_value(); }
 
     [[nodiscard]] std::uint64_t version() const noexcept { return values_.version; }
     [[nodiscard]] const traffic_values &values() const noexcept { return values_; }
--- a/test/gateway/fixture.hpp
+++ b/test/gateway/fixture.hpp
@@ -69,7 +69,8 @@
                   route("/book/", gateway::work_kind::unsafe, "desk", 2),
                   route("/read/", gateway::work_kind::safe, "desk", 3)};
     out.services = {{"llm", 100, gateway::engine_capacity{12, 600000, 5s}}, {"desk", 100, std::nullopt}};
-    out.organisations = {{"sangh", {"key-sangh"}, 1}, {"ward", {"key-ward"}, std::nullopt}};
+    out.organisations =
+        std::vector<gateway::organisation>{{"sangh", {"key-sangh"}, 1}, {"ward", {"key-ward"}, std::nullopt}};
     return out;
 }
 
--- a/test/platform/object_codec.cpp
+++ b/test/platform/object_codec.cpp
@@ -48,12 +48,42 @@
     CHECK(values.services[0].engine->handle_ttl == 5s);
     CHECK(values.limits.header_bytes == 1000);
     CHECK(values.limits.idle_timeout == 15s);
-    CHECK(values.organisations[0].keys.size() == 2);
-    CHECK(values.organisations[0].priority == 1);
+    REQUIRE(values.organisations);
+    CHECK(values.organisations->at(0).keys.size() == 2);
+    CHECK(values.organisations->at(0).priority == 1);
     CHECK_FALSE(codec.decode_config(R"({"Routes":[]})"));
     CHECK_FALSE(codec.decode_config("{"));
 }
 
+// Guards against a system that is open to everybody once the last organisation has been taken away.
+TEST_CASE(
+    "a configuration without organisations, one with an empty list and one that cannot be read are three things") {
+    const auto needs_key = [](const std::string &tenants) {
+        auto values = codec.decode_config(R"({"Version":7,"Routes":[])" + tenants + "}");
+        return values ? std::optional{gateway::traffic_config{std::move(values.value())}.needs_key()} : std::nullopt;
+    };
+    CHECK(needs_key("") == false);
+    CHECK(needs_key(R"(,"Tenants":[])") == true);
+    CHECK(needs_key(R"(,"Tenants":[{"Name":"o","ApiKeys":[]}])") == true);
+    CHECK(needs_key(R"(,"Tenants":[{"Name":"o"}])") == true);
+    for (const std::string bad : {"null", "{}", "\"\"", "[1]", R"([{"Name":"o","ApiKeys":"k"}])"}) {
+        CAPTURE(bad);
+        CHECK(needs_key(R"(,"Tenants":)" + bad) == std::nullopt);
+    }
+}
+
+// Guards against a list of routes or services that looks empty because it cannot be read.
+TEST_CASE("a configuration whose lists cannot be read is not taken for an empty one") {
+    for (const std::string bad : {"null", "{}", "7", "[7]"}) {
+        CAPTURE(bad);
+        CHECK_FALSE(codec.decode_config(R"({"Version":7,"Routes":)" + bad + "}"));
+        CHECK_FALSE(codec.decode_config(R"({"Version":7,"Routes":[],"Services":)" + bad + "}"));
+    }
+    CHECK_FALSE(codec.decode_config(R"({"Version":7})"));
+    CHECK_FALSE(codec.decode_config(R"({"Version":7,"Routes":[],"Limits":[]})"));
+    CHECK(codec.decode_config(R"({"Version":7,"Routes":[]})"));
+}
+
 // Guards against entries of other writers that are mistaken for backend servers.
 TEST_CASE("only complete and valid discovery entries are accepted as backend servers") {
     const auto it = codec.decode_server("i-1", entry);
