Decide in one place whether a stream is whole

Cause: an end before the first event counted as broken only until the exchange had seen any event. Class: completeness decided from a part of what is known. Change: stream_end has the facts of all attempts, is_whole decides: after a new event, or where a framed answer to a resumed run shows that nothing is left and no attempt broke off inside the next event.

--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -238,6 +238,8 @@
     progress_recorded_ = false;
     start_counted_ = false;
     head_ = {};
+    more_expected_ = more_expected_ || events_.partial();
+    new_event_ = false;
     events_ = {};
     body_.clear();
     server_answer_.reset();
@@ -403,6 +405,8 @@
         context_.metrics.observe(metrics::timing::first_token, of.organisation, of.service, first_event_after_);
     }
     last_event_at_ = now;
+    new_event_ = true;
+    more_expected_ = false;
     if (event.id) {
         last_event_ = event.id;
     }
@@ -410,6 +414,14 @@
     return of.caller->write(event.text);
 }
 
+stream_end opaque_exchange::end_of_stream() const noexcept {
+    return {.framed = head_.framed,
+            .inside_event = events_.partial(),
+            .new_event = new_event_,
+            .resumed = last_event_ || request_.content.facts.last_event,
+            .more_expected = more_expected_};
+}
+
 retry::evidence opaque_exchange::unknown_outcome() const noexcept {
     return last_event_ ? retry::evidence{evidence_kind::broken_stream, *last_event_}
                        : retry::evidence{evidence_kind::unknown};
@@ -468,9 +480,7 @@
 
 call_event_result opaque_exchange::after_answer(const http::response &answer) {
     if (answer.status == 200) {
-        // An engine that ends before its first event may close the connection like one that is done.
-        const bool empty_stream = head_.event_stream && !last_event_at_;
-        if (head_.genuine && !events_.partial() && !empty_stream) {
+        if (head_.genuine && (!head_.event_stream || is_whole(end_of_stream()))) {
             return dispatch::call_complete{};
         }
         return call_failed{unknown_outcome(), attempt_outcome::broken};
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -20,6 +20,7 @@
 #include "gateway/retry_after_scheduler.hpp"
 #include "gateway/shutdown_phase.hpp"
 #include "gateway/start_counter.hpp"
+#include "gateway/stream_end.hpp"
 #include "gateway/traffic_config.hpp"
 #include "gateway/wait_limiter.hpp"
 #include "metrics/registry.hpp"
@@ -102,6 +103,7 @@
     [[nodiscard]] dispatch::refusal refusal_with(std::string_view code, dispatch::ran_claim ran) const;
     [[nodiscard]] retry::evidence unknown_outcome() const noexcept;
     [[nodiscard]] bool deliver(const stream_event &event);
+    [[nodiscard]] stream_end end_of_stream() const noexcept;
     [[nodiscard]] bool probably_began(dispatch::attempt_outcome how) const noexcept;
     void count_start();
     void record_call_time();
@@ -141,6 +143,8 @@
     server_incarnation incarnation_;              /**< Of the backend server of the last attempt. */
     bool progress_recorded_{false};               /**< For the last attempt. */
     bool started_{false};                         /**< The caller has received the head. */
+    bool new_event_{false};     /**< The last attempt has delivered an event that the caller did not have. */
+    bool more_expected_{false}; /**< An attempt has broken off inside the event after the last one delivered. */
     std::optional<std::uint64_t> last_event_;
     std::optional<base::instant> last_event_at_;
 
--- a/src/gateway/request_facts.hpp
+++ b/src/gateway/request_facts.hpp
@@ -75,6 +75,7 @@
     bool other_server{false};  /**< The address now belongs to another incarnation. */
     server_notice notice;
     bool event_stream{false};
+    bool framed{false}; /**< It has a length or chunks; otherwise it ends with its connection. */
     std::optional<reported_load> load;
     http::field_list fields; /**< Fields to forward to the caller. */
 };
--- a/test/gateway/fixture.hpp
+++ b/test/gateway/fixture.hpp
@@ -143,9 +143,14 @@
         subject.on_end(call, gateway::call_end::complete, {status, std::move(fields), std::move(body)});
     }
 
-    void begin_stream() {
-        subject.on_head(last().call, 200,
-                        {{"Content-Type", "text/event-stream"}, {"Attempt-Id", "a1"}, {"Response-Signature", "s"}});
+    /** @param framed False for an answer that ends with its connection. */
+    void begin_stream(bool framed = true) {
+        http::field_list fields{
+            {"Content-Type", "text/event-stream"}, {"Attempt-Id", "a1"}, {"Response-Signature", "s"}};
+        if (framed) {
+            fields.push_back({"Transfer-Encoding", "chunked"});
+        }
+        subject.on_head(last().call, 200, fields);
     }
 
     void event(int id) { subject.on_data(last().call, "id: " + std::to_string(id) + "\ndata: x\n\n"); }
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -194,6 +194,32 @@
     CHECK_FALSE(caller->aborted);
 }
 
+// Guards against a stream that looks complete after three of its events: the second run ends before it has said
+// anything, as a server that has crashed closes its connection.
+TEST_CASE("a resumed stream that ends without an event is not complete unless its answer says so") {
+    for (const bool framed : {false, true}) {
+        for (const bool inside_event : {false, true}) {
+            CAPTURE(framed);
+            CAPTURE(inside_event);
+            forwarder_fixture it;
+            it.configure();
+            it.populate();
+            const auto caller = it.send("/draft/1");
+            it.begin_stream();
+            it.event(1);
+            if (inside_event) {
+                it.subject.on_data(it.last().call, "id: 2\nda");
+            }
+            it.end(call_end::broken);
+            REQUIRE(it.backends.calls.size() == 2);
+            it.begin_stream(framed);
+            it.end(call_end::complete);
+            CHECK(caller->finished == (framed && !inside_event));
+            CHECK(caller->stream == "id: 1\ndata: x\n\n");
+        }
+    }
+}
+
 // Guards against a second run that repeats events which the caller already has.
 TEST_CASE("a stream whose events have no ids is aborted instead of resumed") {
     forwarder_fixture it;
