Bound the limit that a server may name

Cause: a limit above 5e11 requests a second made the interval between two requests 0, and turns are placed by a remainder of it: division by zero, which ends the process on x86-64. Class: arithmetic on what others say, without a range. Change: rates are clamped to between 0.1 and 1e6 a second.

--- a/src/gateway/limit_share.cpp
+++ b/src/gateway/limit_share.cpp
@@ -21,6 +21,8 @@
 constexpr double assumed_gateways = 64;
 // Requests a second for servers that take less, so that the end of their limit is noticed.
 constexpr double least_limit = 0.1;
+// A gateway cannot send as much, so a larger limit has no effect; it keeps intervals above the clock's resolution.
+constexpr double greatest_limit = 1e6;
 
 limit_share turns(double gateways, double limit, std::uint64_t hash) {
     limit_share out{.interval = base::from_seconds(gateways / (limit * turn_fraction)), .turn = turn_length};
@@ -41,7 +43,7 @@
 }
 
 limit_share share_of_limit(double limit, std::string_view server, const gateway_group &group) {
-    const auto rate = std::max(limit, internal::least_limit);
+    const auto rate = std::clamp(limit, internal::least_limit, internal::greatest_limit);
     const auto rank_of = [key = engine_hash(server)](std::string_view gateway) {
         return rendezvous_rank(key, engine_hash(gateway));
     };
--- a/test/gateway/limit_share.cpp
+++ b/test/gateway/limit_share.cpp
@@ -135,3 +135,21 @@
     CHECK(it.most() <= allowed(4));
     CHECK(it.total() >= 1);
 }
+
+// Guards against a division by an interval of nothing, for a limit that no server means.
+TEST_CASE("a limit beyond any rate, or of nothing, leaves a time between two requests") {
+    for (const double limit : {0.0, 1e6, 5e11, 1e300}) {
+        for (const bool listed : {false, true}) {
+            CAPTURE(limit);
+            CAPTURE(listed);
+            auto group = group_of(100, 7);
+            group.listed = listed;
+            const auto share = gateway::share_of_limit(limit, "desk-1", group);
+            CHECK(share.interval > 0ms);
+            CHECK(share.interval < 24h);
+            const base::instant now{1h};
+            CHECK(share.next(now, now, std::nullopt) >= now);
+            CHECK(share.next(now, now, now) > now);
+        }
+    }
+}
