Answer new connections for 3.2 s of a graceful stop

Cause: an idle gateway closed its listener one poll of 50 ms after the 2.9 s in which it serves. Change: the listener stays open for 3.2 s, whether there is work or not; requests in the last 0.3 s are refused as not run.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -22,6 +22,9 @@
 // seconds after the readiness probe has failed; later requests get a refusal, because they may not end within the
 // grace, and the platform tolerates that only for requests sent within three seconds.
 constexpr auto serving_time = std::chrono::milliseconds{2900};
+// Time of a graceful stop in which new connections are answered, whether there is work or not. The load balancer needs
+// up to three seconds.
+constexpr auto listening_time = std::chrono::milliseconds{3200};
 // The stop grace divided by this is reserved for ending the process.
 constexpr int grace_reserve_divisor = 12;
 // Number of windows whose counts a gateway keeps and publishes.
@@ -341,10 +344,12 @@
     stop_feeds();
     std::this_thread::sleep_for(serve_until - deps_.time.now());
     events_.push(stop_event{shutdown_phase::refusing});
+    const auto listen_until = std::min<base::instant>(begun + internal::listening_time, stop_limit_);
     do {
         std::this_thread::sleep_for(internal::stop_poll);
         // Requests that are being read, or whose answer is still being written, count as well.
-    } while ((active_ > 0 || callers_.active() > 0) && deps_.time.now() < stop_limit_);
+    } while (deps_.time.now() < listen_until ||
+             ((active_ > 0 || callers_.active() > 0) && deps_.time.now() < stop_limit_));
     if (active_ > 0) {
         log::write("stop_deadline_passed", {{"active", active_.load()}});
     }
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -209,6 +209,22 @@
     }
 }
 
+// Guards against connections that are refused while the balancer may still hand out new ones.
+TEST_CASE("a stopping gateway without work answers new connections for three seconds") {
+    fixture it;
+    const auto stopped_at = std::chrono::steady_clock::now();
+    it.gateway(0).signal(SIGTERM);
+    std::this_thread::sleep_until(stopped_at + 2800ms);
+    int n = 0;
+    while (std::chrono::steady_clock::now() < stopped_at + 2990ms) {
+        const auto status = it.send(0, "read", "late-" + std::to_string(n++)).status;
+        CHECK((status == 200 || status == 503));
+        std::this_thread::sleep_for(5ms);
+    }
+    CHECK(n > 5);
+    CHECK(it.gateway(0).wait(8s) == 0);
+}
+
 // Callers keep sending while a gateway stops, with answers that take longer than what is left of the grace. Guards
 // against taking such a request late, and giving it up at the end of the grace without an answer.
 TEST_CASE("a request that arrives late in a graceful stop is refused truthfully, and none is left without an answer") {
