Count the removal of a server's entry from when it was learned

Cause: each return of the store began the grace of all removed entries anew, and a cut connection counted as an outage. Class: a reconnect that restarts a deadline. Change: a grace that has begun stands still while the store is away, and goes on after it; a store that answers within 100 ms after a cut connection was not away. A call without an answer still counts as an outage. The client tells the two apart.

Other uses of the same kind: the lease counts from its own writes, member records from their progress, confirmations of the configuration from answers; unchanged.

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace dotterelstack::gateway {
 
@@ -14,14 +15,28 @@
 
 fleet_view::fleet_view(const base::clock &time, fleet_settings settings) : time_{time}, settings_{settings} {}
 
-void fleet_view::set_store_reachable(bool reachable) {
-    if (reachable && !reachable_) {
-        reachable_since_ = time_.now();
-        for (auto &[id, it] : members_) {
-            it.remove_at = it.remove_at ? std::optional{reachable_since_ + settings_.outage_grace} : std::nullopt;
+void fleet_view::on_store_answer() {
+    if (std::exchange(reachable_, true)) {
+        return;
+    }
+    const auto now = time_.now();
+    const auto away = now - unreachable_since_;
+    if (!std::exchange(answer_missing_, false) && away < settings_.shortest_outage) {
+        return;
+    }
+    reachable_since_ = now;
+    for (auto &[id, it] : members_) {
+        if (it.remove_at) {
+            it.remove_at = std::min(*it.remove_at + away, now + settings_.outage_grace);
         }
     }
-    reachable_ = reachable;
+}
+
+void fleet_view::on_store_failure(store_failure how) {
+    if (std::exchange(reachable_, false)) {
+        unreachable_since_ = time_.now();
+    }
+    answer_missing_ = answer_missing_ || how == store_failure::no_answer;
 }
 
 bool fleet_view::apply(const fleet_entry &entry) {
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -18,10 +18,18 @@
     std::uint64_t revision{0}; /**< Store revision of the last write of the entry. */
 };
 
+/** @brief How a call to the store has failed. */
+enum class store_failure : std::uint8_t {
+    no_answer,     /**< No answer in time, or no connection. */
+    connection_cut /**< The connection ended; the store itself may be well. */
+};
+
 /** @brief Settings of a `fleet_view`. */
 struct fleet_settings {
     /** Servers whose entries expired during a store outage rewrite them within about 2 s after its end. */
     base::duration outage_grace{std::chrono::milliseconds{2200}};
+    /** A store that answers so soon after a cut connection was not away. */
+    base::duration shortest_outage{std::chrono::milliseconds{100}};
     /** An entry removed within this time after an outage is taken to have expired because of it. */
     base::duration outage_expiry_window{std::chrono::milliseconds{500}};
     /** Grace of an entry that is removed later than that, but still within `outage_grace`. */
@@ -33,9 +41,9 @@
  *
  * An entry that is removed while the store is available is dropped at once. One that is removed during a store outage
  * is kept until the grace after the outage has passed. One that is removed shortly after an outage has a shorter grace,
- * because the server may have left permanently. Reports of an earlier incarnation, and reports older than the newest
- * one seen, are ignored. A server that had left before the store returned from a copy comes back only with a report
- * that is newer than the one in the copy.
+ * because the server may have left permanently. A grace that has begun stands still during a further outage. Reports of
+ * an earlier incarnation, and reports older than the newest one seen, are ignored. A server that had left before the
+ * store returned from a copy comes back only with a report that is newer than the one in the copy.
  */
 class fleet_view {
 public:
@@ -51,8 +59,11 @@
     /** @param revision Store revision of the removal; 0 when unknown. */
     void on_removed(std::string_view id, std::uint64_t revision);
 
-    /** @brief Sets whether the store answered the last call. */
-    void set_store_reachable(bool reachable);
+    /** @brief The store has answered a call. */
+    void on_store_answer();
+
+    /** @brief A call to the store has failed. */
+    void on_store_failure(store_failure how = store_failure::no_answer);
 
     /**
      * @brief The store has returned from a copy; the next list is that of the copy. Servers that it lacks have the time
@@ -94,7 +105,9 @@
     std::map<std::string, report_position, std::less<>>
         newest_reports_; /**< Newest report of each id, kept after its removal. */
     bool reachable_{false};
-    base::instant reachable_since_{};
+    base::instant reachable_since_{};   /**< End of the last outage. */
+    base::instant unreachable_since_{}; /**< First failure since the last answer. */
+    bool answer_missing_{false};        /**< One of the failures since then was no mere cut of a connection. */
     bool known_{false};
     bool list_is_copy_{false}; /**< The next list is that of a copy. */
 };
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -65,6 +65,10 @@
     return std::max(from.bounds.config_apply, answer_interval(from));
 }
 
+store_failure failure_of(const base::error &why) {
+    return why.code == "connection_lost" ? store_failure::connection_cut : store_failure::no_answer;
+}
+
 placement::random_source uniform_source() {
     const auto engine = std::make_shared<std::mt19937_64>(std::random_device{}());
     return [engine] { return std::uniform_real_distribution<double>{0, 1}(*engine); };
@@ -119,14 +123,14 @@
                 }
             },
             [this] { record_store_answer(true); },
-            [this] { record_store_answer(false); },
+            [this](const auto &) { record_store_answer(false); },
             {},
             [this] { config_.on_store_answer(); }});
     server_feed_ = std::make_unique<store_feed>(
         deps_.store, std::string{deps_.codec.servers_prefix()}, feed,
         feed_handlers{[this](const auto &all) { servers_.on_list(all); },
                       [this](const auto &it) { servers_.on_changes(it); }, [this] { servers_.on_answered(); },
-                      [this] { servers_.on_failed(); },
+                      [this](const auto &why) { servers_.on_failed(internal::failure_of(why)); },
                       [this] { return servers_.longest_wait(settings::effective_watch_wait(settings_)); }});
     // Every gateway reads each report, so reports are collected for longer than other changes.
     auto crash_feed = feed;
@@ -141,7 +145,7 @@
                                                                  on_crash_objects(changes);
                                                              },
                                                              [this](const auto &changes) { on_crash_objects(changes); },
-                                                             [] {}, [] {}});
+                                                             [] {}, [](const auto &) {}});
 }
 
 gateway_daemon::~gateway_daemon() {
--- a/src/gateway/server_source.cpp
+++ b/src/gateway/server_source.cpp
@@ -86,14 +86,14 @@
 }
 
 void server_source::on_answered() {
-    fleet_.set_store_reachable(true);
+    fleet_.on_store_answer();
     if (fleet_.expire()) {
         publish();
     }
 }
 
-void server_source::on_failed() {
-    fleet_.set_store_reachable(false);
+void server_source::on_failed(store_failure how) {
+    fleet_.on_store_failure(how);
     if (!fleet_.known()) {
         ask_peers();
     }
--- a/src/gateway/server_source.hpp
+++ b/src/gateway/server_source.hpp
@@ -46,7 +46,7 @@
 
     /** @brief Handles a failed call to the store. Queries peers, and blocks meanwhile, until a list has been received.
      */
-    void on_failed();
+    void on_failed(store_failure how);
 
     /** @return Time until `on_answered` should be called again, at most `limit`. */
     [[nodiscard]] base::duration longest_wait(base::duration limit) const;
--- a/src/gateway/store_feed.cpp
+++ b/src/gateway/store_feed.cpp
@@ -47,7 +47,7 @@
             return base::duration{0};
         }
         log::write("store_call_failed", {{"prefix", prefix_}, {"since", since_}, {"reason", batch.error().message}});
-        handlers_.on_failed();
+        handlers_.on_failed(batch.error());
         return std::exchange(failed_, true) ? settings_.retry_after : base::duration{0};
     }
     failed_ = false;
--- a/src/gateway/store_feed.hpp
+++ b/src/gateway/store_feed.hpp
@@ -23,10 +23,10 @@
     std::function<void(const std::vector<store::object> &all)> on_list; /**< All objects under the prefix. */
     /** Changes of one answer of the store, in order. */
     std::function<void(std::span<const store::watch_event> changes)> on_changes;
-    std::function<void()> on_answered;              /**< After each successful call to the store. */
-    std::function<void()> on_failed;                /**< After each failed call; delays the next one. */
-    std::function<base::duration()> longest_wait{}; /**< Upper limit of the next watch; optional. */
-    std::function<void()> on_current{};             /**< All objects of the store have been handed over; optional. */
+    std::function<void()> on_answered;                     /**< After each successful call to the store. */
+    std::function<void(const base::error &why)> on_failed; /**< After each failed call; delays the next one. */
+    std::function<base::duration()> longest_wait{};        /**< Upper limit of the next watch; optional. */
+    std::function<void()> on_current{}; /**< All objects of the store have been handed over; optional. */
 };
 
 /**
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -35,7 +35,8 @@
  * @brief Blocking HTTP/1.1 client, one call at a time for each calling thread.
  *
  * Errors: `unavailable` when no connection was made, so that nothing can have run; `unknown_outcome` when the
- * connection failed or timed out after the request may have been sent, or the response was longer than permitted;
+ * connection failed (code `connection_lost`) or timed out (`no_answer`) after the request may have been sent, or the
+ * response was longer than permitted;
  * `refused` when a `final_check` said no.
  */
 class client {
--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -161,7 +161,8 @@
     if (ec == CURLE_OPERATION_TIMEDOUT && request_bytes == 0 && sent_bytes == 0) {
         return {base::error_kind::unavailable, "connect_timeout", where + "; check that the server is reachable"};
     }
-    return {base::error_kind::unknown_outcome, "no_answer", where + "; read the server's state before repeating"};
+    const auto *code = ec == CURLE_OPERATION_TIMEDOUT ? "no_answer" : "connection_lost";
+    return {base::error_kind::unknown_outcome, code, where + "; read the server's state before repeating"};
 }
 
 } // namespace
--- a/test/gateway/fleet_view.cpp
+++ b/test/gateway/fleet_view.cpp
@@ -14,7 +14,7 @@
     gateway::fleet_view subject{clock};
 
     fixture() {
-        subject.set_store_reachable(true);
+        subject.on_store_answer();
         clock.advance(10s);
         subject.on_list({entry("a"), entry("b")});
     }
@@ -42,9 +42,9 @@
 // All entries expire during a store outage. Guards against refusing all requests although the servers are alive.
 TEST_CASE("entries that expire during an outage are kept until the grace after its end") {
     fixture it;
-    it.subject.set_store_reachable(false);
+    it.subject.on_store_failure();
     it.clock.advance(8s);
-    it.subject.set_store_reachable(true);
+    it.subject.on_store_answer();
     it.subject.on_list({});
     CHECK(it.subject.servers().size() == 2);
     it.clock.advance(1500ms);
@@ -55,13 +55,62 @@
     CHECK(it.subject.servers().front().id == "a");
 }
 
+// Guards against a removed server that is used on because connections to the store are cut again and again: each cut
+// moved the time of its removal.
+TEST_CASE("cut connections to a store that answers do not put off the removal of an entry") {
+    fixture it;
+    it.subject.on_store_failure();
+    it.clock.advance(8s);
+    it.subject.on_store_answer();
+    it.clock.advance(1s);
+    it.subject.on_removed("a", 5);
+    const auto due = it.subject.next_expiry();
+    REQUIRE(due);
+    while (it.clock.now() < *due) {
+        it.clock.advance(200ms);
+        it.subject.on_store_failure(gateway::store_failure::connection_cut);
+        it.clock.advance(5ms);
+        it.subject.on_store_answer();
+        (void)it.subject.expire();
+    }
+    CHECK(it.subject.servers().size() == 1);
+    // Nor do they begin a grace.
+    it.clock.advance(1s);
+    it.subject.on_store_failure(gateway::store_failure::connection_cut);
+    it.subject.on_store_answer();
+    it.subject.on_removed("b", 6);
+    CHECK(it.subject.servers().empty());
+}
+
+// Guards against refusing requests because a short outage is taken for a cut connection, and against dropping a server
+// that had no time to write its entry because another outage followed.
+TEST_CASE("a call that got no answer, and a store that stays away, are an outage") {
+    for (const auto how : {gateway::store_failure::no_answer, gateway::store_failure::connection_cut}) {
+        fixture it;
+        it.subject.on_store_failure(how);
+        it.clock.advance(how == gateway::store_failure::no_answer ? 5ms : 300ms);
+        it.subject.on_store_answer();
+        it.subject.on_list({});
+        CHECK(it.subject.servers().size() == 2);
+        const auto due = it.subject.next_expiry();
+        REQUIRE(due);
+        it.clock.advance(1s);
+        it.subject.on_store_failure();
+        it.clock.advance(10s);
+        CHECK_FALSE(it.subject.expire());
+        it.subject.on_store_answer();
+        CHECK_FALSE(it.subject.expire());
+        CHECK(*it.subject.next_expiry() == *due + 10s);
+    }
+}
+
 // Guards against a server that leaves 1.9 s after an outage and still gets a request 2.02 s after its removal from the
 // store; the limit is 2 s.
 TEST_CASE("an entry that is removed shortly after an outage has a short grace") {
     fixture it;
-    it.subject.set_store_reachable(false);
+    it.subject.on_store_failure();
     it.clock.advance(8s);
-    it.subject.set_store_reachable(true);
+    it.subject.on_store_answer();
     it.clock.advance(1200ms);
     it.subject.on_removed("a", 5);
     REQUIRE(it.subject.next_expiry());
@@ -74,7 +123,7 @@
 // Guards against dropping entries while the store is unavailable.
 TEST_CASE("nothing is removed during an outage") {
     fixture it;
-    it.subject.set_store_reachable(false);
+    it.subject.on_store_failure();
     it.subject.on_removed("a", 5);
     it.clock.advance(20s);
     CHECK_FALSE(it.subject.expire());
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -133,7 +133,7 @@
                                 std::ranges::transform(batch, std::back_inserter(changes),
                                                        [](const auto &change) { return change.item.key; });
                             },
-                            [] {}, [&] { ++failures; }}};
+                            [] {}, [&](const auto &) { ++failures; }}};
     CHECK(it.step() == 0ms);
     REQUIRE(store.put("servers/b", "1", store::absent));
     CHECK(it.step() == 0ms);
@@ -154,8 +154,10 @@
 // Guards against a pause, or a wait for changes, between a call on a silent connection and the one that replaces it.
 TEST_CASE("a feed repeats a failed call at once, and asks the store to answer without waiting for changes") {
     history_loss_store store;
-    gateway::store_feed it{
-        store, "servers/", {.watch_wait = 1500ms}, {[](const auto &) {}, [](const auto &) {}, [] {}, [] {}}};
+    gateway::store_feed it{store,
+                           "servers/",
+                           {.watch_wait = 1500ms},
+                           {[](const auto &) {}, [](const auto &) {}, [] {}, [](const auto &) {}}};
     (void)it.step();
     (void)it.step();
     CHECK(store.last_wait == 1500ms);
@@ -454,13 +456,13 @@
     std::vector<std::size_t> seen;
     gateway::server_source fresh{{clock, codec, client, [&] { return std::vector<std::string>{address.value()}; },
                                   [&](const auto &all) { seen.push_back(all.size()); }}};
-    fresh.on_failed();
+    fresh.on_failed(gateway::store_failure::no_answer);
     CHECK(seen.empty());
     informed.on_answered();
     informed.on_list({{"servers/a", 5, server_entry}, {"servers/b", 6, "unreadable"}});
     informed.on_changes(std::array{store::watch_event{{"servers/c", 7, server_entry}, false}});
-    fresh.on_failed();
-    fresh.on_failed();
+    fresh.on_failed(gateway::store_failure::no_answer);
+    fresh.on_failed(gateway::store_failure::no_answer);
     CHECK(seen == std::vector<std::size_t>{2});
     // A later list from the store replaces it.
     fresh.on_answered();
