--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -57,10 +57,10 @@
     void close_idle(std::string_view address) {
         std::vector<internal::idle_handle> closed;
         const std::scoped_lock lock{mutex};
-        const auto rest =
-            std::ranges::stable_partition(idle, [address](const auto &it) { return it.address != address; });
-        std::ranges::move(rest, std::back_inserter(closed));
-        idle.erase(rest.begin(), rest.end());
+        const auto rest = std::stable_partition(idle.begin(), idle.end(),
+                                                [address](const auto &it) { return it.address != address; });
+        std::move(rest, idle.end(), std::back_inserter(closed));
+        idle.erase(rest, idle.end());
     }
 
     base::result<response> run(internal::transfer &it, std::string_view address, const call_options &options) {
--- a/test/gateway/stream_end.cpp
+++ b/test/gateway/stream_end.cpp
@@ -16,10 +16,15 @@
     after_new_event
 };
 
+struct outcome {
+    point where;
+    bool whole;
+};
+
 struct row {
     std::string attempt;
     gateway::stream_end end;
-    std::vector<std::pair<point, bool>> whole;
+    std::vector<outcome> outcomes;
 };
 
 gateway::stream_end at(gateway::stream_end it, point where) {
@@ -54,10 +59,10 @@
          {{before_first_event, false}, {inside_event, false}, {after_known_events, false}, {after_new_event, true}}},
     };
     for (const auto &it : rows) {
-        for (const auto &[where, whole] : it.whole) {
+        for (const auto &expected : it.outcomes) {
             CAPTURE(it.attempt);
-            CAPTURE(static_cast<int>(where));
-            CHECK(gateway::is_whole(at(it.end, where)) == whole);
+            CAPTURE(static_cast<int>(expected.where));
+            CHECK(gateway::is_whole(at(it.end, expected.where)) == expected.whole);
         }
     }
 }
--- a/test/promise/promise_18_crashing_request.cpp
+++ b/test/promise/promise_18_crashing_request.cpp
@@ -99,7 +99,10 @@
                 while (!stop) {
                     const auto number = std::to_string(next++);
                     const auto sent = steady::now();
-                    const auto target = kind == "book" ? kind + "/" + number : kind;
+                    auto target = kind;
+                    if (kind == "book") {
+                        target.append("/").append(number);
+                    }
                     const bool served = it.send(n, target, "good-" + number).status == 200;
                     const bool late = sent > begun + calm_after;
                     sound_sent_late += late ? 1 : 0;
