Let a peer confirm a configuration only with a version that was taken

Found on reading the change: the age that a peer names confirmed the configuration in force also when the peer's newer one could not be read, and an age of centuries overflowed.

Test: the added check of 'a configuration is confirmed by the store, or by a peer' failed before.

--- a/src/gateway/config_source.cpp
+++ b/src/gateway/config_source.cpp
@@ -15,13 +15,16 @@
 constexpr std::size_t peers_per_round = 3;
 constexpr const char *version_parameter = "since";
 constexpr const char *age_field = "Confirmed-Ms-Ago";
+// Greater ages confirm nothing.
+constexpr std::chrono::milliseconds greatest_age = std::chrono::hours{24};
 
 /** @return Time since the peer's configuration was confirmed, if it says so. */
 std::optional<base::duration> age_in(const http::response &answer) noexcept {
     const auto text = http::find_field(answer.fields, age_field).value_or("");
     std::int64_t ms = 0;
     const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
-    const bool whole = !text.empty() && ec == std::errc{} && end == text.data() + text.size() && ms >= 0;
+    const bool whole = !text.empty() && ec == std::errc{} && end == text.data() + text.size() && ms >= 0 &&
+                       std::chrono::milliseconds{ms} <= greatest_age;
     return whole ? std::optional<base::duration>{std::chrono::milliseconds{ms}} : std::nullopt;
 }
 
@@ -29,18 +32,18 @@
 
 config_source::config_source(dependencies deps) : deps_{std::move(deps)} {}
 
-void config_source::adopt(std::string_view value, std::string_view origin) {
+bool config_source::adopt(std::string_view value, std::string_view origin) {
     auto decoded = deps_.codec.decode_config(value);
     if (!decoded) {
         log::write("config_unreadable", {{"origin", origin}, {"reason", decoded.error().message}});
-        return;
+        return false;
     }
     const auto version = decoded.value().version;
     traffic_config_ptr config;
     {
         const std::scoped_lock lock{mutex_};
         if (known_ && version <= version_) {
-            return;
+            return true;
         }
         known_ = true;
         version_ = version;
@@ -49,11 +52,12 @@
     }
     log::write("config_adopted", {{"version", version}, {"origin", origin}});
     deps_.on_config(std::move(config));
+    return true;
 }
 
 void config_source::on_object(const store::object &item) {
     if (item.key == deps_.codec.config_key()) {
-        adopt(item.value, "store");
+        (void)adopt(item.value, "store");
     }
 }
 
@@ -89,11 +93,9 @@
         if (!answer) {
             continue;
         }
-        if (answer->status == 200) {
-            ++newer;
-            adopt(answer->body, address);
-        }
-        if (const auto age = internal::age_in(*answer)) {
+        newer += answer->status == 200 ? 1U : 0U;
+        const bool has_peers_version = answer->status == 204 || (answer->status == 200 && adopt(answer->body, address));
+        if (const auto age = internal::age_in(*answer); age && has_peers_version) {
             confirm(sent - *age);
         }
     }
--- a/src/gateway/config_source.hpp
+++ b/src/gateway/config_source.hpp
@@ -52,7 +52,8 @@
     [[nodiscard]] http::response answer_peer(const http::request &message) const;
 
 private:
-    void adopt(std::string_view value, std::string_view origin);
+    /** @return True if this version or a newer one is in force now. */
+    bool adopt(std::string_view value, std::string_view origin);
     void confirm(base::instant as_of);
 
     dependencies deps_;
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -437,6 +437,20 @@
     CHECK(cut_off.version() == 7);
     CHECK(cut_off.confirmed_within(1500ms));
     CHECK_FALSE(cut_off.confirmed_within(1400ms));
+    // A version that cannot be taken is not confirmed by its age, and no peer confirms what it does not say.
+    clock.advance(1s);
+    http::response odd{200, {{"Confirmed-Ms-Ago", "0"}}, "no json"};
+    http::server odd_server;
+    const auto odd_address = odd_server.start("127.0.0.1:0", http::answer_with([&odd](const auto &) { return odd; }));
+    REQUIRE(odd_address);
+    gateway::config_source misled{
+        {clock, codec, client, [&] { return std::vector<std::string>{odd_address.value()}; }, [](auto) {}}};
+    misled.ask_peers();
+    for (const auto *age : {"-1", "9223372036854775807", "1x", ""}) {
+        odd = {204, {{"Confirmed-Ms-Ago", age}}, ""};
+        misled.ask_peers();
+    }
+    CHECK_FALSE(misled.confirmed_within(1h));
     // A peer that has nothing newer confirms as well.
     informed.on_store_answer();
     cut_off.ask_peers();
