--- a/test/promise/promise_15_crashing_prompt.cpp
+++ b/test/promise/promise_15_crashing_prompt.cpp
@@ -6,7 +6,7 @@
 #include <mutex>
 #include <thread>
 
-#include "support/forward_site.hpp"
+#include "support/restarting_site.hpp"
 #include "support/site.hpp"
 
 using namespace dotterelstack;
@@ -21,15 +21,15 @@
 constexpr auto restart_time = 400ms;
 // The gateways' default; the rules count from so long after the fifth end.
 constexpr auto contact_time = 3s;
-constexpr int ends_before_limit = 5;
+constexpr std::size_t ends_before_limit = 5;
 constexpr int allowed_after_limit = 3;
 
 /** Engines that end when they begin to answer a prompt with a certain part, and that are started again. */
-struct fixture : test::forward_site {
-    fixture() {
+struct fixture : test::restarting_site {
+    fixture() : restarting_site{"engine", "decode", {"--crash-part", "badbad"}, restart_time} {
         configure({"key-1"});
         for (std::size_t n = 0; n < engine_count; ++n) {
-            start_engine();
+            start_next_runner();
         }
         for (std::size_t n = 0; n < gateway_count; ++n) {
             start_gateway(n);
@@ -42,27 +42,6 @@
             return all;
         }));
     }
-
-    void start_engine() { start_runner("engine-" + std::to_string(next_++), "decode", {"--crash-part", "badbad"}); }
-
-    /** Starts engines that have ended again after a while. */
-    void restart_engines() {
-        for (const auto &id : drop_ended_runners()) {
-            (void)id;
-            ended_at.push_back(steady::now());
-            restarts_due_.push_back(steady::now() + restart_time);
-        }
-        while (!restarts_due_.empty() && steady::now() >= restarts_due_.front()) {
-            restarts_due_.erase(restarts_due_.begin());
-            start_engine();
-        }
-    }
-
-    std::vector<steady::time_point> ended_at;
-
-private:
-    int next_{0};
-    std::vector<steady::time_point> restarts_due_;
 };
 
 /** @return The parts of a prompt; the last one is the request's own. */
@@ -117,22 +96,20 @@
         });
     }
     while (steady::now() < begun + 12s) {
-        it.restart_engines();
+        it.replace_ended_runners();
         std::this_thread::sleep_for(50ms);
     }
     stop = true;
     clients.clear();
     const auto runs = it.runs();
-    int late_runs = 0;
-    for (const auto &[id, at] : crashing_sent) {
-        const bool limited = static_cast<int>(it.ended_at.size()) >= ends_before_limit &&
-                             at > it.ended_at.at(ends_before_limit - 1) + contact_time;
-        const auto found = runs.find(id);
-        late_runs += limited && found != runs.end() ? found->second : 0;
+    for (const auto &[id, status] : statuses) {
         // What is said not to have run must not have run.
-        CHECK((statuses[id] != 503 || found == runs.end()));
+        CHECK((status != 503 || !runs.contains(id)));
     }
-    CAPTURE(it.ended_at.size());
+    CAPTURE(it.ended_at().size());
+    const bool limited = it.ended_at().size() >= ends_before_limit;
+    const int late_runs =
+        limited ? it.runs_sent_after(crashing_sent, it.ended_at()[ends_before_limit - 1] + contact_time) : 0;
     CHECK(late_runs <= allowed_after_limit);
     CHECK(sound_sent_late > 20);
     CHECK(sound_served_late >= sound_sent_late * 9 / 10);
--- a/test/promise/promise_18_crashing_request.cpp
+++ b/test/promise/promise_18_crashing_request.cpp
@@ -7,7 +7,7 @@
 #include <thread>
 #include <vector>
 
-#include "support/forward_site.hpp"
+#include "support/restarting_site.hpp"
 #include "support/site.hpp"
 
 using namespace dotterelstack;
@@ -29,39 +29,17 @@
 constexpr auto calm_after = 10s;
 
 /** Servers that end when they work on one certain request, and that are started again. */
-struct fixture : test::forward_site {
-    fixture() {
+struct fixture : test::restarting_site {
+    fixture() : restarting_site{"desk", "", {"--crash-target", "/read/bad/1", "--work-ms", "60"}, restart_time} {
         configure({"key-1"});
         for (std::size_t n = 0; n < server_count; ++n) {
-            start_server();
+            start_next_runner();
         }
         for (std::size_t n = 0; n < gateway_count; ++n) {
             start_gateway(n);
             REQUIRE(eventually([this, n] { return send(n, "read", "probe").status == 200; }));
         }
     }
-
-    void start_server() {
-        start_runner("desk-" + std::to_string(next_++), "", {"--crash-target", "/read/bad/1", "--work-ms", "60"});
-    }
-
-    /** Starts servers that have ended again after a while. */
-    void restart_servers() {
-        for (std::size_t n = drop_ended_runners().size(); n > 0; --n) {
-            ended_at.push_back(steady::now());
-            restarts_due_.push_back(steady::now() + restart_time);
-        }
-        while (!restarts_due_.empty() && steady::now() >= restarts_due_.front()) {
-            restarts_due_.erase(restarts_due_.begin());
-            start_server();
-        }
-    }
-
-    std::vector<steady::time_point> ended_at;
-
-private:
-    int next_{0};
-    std::vector<steady::time_point> restarts_due_;
 };
 
 } // namespace
@@ -113,22 +91,19 @@
         }
     }
     while (steady::now() < begun + duration) {
-        it.restart_servers();
+        it.replace_ended_runners();
         std::this_thread::sleep_for(20ms);
     }
     stop = true;
     clients.clear();
-    REQUIRE(it.ended_at.size() >= ends_before_limit);
-    const auto limited_from = it.ended_at.at(ends_before_limit - 1) + contact_time;
+    REQUIRE(it.ended_at().size() >= ends_before_limit);
     const auto runs = it.runs();
-    int late_runs = 0;
-    for (const auto &[id, at] : crashing_sent) {
-        const auto found = runs.find(id);
-        late_runs += at > limited_from && found != runs.end() ? found->second : 0;
+    for (const auto &[id, status] : statuses) {
         // What is said not to have run must not have run.
-        CHECK((statuses[id] != 503 || found == runs.end()));
+        CHECK((status != 503 || !runs.contains(id)));
     }
-    CAPTURE(it.ended_at.size());
+    CAPTURE(it.ended_at().size());
+    const int late_runs = it.runs_sent_after(crashing_sent, it.ended_at()[ends_before_limit - 1] + contact_time);
     CHECK(late_runs <= allowed_after_limit);
     CHECK(sound_sent_late > 20);
     CHECK(sound_served_late >= sound_sent_late * 9 / 10);
