--- a/src/gateway/config_peer_task.hpp
+++ b/src/gateway/config_peer_task.hpp
@@ -12,7 +12,7 @@
 
 /** @brief Settings of a `config_peer_task`. */
 struct config_peer_settings {
-    base::duration overdue{std::chrono::milliseconds{1700}}; /**< Time without an answer of the store. */
+    base::duration overdue{}; /**< Time without an answer of the store; longer than the wait of a watch. */
     base::duration ask_every{std::chrono::milliseconds{300}};
 };
 
