--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -93,6 +93,8 @@
      "none; check the store if this repeats."},
     {1316, "object_unreadable", severity::warning,
      "An object in the store has no readable name or revision and is left out.", "Look for its writer."},
+    {1317, "object_value_unreadable", severity::warning,
+     "The value of an object in the store is not readable JSON and counts as empty.", "Look for its writer."},
     // Keys
     {1401, "key_withdrawn", severity::info, "A key withdrawal is in force in this process.", "none"},
     {1402, "stream_ended_key_withdrawn", severity::info, "An open stream was ended because its key was withdrawn.",
--- a/standin/objects/main.cpp
+++ b/standin/objects/main.cpp
@@ -16,6 +16,10 @@
 constexpr std::string_view objects_path = "/objects/";
 constexpr std::string_view servers_prefix = "servers/";
 
+http::response json_text(std::string body) {
+    return {200, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
 /** The users' object store and their API for usage reports, in one process. */
 class object_service {
 public:
@@ -77,30 +81,31 @@
 
     http::response read(const std::string &path) {
         const auto found = objects_.get(path).value();
-        return found ? standin::json_response(200, shown(*found)) : standin::error_response(404, "absent", "no object");
+        return found ? json_text(shown(*found)) : standin::error_response(404, "absent", "no object");
     }
 
     http::response write(const std::string &path, const json &spec, std::uint64_t expected) {
         const auto written = objects_.put(path, spec.dump(), expected);
         if (!written) {
             const auto now = objects_.get(path).value();
-            return standin::json_response(409, now ? shown(*now) : json::object());
+            return standin::json_response(409, now ? json::parse(shown(*now), nullptr, false) : json::object());
         }
         const std::scoped_lock lock{mutex_};
         written_at_[path] = std::chrono::steady_clock::now();
-        return standin::json_response(200, shown({path, written.value(), spec.dump()}));
+        return json_text(shown({path, written.value(), spec.dump()}));
     }
 
     http::response list_or_watch(const std::string &kind, const http::request &message) {
         const auto since = message.query_value("Watch");
         if (!since) {
             const auto revision = objects_.revision();
-            json items = json::array();
+            std::string items;
             const auto all = objects_.list(kind + "/");
             for (const auto &it : all.value()) {
-                items.push_back(shown(it));
+                items += (items.empty() ? "" : ",") + shown(it);
             }
-            return standin::json_response(200, {{"items", items}, {"Truncated", false}, {"StoreRevision", revision}});
+            return json_text(R"({"items":[)" + items + R"(],"Truncated":false,"StoreRevision":)" +
+                             std::to_string(revision) + "}");
         }
         const std::chrono::milliseconds wait{std::stoll(message.query_value("WaitMs").value_or("0"))};
         const auto seen = objects_.watch(kind + "/", std::stoull(*since), wait);
@@ -110,25 +115,29 @@
         if (!seen) {
             return standin::error_response(410, seen.error().code, seen.error().message);
         }
-        json events = json::array();
+        std::string events;
         for (const auto &it : seen.value().events) {
-            events.push_back({{"Deleted", it.deleted}, {"Object", shown(it.item)}});
+            events += std::string{events.empty() ? "" : ","} + R"({"Deleted":)" + (it.deleted ? "true" : "false") +
+                      R"(,"Object":)" + shown(it.item) + "}";
         }
-        return standin::json_response(200, {{"events", events}, {"StoreRevision", seen.value().revision}});
+        return json_text(R"({"events":[)" + events + R"(],"StoreRevision":)" + std::to_string(seen.value().revision) +
+                         "}");
     }
 
-    static json shown(const store::object &it) {
-        const auto slash = it.key.find('/');
-        // A removed object has no value.
-        return {{"Metadata", {{"Name", it.key.substr(slash + 1)}, {"Revision", it.version}}},
-                {"Spec", it.value.empty() ? json{} : json::parse(it.value)},
-                {"Status", nullptr}};
+    /** The text of an object, with its value as its writer sent it. A removed object has none. */
+    static std::string shown(const store::object &it) {
+        const json metadata{{"Name", it.key.substr(it.key.find('/') + 1)}, {"Revision", it.version}};
+        return R"({"Metadata":)" + metadata.dump() + R"(,"Spec":)" + (it.value.empty() ? "null" : it.value) +
+               R"(,"Status":null})";
     }
 
     http::response set_faults(const json &from) {
         if (from.value("copy", false)) {
             objects_.take_copy();
         }
+        if (const auto foreign = from.find("foreign"); foreign != from.end()) {
+            put_foreign(foreign->at("key").get<std::string>(), foreign->at("value").get<std::string>());
+        }
         if (from.value("restore", false)) {
             restore(from.value("writes", json::array()));
         }
@@ -137,6 +146,16 @@
         return standin::json_response(200, json::object());
     }
 
+    /** Takes any text as the value of an object, which does not vanish by itself. */
+    void put_foreign(const std::string &key, const std::string &value) {
+        {
+            const std::scoped_lock lock{mutex_};
+            written_at_[key] = std::chrono::steady_clock::now() + std::chrono::hours{24};
+        }
+        const auto now = objects_.get(key).value();
+        (void)objects_.put(key, value, now ? now->version : store::absent);
+    }
+
     /** Comes back from the copy; `writes` are repeated by their writers before anybody else reaches the store. */
     void restore(const json &writes) {
         {
--- a/test/platform/object_store.cpp
+++ b/test/platform/object_store.cpp
@@ -1,8 +1,11 @@
 #include "platform/object_store.hpp"
 
+#include <cstddef>
 #include <doctest/doctest.h>
 #include <functional>
 #include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
 
 #include "http/server.hpp"
 #include "platform/http_duties.hpp"
@@ -274,3 +277,138 @@
     CHECK(store.get("k/a").value()->version > version);
     CHECK(store.history() == 4000);
 }
+
+namespace {
+
+/** An object as the store shows it, whatever text its writer has stored as value. */
+std::string object_text(const std::string &name, int revision, const std::string &value) {
+    return R"({"Metadata":{"Name":")" + name + R"(","Revision":)" + std::to_string(revision) +
+           R"(,"CreatedRev":9,"Finalizers":[],"Deleting":false},"Spec":)" + value + R"(,"Status":null})";
+}
+
+std::string event_text(const std::string &object, bool deleted) {
+    return std::string{R"({"Deleted":)"} + (deleted ? "true" : "false") + R"(,"Object":)" + object + "}";
+}
+
+std::string joined(const std::vector<std::string> &all) {
+    std::string out;
+    for (const auto &it : all) {
+        out += (out.empty() ? "" : ",") + it;
+    }
+    return out;
+}
+
+/** Texts that cannot be read as JSON: numbers out of range, control characters, bytes, unbalanced ends. */
+std::vector<std::string> unreadable_values() {
+    return {R"({"Slots":1e999})",
+            R"({"Slots":)" + std::string(400'000, '9') + "}",
+            "{\"Zone\":\"a\x01z\"}",
+            "{\"Zone\":\"a\xff\xfez\"}",
+            "{Service: desk",
+            "}}}",
+            "]",
+            R"("Service)",
+            R"({"a":"b})",
+            R"({"Metadata":{"Name":7)",
+            ""};
+}
+
+} // namespace
+
+// Guards against one unreadable value of another writer that makes a whole list unreadable, so that servers that leave
+// go on getting requests (review/3, other forms).
+TEST_CASE("a value that is not readable JSON costs only itself in a list") {
+    fixture it;
+    auto store = it.store();
+    const auto sound = [](const std::string &name, int revision) {
+        return object_text(name, revision, R"({"x":"é"})");
+    };
+    for (const auto &value : unreadable_values()) {
+        CAPTURE(value.substr(0, 40));
+        std::vector<std::string> texts{sound("a", 11), sound("c", 13), sound("e", 15)};
+        for (std::size_t at = 0; at <= texts.size(); ++at) {
+            CAPTURE(at);
+            auto with_foreign = texts;
+            with_foreign.insert(with_foreign.begin() + static_cast<std::ptrdiff_t>(at), object_text("p", 12, value));
+            it.answer = [&](const auto &) {
+                return fixture::json(200, R"({"items":[)" + joined(with_foreign) +
+                                              R"(],"Truncated":false,"StoreRevision":531})");
+            };
+            const auto all = store.watch("k/", 0, 1ms);
+            REQUIRE(all);
+            CHECK(all.value().revision == 531);
+            REQUIRE(all.value().events.size() == 4);
+            for (std::size_t n = 0; n < all.value().events.size(); ++n) {
+                const auto &item = all.value().events[n].item;
+                CHECK(item.key == (n == at ? "k/p" : "k/" + std::string(1, "ace"[n < at ? n : n - 1])));
+                CHECK(item.value == (n == at ? "null" : R"({"x":"é"})"));
+            }
+        }
+    }
+}
+
+// Guards against the same in a watch, where the changes of other objects would be missed, and against a removal that is
+// taken for a change.
+TEST_CASE("a value that is not readable JSON costs only itself in a watch") {
+    fixture it;
+    auto store = it.store();
+    for (const auto &value : unreadable_values()) {
+        CAPTURE(value.substr(0, 40));
+        for (const bool deleted : {false, true}) {
+            it.answer = [&](const auto &) {
+                return fixture::json(
+                    200, R"({"events":[)" +
+                             joined({event_text(object_text("p", 12, value), deleted), event_text(item, true),
+                                     event_text(object_text("p", 14, value), deleted)}) +
+                             R"(],"StoreRevision":533})");
+            };
+            const auto seen = store.watch("k/", 530, 20ms);
+            REQUIRE(seen);
+            CHECK(seen.value().revision == 533);
+            REQUIRE(seen.value().events.size() == 3);
+            CHECK(seen.value().events[0].deleted == deleted);
+            CHECK(seen.value().events[0].item.version == 12);
+            CHECK(seen.value().events[1].deleted);
+            CHECK(seen.value().events[1].item.key == "k/a");
+            CHECK(seen.value().events[2].deleted == deleted);
+        }
+    }
+}
+
+// Guards against a page that ends with an object without a readable name, which would end the list there.
+TEST_CASE("a list goes on after a page whose last object has no readable name") {
+    fixture it;
+    auto store = it.store();
+    const std::string nameless = R"({"Metadata":{"Name":7,"Revision":14},"Spec":{}})";
+    it.answer = [&](const http::request &message) {
+        const bool first = message.target.find("after") == std::string::npos;
+        return fixture::json(200, R"({"items":[)" + (first ? item + "," + nameless : object_text("b", 13, "{}")) +
+                                      R"(],"Truncated":)" + (first ? "true" : "false") + R"(,"StoreRevision":531})");
+    };
+    const auto all = store.list("k/");
+    REQUIRE(all);
+    CHECK(all.value().size() == 2);
+    CHECK(it.asked.back().target == "/objects/k?after=a");
+    // A page that names no object can't be continued from.
+    it.answer = [&](const auto &) {
+        return fixture::json(200, R"({"items":[)" + nameless + R"(],"Truncated":true,"StoreRevision":531})");
+    };
+    CHECK(store.list("k/").error().kind == base::error_kind::unavailable);
+    CHECK(it.asked.size() < 10);
+}
+
+// Guards against an object that cannot be replaced or removed because its value cannot be read.
+TEST_CASE("a single object with an unreadable value still has its version") {
+    fixture it;
+    auto store = it.store();
+    for (const auto &value : unreadable_values()) {
+        CAPTURE(value.substr(0, 40));
+        it.answer = [&](const auto &) { return fixture::json(200, object_text("p", 12, value)); };
+        const auto found = store.get("k/p");
+        REQUIRE(found);
+        REQUIRE(found.value());
+        CHECK(found.value()->version == 12);
+        CHECK(found.value()->value == "null");
+        CHECK(store.put("k/p", "{}", 11).value() == 12);
+    }
+}
--- a/test/support/forward_site.cpp
+++ b/test/support/forward_site.cpp
@@ -141,6 +141,10 @@
     set_store_faults({{"down", down}});
 }
 
+void forward_site::write_foreign(const std::string &key, const std::string &value) const {
+    set_store_faults({{"foreign", {{"key", key}, {"value", value}}}});
+}
+
 void forward_site::copy_store() {
     set_store_faults({{"copy", true}});
 }
--- a/test/support/forward_site.hpp
+++ b/test/support/forward_site.hpp
@@ -68,6 +68,9 @@
      */
     void restore_store(const std::vector<std::string> &keys);
 
+    /** @brief Lets another writer write an object. @param value Any text, which the store shows as it is. */
+    void write_foreign(const std::string &key, const std::string &value) const;
+
     /** @brief Switches the store off or on. */
     void set_store_down(bool down);
 
