Leave out entries of a peer's list of servers that cannot be read

What callers would see: a gateway that starts while the store is away ends when another gateway answers with a field of another type. Cause: json::value() throws where a field has another type, and the feed's thread catches nothing. The list was copied besides, which recurses over what the peer sent. Change: each entry is read by itself; one with a missing field or one of another type is left out.

Test: "entries in a peer's list of servers that cannot be read cost only themselves" ended by an exception before.

--- a/src/gateway/server_source.cpp
+++ b/src/gateway/server_source.cpp
@@ -11,6 +11,34 @@
 
 using nlohmann::json;
 
+namespace internal {
+
+/** @return The object that a peer's answer shows, or nothing where a field is missing or of another type. */
+std::optional<store::object> to_object(const json &from) {
+    try {
+        return store::object{from.at("key").get<std::string>(), from.at("revision").get<std::uint64_t>(),
+                             from.at("value").get<std::string>()};
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+/** @return The objects that a peer's answer shows; those that cannot be read are left out. */
+std::vector<store::object> to_objects(std::string_view text) {
+    std::vector<store::object> out;
+    const auto all = json::parse(text, nullptr, false);
+    if (all.is_array()) {
+        for (const auto &it : all) {
+            if (auto item = to_object(it)) {
+                out.push_back(std::move(*item));
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace internal
+
 server_source::server_source(dependencies deps) : deps_{std::move(deps)}, fleet_{deps_.time} {}
 
 std::optional<fleet_entry> server_source::to_entry(const store::object &item) {
@@ -110,13 +138,7 @@
         if (!answer) {
             continue;
         }
-        const auto body = json::parse(*answer, nullptr, false);
-        std::vector<store::object> all;
-        for (const auto &it : body.is_array() ? body : json::array()) {
-            if (it.is_object()) {
-                all.push_back({it.value("key", ""), it.value("revision", std::uint64_t{0}), it.value("value", "")});
-            }
-        }
+        auto all = internal::to_objects(*answer);
         std::erase_if(all, [this](const auto &it) { return !it.key.starts_with(deps_.codec.servers_prefix()); });
         if (!all.empty()) {
             log::write("servers_from_peer", {{"origin", address}, {"servers", all.size()}});
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -487,6 +487,35 @@
     CHECK(seen.back() == 1);
 }
 
+// Guards against a process that ends because one field of a peer's answer has another type (review/3, related path).
+TEST_CASE("entries in a peer's list of servers that cannot be read cost only themselves") {
+    base::manual_clock clock;
+    const platform::object_codec codec;
+    http::curl_client client;
+    http::server server;
+    std::string body;
+    const auto address = server.start("127.0.0.1:0", http::answer_with([&](const http::request &) {
+                                          return http::response{200, {}, body};
+                                      }));
+    REQUIRE(address);
+    std::vector<std::size_t> seen;
+    gateway::server_source subject{{clock, codec, client, [&] { return std::vector<std::string>{address.value()}; },
+                                    [&](const auto &all) { seen.push_back(all.size()); }}};
+    for (const std::string text : {"", "7", "{}", "[7]", R"([{"key":7,"revision":1,"value":""}])",
+                                   R"([{"key":"servers/x","revision":"1","value":"{}"}])",
+                                   R"([{"key":"servers/x","revision":1,"value":[[]]}])"}) {
+        CAPTURE(text);
+        body = text;
+        subject.on_failed(gateway::store_failure::no_answer);
+        CHECK(seen.empty());
+    }
+    body = nlohmann::json::array({{{"key", 7}, {"revision", 1}, {"value", ""}},
+                                  {{"key", "servers/a"}, {"revision", 5}, {"value", server_entry}}})
+               .dump();
+    subject.on_failed(gateway::store_failure::no_answer);
+    CHECK(seen == std::vector<std::size_t>{1});
+}
+
 // Thousands of backend servers start together. Guards against a copy of the whole list for each of them: the copies
 // waited in the queue of the forwarder and took hundreds of megabytes.
 TEST_CASE("changes of discovery that arrive together are published as one list") {
