Take a stored value with a write id of another type for that of another writer

Here it decides, after a write without an answer, whose value the store has; leases, records and seals are written this way.

Test: 'settled_write takes any value of another writer for one that is not its own' ended by an exception in two of six values before.

--- a/src/store/settled_write.cpp
+++ b/src/store/settled_write.cpp
@@ -16,7 +16,8 @@
 readback classify(const std::optional<object> &found, const std::string &write_id, std::uint64_t expected) {
     if (found) {
         const auto value = nlohmann::json::parse(found->value, nullptr, false);
-        if (value.is_object() && value.value(write_id_member, std::string{}) == write_id) {
+        const auto id = value.find(write_id_member);
+        if (id != value.end() && *id == write_id) {
             return readback::ours;
         }
     }
--- a/test/store/settled_write.cpp
+++ b/test/store/settled_write.cpp
@@ -41,6 +41,18 @@
     CHECK(it.write(store::absent).error().kind == error_kind::conflict);
 }
 
+// Guards against a process that ends because another writer's value has a field of another type (review/3, related
+// path).
+TEST_CASE("settled_write takes any value of another writer for one that is not its own") {
+    for (const auto *value : {R"({"write_id":7})", R"({"write_id":[]})", "[]", "7", "null", "{"}) {
+        CAPTURE(value);
+        fixture it;
+        REQUIRE(it.store.put("k", value, store::absent));
+        it.store.set_faults_once({.lose_answers = true});
+        CHECK(it.write(store::absent).error().kind == error_kind::conflict);
+    }
+}
+
 // Guards against a definite verdict that a delayed copy of the write could still overturn.
 TEST_CASE("settled_write stays unknown while every request or the read-back is lost") {
     fixture it;
