Use no handle from an answer to another request

What callers would see: a stream that goes on from the prompt of another request (MIXED), when an engine answers a prefill with the answer to another one. The status and the handle decided, not the request that the answer names. Change: such an answer counts as broken, and the decode engine reads the prompt itself.

Test: 'a handle in an answer to another request is not used' failed before.

--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -440,7 +440,7 @@
 
 call_event_result opaque_exchange::after_prefill(bool complete, const http::response &answer) {
     // A prefill does not count as a run, whatever its outcome.
-    if (!complete) {
+    if (!complete || head_.other_request) {
         return call_failed{{evidence_kind::refused_before_handover}, attempt_outcome::broken};
     }
     if (answer.status == 200) {
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -663,6 +663,18 @@
     CHECK(it.subject.active() == 0);
 }
 
+// Guards against a request that goes on from the prompt of another one (review/5, related path).
+TEST_CASE("a handle in an answer to another request is not used") {
+    forwarder_fixture it;
+    with_prefill(it);
+    (void)it.send("/draft/1", long_prompt);
+    REQUIRE(it.last().field("Serving-Stage") == "prefill");
+    it.answer(200, {{"Attempt-Id", "a2"}}, R"({"KvHandle":"h2","Tokens":17000,"Version":1})");
+    REQUIRE(it.backends.calls.size() == 2);
+    CHECK(it.last().field("Serving-Stage").empty());
+    CHECK(it.last().field("Kv-Source").empty());
+}
+
 // A server goes dark in the middle of its streams, without closing its connections. Guards against callers that wait
 // for their deadline although another server could continue.
 TEST_CASE(
