Keep a server whose entry becomes unreadable for a bounded time

What callers would see: a server that is used without end after another writer has overwritten its entry, as a change that cannot be read was passed over; in a list the same entry removed the server at once, although it may be well. Change: fleet_view keeps such a server for 2.2 s, the time in which a live server writes its entry again, and drops it at once when the entry is removed.

Tests: 'a server whose entry becomes unreadable is kept for the time in which it writes its entry again', 'a server whose unreadable entry is removed is dropped at once'; they need the new function and were not run on the code before.

--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -53,12 +53,12 @@
     if (entry.revision < it.entry.revision) {
         return false;
     }
-    it = {entry, std::nullopt};
+    it = {entry, std::nullopt, false};
     return true;
 }
 
 void fleet_view::mark_missing(member &it) {
-    if (it.remove_at) {
+    if (it.remove_at && !std::exchange(it.unreadable, false)) {
         return;
     }
     const auto now = time_.now();
@@ -80,9 +80,21 @@
     }
 }
 
-void fleet_view::on_list(const std::vector<fleet_entry> &all) {
+void fleet_view::on_unreadable(std::string_view id) {
+    const auto it = members_.find(id);
+    if (it != members_.end() && !it->second.remove_at) {
+        it->second.remove_at = time_.now() + settings_.outage_grace;
+        it->second.unreadable = true;
+    }
+}
+
+void fleet_view::on_list(const std::vector<fleet_entry> &all, const std::vector<std::string> &unreadable) {
     known_ = true;
     std::set<std::string_view> listed;
+    for (const auto &it : unreadable) {
+        on_unreadable(it);
+        listed.insert(it);
+    }
     for (const auto &it : all) {
         if (list_is_copy_) {
             ignore_departed(it.server);
--- a/src/gateway/fleet_view.hpp
+++ b/src/gateway/fleet_view.hpp
@@ -41,17 +41,18 @@
  *
  * An entry that is removed while the store is available is dropped at once. One that is removed during a store outage
  * is kept until the grace after the outage has passed. One that is removed shortly after an outage has a shorter grace,
- * because the server may have left permanently. A grace that has begun stands still during a further outage. Reports of
- * an earlier incarnation, and reports older than the newest one seen, are ignored. A server that had left before the
- * store returned from a copy comes back only with a report that is newer than the one in the copy.
+ * because the server may have left permanently. An entry that becomes unreadable has the grace of an outage. A grace
+ * that has begun stands still during a further outage. Reports of an earlier incarnation, and reports older than the
+ * newest one seen, are ignored. A server that had left before the store returned from a copy comes back only with a
+ * report that is newer than the one in the copy.
  */
 class fleet_view {
 public:
     /** @param time Clock; must outlive this object. */
     explicit fleet_view(const base::clock &time, fleet_settings settings = {});
 
-    /** @brief Replaces all entries by a complete list. */
-    void on_list(const std::vector<fleet_entry> &all);
+    /** @brief Replaces all entries by a complete list. @param unreadable Ids of listed entries that cannot be read. */
+    void on_list(const std::vector<fleet_entry> &all, const std::vector<std::string> &unreadable = {});
 
     /** @return False when the report was ignored as outdated. */
     bool on_change(const fleet_entry &entry);
@@ -59,6 +60,12 @@
     /** @param revision Store revision of the removal; 0 when unknown. */
     void on_removed(std::string_view id, std::uint64_t revision);
 
+    /**
+     * @brief An entry was overwritten and cannot be read any more. This does not tell that the server has left: it is
+     * kept for the time in which a server writes its entry again.
+     */
+    void on_unreadable(std::string_view id);
+
     /** @brief The store has answered a call. */
     void on_store_answer();
 
@@ -86,7 +93,8 @@
 private:
     struct member {
         fleet_entry entry;
-        std::optional<base::instant> remove_at; /**< Set once the entry is gone from the store. */
+        std::optional<base::instant> remove_at; /**< Set once the entry is gone from the store, or unreadable. */
+        bool unreadable{false};                 /**< The entry is in the store, but cannot be read. */
     };
 
     struct report_position {
--- a/src/gateway/server_source.cpp
+++ b/src/gateway/server_source.cpp
@@ -41,8 +41,12 @@
 
 server_source::server_source(dependencies deps) : deps_{std::move(deps)}, fleet_{deps_.time} {}
 
+std::string_view server_source::id_of(const store::object &item) const {
+    return std::string_view{item.key}.substr(deps_.codec.servers_prefix().size());
+}
+
 std::optional<fleet_entry> server_source::to_entry(const store::object &item) {
-    const auto id = std::string_view{item.key}.substr(deps_.codec.servers_prefix().size());
+    const auto id = id_of(item);
     auto server = deps_.codec.decode_server(id, item.value);
     if (server) {
         unreadable_.erase(item.key);
@@ -67,9 +71,12 @@
         fleet_.on_store_returned();
     }
     std::vector<fleet_entry> entries;
+    std::vector<std::string> unreadable;
     for (const auto &it : all) {
         if (auto entry = to_entry(it)) {
             entries.push_back(std::move(*entry));
+        } else {
+            unreadable.emplace_back(id_of(it));
         }
     }
     {
@@ -79,7 +86,7 @@
             entries_.emplace(it.key, it);
         }
     }
-    fleet_.on_list(entries);
+    fleet_.on_list(entries, unreadable);
     publish();
 }
 
@@ -89,7 +96,7 @@
 }
 
 void server_source::apply(const store::watch_event &change) {
-    const auto id = std::string_view{change.item.key}.substr(deps_.codec.servers_prefix().size());
+    const auto id = id_of(change.item);
     {
         const std::scoped_lock lock{mutex_};
         if (change.deleted) {
@@ -110,6 +117,8 @@
                                       {"sequence", entry->server.sequence},
                                       {"revision", entry->revision},
                                       {"taken", taken}});
+    } else {
+        fleet_.on_unreadable(id);
     }
 }
 
--- a/src/gateway/server_source.hpp
+++ b/src/gateway/server_source.hpp
@@ -55,6 +55,7 @@
     [[nodiscard]] http::response answer_peer() const;
 
 private:
+    [[nodiscard]] std::string_view id_of(const store::object &item) const;
     [[nodiscard]] std::optional<fleet_entry> to_entry(const store::object &item);
     void apply(const store::watch_event &change);
     void ask_peers();
--- a/test/gateway/fleet_view.cpp
+++ b/test/gateway/fleet_view.cpp
@@ -201,3 +201,44 @@
         CHECK(server.draining == (server.id == "a"));
     }
 }
+
+// Guards against a server that is used without end because its entry was overwritten by one that cannot be read, and
+// against one that is lost at once although it writes its entry again.
+TEST_CASE("a server whose entry becomes unreadable is kept for the time in which it writes its entry again") {
+    for (const bool listed : {false, true}) {
+        CAPTURE(listed);
+        fixture it;
+        const auto overwrite = [&] {
+            if (listed) {
+                it.subject.on_list({fixture::entry("b")}, {"a", "other"});
+            } else {
+                it.subject.on_unreadable("a");
+                it.subject.on_unreadable("other");
+            }
+        };
+        overwrite();
+        it.clock.advance(2100ms);
+        overwrite();
+        CHECK_FALSE(it.subject.expire());
+        CHECK(it.subject.servers().size() == 2);
+        it.subject.on_change(fixture::entry("a", 9, 100, 9));
+        it.clock.advance(10s);
+        CHECK_FALSE(it.subject.expire());
+        CHECK(it.subject.servers().size() == 2);
+        overwrite();
+        it.clock.advance(2200ms);
+        CHECK(it.subject.expire());
+        CHECK(it.subject.servers().size() == 1);
+    }
+}
+
+// Guards against a server that is kept after its removal because its entry could not be read before.
+TEST_CASE("a server whose unreadable entry is removed is dropped at once") {
+    fixture it;
+    it.subject.on_unreadable("a");
+    it.subject.on_removed("a", 2);
+    CHECK(it.subject.servers().size() == 1);
+    it.subject.on_unreadable("b");
+    it.subject.on_list({});
+    CHECK(it.subject.servers().empty());
+}
