Put the limits of the configuration in force at the listener of callers

Cause: IdleTimeoutMs and the other limits were decoded and used nowhere; at its limit of connections libmicrohttpd stops to accept, whatever the others do; and nobody asked whether a caller was still there before its request was placed. Change: connection_ages keeps since when each connection is idle or in a head. Idle connections are closed after the limit, heads that take longer than HeaderTimeoutMs are cut off, MaxHeaderBytes and MaxBodyBytes hold; all of them change with the configuration while connections are open. Near the limit of connections those that have been idle for longest make room, never one with a request or with unread bytes; without room readiness is off (E1930). What arrives on a connection that is being closed is not handled. A request whose caller has left is not placed. Names of fields with a blank before the colon and targets beyond printable ASCII are refused with 400.

--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -78,6 +78,10 @@
     }
     const auto &of = it->identity();
     it->history_ = deps_.retries.begin(of.work, of.organisation, of.service, of.deadline);
+    // The request may have waited in the socket of a busy process for longer than its caller did.
+    if (of.caller->gone() && it->ends_with_caller()) {
+        return end(number, it->refusal_for(end_reason::caller_gone, ran_claim_of(*it)));
+    }
     attempt(number, *it);
 }
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -37,6 +37,8 @@
 // A part of prompts must be held within the contact time of its fifth end, and is after the third one.
 constexpr int report_pause_divisor = 3;
 constexpr auto stop_poll = std::chrono::milliseconds{50};
+// Period in which idle connections of callers are looked for. Limits on them are seconds.
+constexpr auto connection_check = std::chrono::milliseconds{500};
 // Retry-After when the event ring is full; the ring drains within this time once load falls.
 constexpr auto overload_wait = std::chrono::milliseconds{500};
 
@@ -92,7 +94,10 @@
                   [this](crash_report it) { crash_reports_.offer(std::move(it)); },
                   [this] { return config_.confirmed_within(internal::confirmation_limit(settings_)); }}},
       config_{{deps_.time, deps_.codec, deps_.client, [this] { return peers(); },
-               [this](traffic_config_ptr it) { events_.push(config_event{std::move(it)}); }}},
+               [this](traffic_config_ptr it) {
+                   callers_.set_limits(it->values().limits);
+                   events_.push(config_event{std::move(it)});
+               }}},
       config_peers_{{.overdue = internal::answer_interval(settings_)}, deps_.time, [this] { config_.ask_peers(); }},
       servers_{{deps_.time, deps_.codec, deps_.client, [this] { return peers(); },
                 [this](std::vector<backend_server> all) { events_.push(backends_event{std::move(all)}); },
@@ -164,11 +169,12 @@
                          return http::response{200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text()};
                      })));
     out.metrics = metrics;
-    BOOST_OUTCOME_TRY(readiness,
-                      readiness_.start(settings_.listen.readiness, http::answer_with([this](const auto &) {
-                                           return ready_ ? internal::json_answer(200, R"({"status":"ready"})")
-                                                         : internal::json_answer(503, R"({"status":"not ready"})");
-                                       })));
+    BOOST_OUTCOME_TRY(readiness, readiness_.start(settings_.listen.readiness, http::answer_with([this](const auto &) {
+                                                      return ready_ && callers_.has_room()
+                                                                 ? internal::json_answer(200, R"({"status":"ready"})")
+                                                                 : internal::json_answer(503,
+                                                                                         R"({"status":"not ready"})");
+                                                  })));
     out.readiness = readiness;
     member_settings about{.name = settings_.name, .incarnation = incarnation_, .peer_address = peers};
     about.publish_every = settings_.bounds.usage_window / 2;
@@ -328,11 +334,34 @@
             tick_due = now + tick;
             forwarder_.tick();
         }
+        if (now >= connections_due_) {
+            connections_due_ = now + internal::connection_check;
+            check_connections();
+        }
         active_ = forwarder_.active();
         ready_ = forwarder_.ready();
     }
 }
 
+void gateway_daemon::check_connections() {
+    callers_.close_overdue();
+    const auto closed = callers_.closed();
+    const auto count = [this](const char *reason, std::uint64_t now, std::uint64_t &before) {
+        if (now > before) {
+            metrics_.count("connections_closed_total", "reason=\"" + std::string{reason} + "\"", now - before);
+            before = now;
+        }
+    };
+    count("idle", closed.idle, closed_.idle);
+    count("slow_head", closed.slow, closed_.slow);
+    count("for_room", closed.for_room, closed_.for_room);
+    metrics_.set("caller_connections", "", static_cast<double>(callers_.connections()));
+    if (const bool room = callers_.has_room(); room != std::exchange(callers_have_room_, room)) {
+        log::write(room ? log::event{"callers_have_room"} : log::event{"callers_without_room"},
+                   {{"connections", callers_.connections()}});
+    }
+}
+
 void gateway_daemon::reload(const settings::gateway_settings &values) {
     events_.push(settings_event{internal::retries_of(values.bounds)});
     log::write("settings_reloaded", {{"retry_allowance", values.bounds.retry_allowance}});
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -81,6 +81,8 @@
     void on_crash_objects(std::span<const store::watch_event> changes);
     void record_store_answer(bool answered);
     void run_forwarder();
+    /** @brief Closes connections of callers that are overdue, and reports on the others. */
+    void check_connections();
     void handle(gateway_event &event);
     void stop_feeds();
     void stop_threads();
@@ -116,6 +118,9 @@
     std::thread forward_thread_;
     std::atomic<std::size_t> active_{0};
     std::atomic<bool> ready_{false};
+    base::instant connections_due_{}; /**< Of the next look at the connections of callers. */
+    http::closed_connections closed_; /**< As reported last. */
+    bool callers_have_room_{true};
     base::instant stop_limit_{}; /**< Store writes are repeated until then during a shutdown. */
     bool stopped_{false};
 };
--- a/src/gateway/traffic_config.hpp
+++ b/src/gateway/traffic_config.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/clock.hpp"
+#include "http/caller_limits.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -62,13 +63,6 @@
     std::optional<unsigned int> priority; /**< Overrides the priority of a route. */
 };
 
-/** @brief Limits on requests and connections of callers. */
-struct caller_limits {
-    std::size_t header_bytes{16384};
-    std::size_t body_bytes{std::size_t{4} << 20U};
-    base::duration idle_timeout{std::chrono::seconds{120}};
-};
-
 /** @brief Values of one version of the traffic configuration. */
 struct traffic_values {
     std::uint64_t version{0};
@@ -76,7 +70,7 @@
     std::vector<traffic_service> services;
     /** Those whose keys are accepted; requests need no key only if there is no list at all. */
     std::optional<std::vector<organisation>> organisations;
-    caller_limits limits;
+    http::caller_limits limits;
 };
 
 /** @brief One version of routes, services and keys, indexed for look-ups. Immutable. */
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -7,10 +7,14 @@
 #include <microhttpd.h>
 #include <mutex>
 #include <netinet/in.h>
+#include <optional>
 #include <poll.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include "http/connection_ages.hpp"
+
 namespace dotterelstack::http {
 
 namespace internal {
@@ -20,19 +24,99 @@
 // Unit in which libmicrohttpd asks for streamed bodies.
 constexpr std::size_t stream_block_bytes = 16384;
 
+// Idle connections that are looked at to make room, if callers have just written to those that were idle for longest.
+constexpr int room_candidates = 16;
+// Part of the connections that is kept free by closing idle ones: at its limit libmicrohttpd accepts none.
+constexpr std::size_t spare_divisor = 64;
+
+bool has_unread_bytes(int fd) noexcept {
+    pollfd socket{fd, POLLIN, 0};
+    return ::poll(&socket, 1, 0) > 0;
+}
+
 struct server_state {
     MHD_Daemon *daemon{nullptr};
     request_handler handler;
-    server_limits limits;
+    std::size_t most_connections{0};
     std::atomic<std::size_t> active{0};
+    base::boottime_clock time;
+
+    mutable std::mutex mutex;
+    // Descriptors stay valid while they are in here: libmicrohttpd reports the end of a connection before it closes it.
+    connection_ages ages{time};
+    caller_limits limits{.header_bytes = 0, .header_timeout = base::duration{0}, .idle_timeout = base::duration{0}};
+    bool limits_set{false};
+    closed_connections closed;
+
+    [[nodiscard]] caller_limits current_limits() const {
+        const std::scoped_lock lock{mutex};
+        return limits;
+    }
+
+    void enter(int fd, connection_phase phase) {
+        const std::scoped_lock lock{mutex};
+        ages.enter(fd, phase);
+    }
+
+    [[nodiscard]] bool closing(int fd) const {
+        const std::scoped_lock lock{mutex};
+        return ages.phase(fd) == connection_phase::closing;
+    }
+
+    /** libmicrohttpd notices the end and closes the descriptor. */
+    void close_locked(int fd, std::uint64_t &count) {
+        ages.enter(fd, connection_phase::closing);
+        ::shutdown(fd, SHUT_RDWR);
+        ++count;
+    }
+
+    /** Closes the connection that has been idle for longest if there is no room for more. @param more Connections. */
+    void make_room_locked(std::size_t more) {
+        const auto spare = std::max<std::size_t>(1, most_connections / spare_divisor);
+        if (ages.size() + more + spare <= most_connections) {
+            return;
+        }
+        int looked_at = 0;
+        for (const int fd : ages.idle()) {
+            if (!has_unread_bytes(fd)) {
+                return close_locked(fd, closed.for_room);
+            }
+            if (++looked_at == room_candidates) {
+                return;
+            }
+        }
+    }
+
+    void on_open(int fd) {
+        const std::scoped_lock lock{mutex};
+        make_room_locked(1);
+        ages.enter(fd, connection_phase::idle);
+    }
+
+    void on_idle(int fd) {
+        const std::scoped_lock lock{mutex};
+        ages.enter(fd, connection_phase::idle);
+        make_room_locked(0);
+    }
+
+    void on_close(int fd) {
+        const std::scoped_lock lock{mutex};
+        ages.remove(fd);
+    }
 };
 
+int descriptor_of(MHD_Connection *connection) noexcept {
+    const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info == nullptr ? -1 : info->connect_fd;
+}
+
 /** State of one request; `connection` is null once libmicrohttpd has forgotten it. */
 struct exchange_state {
     std::mutex mutex;
     server_state *owner{nullptr};
     MHD_Connection *connection{nullptr};
     request message;
+    std::size_t body_limit{0};
     bool body_too_large{false};
     bool dispatched{false};
     bool suspended{false};
@@ -116,6 +200,11 @@
                   R"(server; send a smaller one","ran":"no"}})");
 }
 
+/** True for a name that another reader may take for a different one: with a blank before the colon. */
+bool has_blank(const field &it) {
+    return it.name.find_first_of(" \t") != std::string::npos;
+}
+
 /** True when the end of the body or the host is ambiguous, so that another reader may see other requests in it. */
 bool ambiguous(const field_list &fields) {
     const auto count = [&fields](const char *name) {
@@ -124,7 +213,41 @@
     };
     const auto lengths = count(MHD_HTTP_HEADER_CONTENT_LENGTH);
     const auto encodings = count(MHD_HTTP_HEADER_TRANSFER_ENCODING);
-    return lengths + encodings > 1 || count(MHD_HTTP_HEADER_HOST) != 1;
+    return lengths + encodings > 1 || count(MHD_HTTP_HEADER_HOST) != 1 || std::ranges::any_of(fields, &has_blank);
+}
+
+/** True when a target has characters that no URL has; clients and servers disagree on how to send them on. */
+bool invalid_target(std::string_view target) {
+    return std::ranges::any_of(target, [](unsigned char it) { return it <= ' ' || it > '~'; });
+}
+
+std::size_t size_of(const field_list &fields) {
+    constexpr std::size_t separators = 4;
+    std::size_t out = 0;
+    for (const auto &it : fields) {
+        out += it.name.size() + it.value.size() + separators;
+    }
+    return out;
+}
+
+/** @return The answer to a request whose head is not acceptable, or nothing if it is. */
+std::optional<MHD_Result> reject_head(MHD_Connection *connection, const request &message, const caller_limits &limits) {
+    if (ambiguous(message.fields)) {
+        return reject(connection, MHD_HTTP_BAD_REQUEST,
+                      R"({"error":{"code":"ambiguous_request","message":"send one Host, either one Content-Length )"
+                      R"(or one Transfer-Encoding, and no blanks in names of fields","ran":"no"}})");
+    }
+    if (invalid_target(message.target)) {
+        return reject(connection, MHD_HTTP_BAD_REQUEST,
+                      R"({"error":{"code":"bad_target","message":"send a target of printable ASCII; )"
+                      R"(percent-encode the rest","ran":"no"}})");
+    }
+    if (limits.header_bytes > 0 && size_of(message.fields) > limits.header_bytes) {
+        return reject(connection, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+                      R"({"error":{"code":"headers_too_large","message":"the header fields are over the limit of )"
+                      R"(this server; send fewer","ran":"no"}})");
+    }
+    return std::nullopt;
 }
 
 MHD_Result on_access(void *user, MHD_Connection *connection, const char * /*url*/, const char *method,
@@ -137,16 +260,18 @@
         (*held)->message.method = method;
         MHD_get_connection_values(connection, MHD_HEADER_KIND, &add_field, &(*held)->message.fields);
         ++owner.active;
-        if (ambiguous((*held)->message.fields)) {
-            return reject(connection, MHD_HTTP_BAD_REQUEST,
-                          R"({"error":{"code":"ambiguous_request","message":"send one Host and either )"
-                          R"(one Content-Length or one Transfer-Encoding","ran":"no"}})");
+        const auto fd = descriptor_of(connection);
+        if (owner.closing(fd)) {
+            return MHD_NO;
         }
-        return MHD_YES;
+        owner.enter(fd, connection_phase::busy);
+        const auto limits = owner.current_limits();
+        (*held)->body_limit = limits.body_bytes;
+        return reject_head(connection, (*held)->message, limits).value_or(MHD_YES);
     }
     auto &it = **held;
     if (*size > 0) {
-        if (it.message.body.size() + *size > owner.limits.body_bytes) {
+        if (it.message.body.size() + *size > it.body_limit) {
             it.body_too_large = true;
         } else {
             it.message.body.append(data, *size);
@@ -178,13 +303,26 @@
     return queue_answer(*held, connection);
 }
 
-void *on_uri(void * /*user*/, const char *uri, MHD_Connection * /*connection*/) {
+void *on_uri(void *user, const char *uri, MHD_Connection *connection) {
+    auto &owner = *static_cast<server_state *>(user);
+    owner.enter(descriptor_of(connection), connection_phase::reading_head);
     auto held = std::make_unique<state_ptr>(std::make_shared<exchange_state>());
     (*held)->message.target = uri;
     return held.release();
 }
 
-void on_completed(void *user, MHD_Connection * /*connection*/, void **slot, MHD_RequestTerminationCode /*code*/) {
+void on_connection(void *user, MHD_Connection *connection, void ** /*slot*/, MHD_ConnectionNotificationCode what) {
+    auto &owner = *static_cast<server_state *>(user);
+    const auto fd = descriptor_of(connection);
+    if (what == MHD_CONNECTION_NOTIFY_STARTED) {
+        owner.on_open(fd);
+    } else {
+        owner.on_close(fd);
+    }
+}
+
+void on_completed(void *user, MHD_Connection *connection, void **slot, MHD_RequestTerminationCode /*code*/) {
+    static_cast<server_state *>(user)->on_idle(descriptor_of(connection));
     auto *held = static_cast<state_ptr *>(*slot);
     if (held == nullptr) {
         return;
@@ -306,14 +444,21 @@
 base::result<std::string> server::start(std::string_view address, request_handler handler, server_limits limits) {
     BOOST_OUTCOME_TRY(where, internal::parse_address(address));
     state_->handler = std::move(handler);
-    state_->limits = limits;
+    {
+        const std::scoped_lock lock{state_->mutex};
+        state_->most_connections = limits.connections;
+        if (!state_->limits_set) {
+            state_->limits.body_bytes = limits.body_bytes;
+        }
+    }
     constexpr unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
-    state_->daemon = MHD_start_daemon(
-        flags, 0, nullptr, nullptr, &internal::on_access, state_.get(), MHD_OPTION_SOCK_ADDR, &where,
-        MHD_OPTION_URI_LOG_CALLBACK, &internal::on_uri, nullptr, MHD_OPTION_NOTIFY_COMPLETED, &internal::on_completed,
-        state_.get(), MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned int>(limits.connections),
-        MHD_OPTION_CONNECTION_TIMEOUT, limits.idle_timeout_seconds, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-        MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+    state_->daemon =
+        MHD_start_daemon(flags, 0, nullptr, nullptr, &internal::on_access, state_.get(), MHD_OPTION_SOCK_ADDR, &where,
+                         MHD_OPTION_URI_LOG_CALLBACK, &internal::on_uri, state_.get(), MHD_OPTION_NOTIFY_COMPLETED,
+                         &internal::on_completed, state_.get(), MHD_OPTION_NOTIFY_CONNECTION, &internal::on_connection,
+                         state_.get(), MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned int>(limits.connections),
+                         MHD_OPTION_CONNECTION_TIMEOUT, limits.idle_timeout_seconds, MHD_OPTION_LISTENING_ADDRESS_REUSE,
+                         1U, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
     if (state_->daemon == nullptr) {
         return base::fail(base::error_kind::unavailable, "cannot_listen",
                           "cannot listen on " + std::string{address} + "; choose a free port or stop its user");
@@ -322,6 +467,37 @@
     return std::string{address.substr(0, address.rfind(':') + 1)} + std::to_string(info->port);
 }
 
+void server::set_limits(const caller_limits &limits) {
+    const std::scoped_lock lock{state_->mutex};
+    state_->limits = limits;
+    state_->limits_set = true;
+}
+
+void server::close_overdue() {
+    auto &it = *state_;
+    const std::scoped_lock lock{it.mutex};
+    const phase_limits limits{it.limits.idle_timeout, it.limits.header_timeout};
+    while (const auto fd = it.ages.overdue(limits)) {
+        if (internal::has_unread_bytes(*fd)) {
+            // The caller was in time; this process is slow.
+            it.ages.enter(*fd, it.ages.phase(*fd));
+            continue;
+        }
+        it.close_locked(*fd, it.ages.phase(*fd) == connection_phase::idle ? it.closed.idle : it.closed.slow);
+    }
+}
+
+bool server::has_room() const {
+    const std::scoped_lock lock{state_->mutex};
+    const bool started = state_->most_connections > 0;
+    return !started || state_->ages.size() < state_->most_connections || !state_->ages.idle().empty();
+}
+
+closed_connections server::closed() const {
+    const std::scoped_lock lock{state_->mutex};
+    return state_->closed;
+}
+
 void server::quiesce() {
     if (state_->daemon != nullptr) {
         const MHD_socket fd = MHD_quiesce_daemon(state_->daemon);
@@ -342,10 +518,9 @@
     return state_->active;
 }
 
-std::size_t server::connections() const noexcept {
-    const auto *info =
-        state_->daemon == nullptr ? nullptr : MHD_get_daemon_info(state_->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-    return info == nullptr ? 0 : info->num_connections;
+std::size_t server::connections() const {
+    const std::scoped_lock lock{state_->mutex};
+    return state_->ages.size();
 }
 
 request_handler answer_with(std::function<response(const request &)> answer) {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "base/error.hpp"
+#include "http/caller_limits.hpp"
 #include "http/message.hpp"
 
 namespace dotterelstack::http {
@@ -61,6 +62,13 @@
     unsigned int idle_timeout_seconds{120};
 };
 
+/** @brief Connections that a server has closed by itself. */
+struct closed_connections {
+    std::uint64_t idle{0};     /**< Idle for longer than the limit. */
+    std::uint64_t slow{0};     /**< With a head that took longer than the limit. */
+    std::uint64_t for_room{0}; /**< Idle ones, to make room for a new connection. */
+};
+
 /** @brief HTTP/1.1 server on libmicrohttpd, one thread. */
 class server {
 public:
@@ -79,6 +87,17 @@
     [[nodiscard]] base::result<std::string> start(std::string_view address, request_handler handler,
                                                   server_limits limits = {});
 
+    /** @brief Sets the limits on callers, also for connections that are open. Thread-safe. */
+    void set_limits(const caller_limits &limits);
+
+    /** @brief Closes connections that have been idle, or in a head, for too long. Call it periodically. Thread-safe. */
+    void close_overdue();
+
+    /** @return False while all connections are in use and none is idle, so that new callers have to wait. */
+    [[nodiscard]] bool has_room() const;
+
+    [[nodiscard]] closed_connections closed() const;
+
     /** @brief Stops accepting connections; open ones go on. */
     void quiesce();
 
@@ -89,7 +108,7 @@
     [[nodiscard]] std::size_t active() const noexcept;
 
     /** @return Number of open connections. */
-    [[nodiscard]] std::size_t connections() const noexcept;
+    [[nodiscard]] std::size_t connections() const;
 
 private:
     std::unique_ptr<internal::server_state> state_;
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -208,6 +208,10 @@
      "A request is refused when it comes again, because the backend servers that worked on it have ended.",
      "Ask the organisation for the request, and look into the backend servers; it is tried again after the hold."},
     {1929, "request_released", severity::info, "A request that was held may run again.", "none"},
+    {1930, "callers_without_room", severity::warning,
+     "All connections for callers are in use and none is idle; new callers wait, and readiness is off.",
+     "Add gateways, or raise the limit on descriptors."},
+    {1931, "callers_have_room", severity::info, "There is room for connections of callers again.", "none"},
 });
 
 } // namespace dotterelstack::log
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -755,3 +755,22 @@
     CHECK_FALSE(booking->ended());
     CHECK_FALSE(query->ended());
 }
+
+// A busy process reads requests late. Guards against work for callers that have left by then (review/4).
+TEST_CASE("a request whose caller has left before it is placed reaches no server") {
+    forwarder_fixture it;
+    it.configure();
+    it.populate();
+    for (const std::string path : {"/query/1", "/book/1", "/read/1"}) {
+        CAPTURE(path);
+        auto caller = std::make_shared<test::fake_caller>();
+        caller->has_gone = true;
+        it.subject.on_arrival(
+            caller,
+            {"POST", path, {{"Host", "site.example"}, {"Attempt-Id", "a1"}, {"Authorization", "Bearer key-sangh"}}, ""},
+            it.clock.now());
+        CHECK(it.backends.calls.empty());
+        CHECK(caller->aborted);
+        CHECK(it.subject.active() == 0);
+    }
+}
