Refuse configurations with numbers that are negative or do not fit

What callers would see: limits that are off, as -1 was read as the largest number there is: attempts, weights, connections, sizes and times of the configuration. The configuration counts as unreadable.

--- a/test/platform/object_codec.cpp
+++ b/test/platform/object_codec.cpp
@@ -29,7 +29,7 @@
         R"("MaxAttempts":2,"Public":true,"Resumable":true,"GapAimMs":150},)"
         R"({"Host":"h","PathPrefix":"/b/","Kind":"keyed","Service":"s"}],)"
         R"("Services":[{"Name":"s","MaxConnections":170,"Engine":{"Slots":12,"KvCapacityTokens":610008,"KvHoldS":5.0}}],)"
-        R"("Limits":{"MaxHeaderBytes":1000,"IdleTimeoutMs":15000},)"
+        R"("Limits":{"MaxHeaderBytes":1000,"HeaderTimeoutMs":2500.5,"IdleTimeoutMs":15000},)"
         R"("Tenants":[{"Name":"o","ApiKeys":["k1","k2"],"Priority":1}]})");
     REQUIRE(it);
     const auto &values = it.value();
@@ -47,6 +47,7 @@
     REQUIRE(values.services[0].engine);
     CHECK(values.services[0].engine->handle_ttl == 5s);
     CHECK(values.limits.header_bytes == 1000);
+    CHECK(values.limits.header_timeout == 2500500us);
     CHECK(values.limits.idle_timeout == 15s);
     REQUIRE(values.organisations);
     CHECK(values.organisations->at(0).keys.size() == 2);
@@ -55,6 +56,28 @@
     CHECK_FALSE(codec.decode_config("{"));
 }
 
+// Guards against a limit that becomes enormous because a number is negative or does not fit.
+TEST_CASE("a configuration with numbers out of range cannot be read") {
+    const auto readable = [](const std::string &fields) {
+        return codec.decode_config(R"({"Version":7,"Routes":[{"Host":"h","PathPrefix":"/","Service":"s")" + fields)
+            .has_value();
+    };
+    CHECK(readable("}]}"));
+    for (const std::string number : {"-1", "-0.5", "1e300", "\"7\"", "true", "[]", "18446744073709551615"}) {
+        CAPTURE(number);
+        for (const std::string field : {"TimeoutMs", "TargetLatencyMs", "GapAimMs", "Priority", "MaxAttempts"}) {
+            CAPTURE(field);
+            CHECK_FALSE(readable(",\"" + field + "\":" + number + "}]}"));
+        }
+        for (const std::string field : {"MaxHeaderBytes", "MaxBodyBytes", "HeaderTimeoutMs", "IdleTimeoutMs"}) {
+            CAPTURE(field);
+            CHECK_FALSE(readable("}],\"Limits\":{\"" + field + "\":" + number + "}}"));
+        }
+        CHECK_FALSE(readable(R"(}],"Services":[{"Name":"s","MaxConnections":)" + number + "}]}"));
+        CHECK_FALSE(readable(R"(,"TrafficSplit":[{"Service":"s","Weight":)" + number + "}]}]}"));
+    }
+}
+
 // Guards against a system that is open to everybody once the last organisation has been taken away.
 TEST_CASE(
     "a configuration without organisations, one with an empty list and one that cannot be read are three things") {
