--- a/test/platform/http_protocol.cpp
+++ b/test/platform/http_protocol.cpp
@@ -126,3 +126,14 @@
         CHECK_FALSE(protocol.decode_handle(text));
     }
 }
+
+// Guards against a request that is late from the beginning because its deadline does not fit into a clock's time.
+TEST_CASE("a deadline beyond any request counts as a day") {
+    const auto time_left = [](const std::string &text) {
+        const http::request message{"POST", "/a", {{"Host", "h"}, {"Attempt-Id", "a1"}, {"Deadline-Ms", text}}, ""};
+        return protocol.decode_request(message).value().facts.time_left;
+    };
+    CHECK(time_left("1500") == 1500ms);
+    CHECK(time_left("1500150015001500") == 24h);
+    CHECK(time_left("18446744073709551615") == 24h);
+}
