Bound the bytes of large messages by the memory of the process

Cause: each answer and body had a limit, all of them together had none; neither had the bytes that wait for the forwarder. Over it an answer counts as broken and its caller gets 502 or 504, and a caller's body is refused with 503 as not run. The event ring has a limit in bytes, 4 MiB, beyond which transfers wait.

Test: 'answers without end from many servers at once stay within the memory of the gateway', 24 servers, memory_mb 64, peaks below 64 MB for all three kinds of answers.

--- a/src/base/ring.hpp
+++ b/src/base/ring.hpp
@@ -3,6 +3,7 @@
 #include <condition_variable>
 #include <cstddef>
 #include <deque>
+#include <limits>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -19,8 +20,12 @@
 template<typename Type>
 class bounded_ring {
 public:
-    /** @param limit Largest number of waiting elements, at least one. */
-    explicit bounded_ring(std::size_t limit) : limit_{limit} {}
+    /**
+     * @param limit Largest number of waiting elements, at least one.
+     * @param weight_limit Weight of waiting elements from which on `push` waits.
+     */
+    explicit bounded_ring(std::size_t limit, std::size_t weight_limit = std::numeric_limits<std::size_t>::max())
+        : limit_{limit}, weight_limit_{weight_limit} {}
 
     /** @return False when the ring is full or closed; the element is then dropped. */
     [[nodiscard]] bool try_push(Type value) {
@@ -28,19 +33,21 @@
         if (closed_ || items_.size() >= limit_) {
             return false;
         }
-        items_.push_back(std::move(value));
+        items_.push_back({std::move(value), 0});
         readable_.notify_one();
         return true;
     }
 
-    /** @brief Waits for room. @return False when the ring was closed. */
-    bool push(Type value) {
+    /** @brief Waits for room. @param weight For example the bytes that the element holds. @return False when the ring
+     * was closed. */
+    bool push(Type value, std::size_t weight = 0) {
         std::unique_lock lock{mutex_};
-        writable_.wait(lock, [this] { return closed_ || items_.size() < limit_; });
+        writable_.wait(lock, [this] { return closed_ || (items_.size() < limit_ && weight_ < weight_limit_); });
         if (closed_) {
             return false;
         }
-        items_.push_back(std::move(value));
+        weight_ += weight;
+        items_.push_back({std::move(value), weight});
         readable_.notify_one();
         return true;
     }
@@ -53,10 +60,11 @@
             return 1;
         }
         if (items_.size() >= limit_) {
+            weight_ -= items_.front().weight;
             items_.pop_front();
             dropped = 1;
         }
-        items_.push_back(std::move(value));
+        items_.push_back({std::move(value), 0});
         readable_.notify_one();
         return dropped;
     }
@@ -98,17 +106,25 @@
         if (items_.empty()) {
             return std::nullopt;
         }
-        std::optional<Type> value{std::move(items_.front())};
+        std::optional<Type> value{std::move(items_.front().value)};
+        weight_ -= items_.front().weight;
         items_.pop_front();
         writable_.notify_one();
         return value;
     }
 
+    struct element {
+        Type value;
+        std::size_t weight{0};
+    };
+
     const std::size_t limit_;
+    const std::size_t weight_limit_;
+    std::size_t weight_{0}; /**< Of all waiting elements. */
     mutable std::mutex mutex_;
     std::condition_variable readable_;
     std::condition_variable writable_;
-    std::deque<Type> items_;
+    std::deque<element> items_;
     bool closed_{false};
 };
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -36,7 +36,7 @@
                                                               deps_.protocol,  deps_.starts,  settings_.failure_domain,
                                                               stop_,           table_,        placement_,
                                                               retry_schedule_, waits_,        budget_,
-                                                              quarantine_},
+                                                              quarantine_,     deps_.budget},
       engine_{{deps_.time, deps_.metrics, deps_.backends, retries_}} {}
 
 void forwarder::refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const {
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -54,6 +54,8 @@
         std::function<void(crash_report)> on_crash_report{};
         /** Returns false while the configuration may be out of date; always up to date if empty. */
         std::function<bool()> config_confirmed{};
+        /** Of the bytes of answers that are collected whole; there is no limit on all of them together if null. */
+        base::byte_budget *budget{nullptr};
     };
 
     forwarder(forwarder_settings settings, dependencies deps);
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -14,6 +14,11 @@
 namespace internal {
 
 constexpr std::size_t event_ring_limit = 8192;
+// Bytes of answers that wait for the forwarder, beyond which their servers are slowed down.
+constexpr std::size_t event_ring_bytes = std::size_t{4} << 20U;
+// Large messages may hold the process's memory divided by this: each is copied while it is passed on, and its buffer
+// may be twice as large as its content.
+constexpr double message_memory_divisor = 8;
 // Period of the forwarder's periodic work while requests are in progress, and while there are none.
 constexpr auto busy_tick = std::chrono::milliseconds{25};
 constexpr auto idle_tick = std::chrono::milliseconds{200};
@@ -68,6 +73,11 @@
     return std::max(from.bounds.config_apply, answer_interval(from));
 }
 
+std::size_t message_bytes(const settings::gateway_settings &from) {
+    constexpr double mebibyte = 1024 * 1024;
+    return static_cast<std::size_t>(from.memory_mb * mebibyte / message_memory_divisor);
+}
+
 store_failure failure_of(const base::error &why) {
     return why.code == "connection_lost" ? store_failure::connection_cut : store_failure::no_answer;
 }
@@ -85,14 +95,17 @@
 } // namespace internal
 
 gateway_daemon::gateway_daemon(settings::gateway_settings values, dependencies deps)
-    : settings_{std::move(values)}, deps_{deps}, incarnation_{deps_.ids.next()}, events_{internal::event_ring_limit},
+    : settings_{std::move(values)}, deps_{deps}, incarnation_{deps_.ids.next()},
+      message_bytes_{internal::message_bytes(settings_)}, events_{internal::event_ring_limit,
+                                                                  internal::event_ring_bytes},
       time_of_day_{deps_.time, &system_wall_clock}, starts_{[this] { return time_of_day_.now(); },
                                                             settings_.bounds.usage_window, internal::kept_windows},
-      link_{transfers_, events_, settings_.timings.connect_timeout},
+      link_{transfers_, events_, settings_.timings.connect_timeout, message_bytes_},
       forwarder_{{.failure_domain = settings_.failure_domain, .retries = internal::retries_of(settings_.bounds)},
                  {deps_.time, metrics_, link_, deps_.protocol, starts_, internal::uniform_source(),
                   [this](crash_report it) { crash_reports_.offer(std::move(it)); },
-                  [this] { return config_.confirmed_within(internal::confirmation_limit(settings_)); }}},
+                  [this] { return config_.confirmed_within(internal::confirmation_limit(settings_)); },
+                  &message_bytes_}},
       config_{{deps_.time, deps_.codec, deps_.client, [this] { return peers(); },
                [this](traffic_config_ptr it) {
                    callers_.set_limits(it->values().limits);
@@ -213,6 +226,7 @@
     }
     http::server_limits limits;
     limits.connections = settings_.descriptors / internal::caller_share_divisor;
+    limits.budget = &message_bytes_;
     BOOST_OUTCOME_TRY(callers,
                       callers_.start(
                           settings_.listen.callers, [this](const http::exchange &call) { on_call(call); }, limits));
@@ -356,6 +370,7 @@
     count("slow_head", closed.slow, closed_.slow);
     count("for_room", closed.for_room, closed_.for_room);
     metrics_.set("caller_connections", "", static_cast<double>(callers_.connections()));
+    metrics_.set("message_bytes", "", static_cast<double>(message_bytes_.used()));
     if (const bool room = callers_.has_room(); room != std::exchange(callers_have_room_, room)) {
         log::write(room ? log::event{"callers_have_room"} : log::event{"callers_without_room"},
                    {{"connections", callers_.connections()}});
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -91,6 +91,7 @@
     dependencies deps_;
     const std::string incarnation_;
     metrics::registry metrics_;
+    base::byte_budget message_bytes_; /**< Of large messages in progress. */
     event_ring events_;
     jump_filter_clock time_of_day_;
     windowed_start_counter starts_;
--- a/src/gateway/http_backend_port.cpp
+++ b/src/gateway/http_backend_port.cpp
@@ -16,8 +16,9 @@
 
 } // namespace internal
 
-http_backend_port::http_backend_port(http::async_client &client, event_ring &events, base::duration connect_timeout)
-    : client_{client}, events_{events}, connect_timeout_{connect_timeout} {}
+http_backend_port::http_backend_port(http::async_client &client, event_ring &events, base::duration connect_timeout,
+                                     base::byte_budget &budget)
+    : client_{client}, events_{events}, connect_timeout_{connect_timeout}, budget_{budget} {}
 
 void http_backend_port::send(call_id call, std::string_view address, http::request message, base::duration timeout) {
     http::call_options options;
@@ -26,12 +27,14 @@
     // A reused connection may be closed by the peer while the request is written, or still hold bytes of an earlier
     // answer. Both cost more than opening a new connection.
     options.fresh_connection = true;
+    options.budget = &budget_;
     http::async_handlers handlers;
     handlers.on_head = [this, call](int status, const http::field_list &fields) {
         events_.push(head_event{call, status, fields});
     };
     handlers.on_data = [this, call](std::string_view part) {
-        return events_.push(data_event{call, std::string{part}});
+        // Waits while the forwarder has much to read, so that servers that send faster than that are slowed down.
+        return events_.push(data_event{call, std::string{part}}, part.size());
     };
     handlers.on_end = [this, call](base::result<http::response> answer) {
         {
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -91,9 +91,8 @@
 }
 
 opaque_exchange::opaque_exchange(const exchange_context &context, dispatch::request_identity of, opaque_request request)
-    : exchange{std::move(of)}, context_{context}, request_{std::move(request)}, traits_{traits_of(
-                                                                                    request_.content,
-                                                                                    identity().organisation)} {}
+    : exchange{std::move(of)}, context_{context}, request_{std::move(request)},
+      traits_{traits_of(request_.content, identity().organisation)}, body_held_{context.budget} {}
 
 dispatch::place_result opaque_exchange::place() {
     // Without ids, events already delivered cannot be recognised in the stream of another run.
@@ -244,6 +243,7 @@
     new_event_ = false;
     events_ = {};
     body_.clear();
+    body_held_.reset();
     server_answer_.reset();
     context_.table.started(backend_, prefill_tokens_, expected_);
     return {address_, context_.protocol.encode_attempt(request_.content, facts), left};
@@ -350,12 +350,16 @@
 
 call_event_result opaque_exchange::on_data(std::string_view part) {
     if (prefilling_ || !head_.event_stream) {
-        body_.append(part);
-        return body_.size() <= (prefilling_ ? internal::handle_limit : internal::body_limit)
-                   ? call_event_result{dispatch::call_pending{}}
-                   : call_failed{prefilling_ ? retry::evidence{evidence_kind::refused_before_handover}
-                                             : unknown_outcome(),
-                                 attempt_outcome::broken};
+        const auto size = body_.size() + part.size();
+        const bool allowed =
+            size <= (prefilling_ ? internal::handle_limit : internal::body_limit) && body_held_.resize(size);
+        if (allowed) {
+            body_.append(part);
+        }
+        return allowed ? call_event_result{dispatch::call_pending{}}
+                       : call_failed{prefilling_ ? retry::evidence{evidence_kind::refused_before_handover}
+                                                 : unknown_outcome(),
+                                     attempt_outcome::broken};
     }
     events_.feed(part);
     while (const auto event = events_.next()) {
@@ -363,7 +367,7 @@
             return dispatch::caller_disconnected{};
         }
     }
-    if (events_.size() > internal::event_limit) {
+    if (events_.size() > internal::event_limit || !body_held_.resize(events_.size())) {
         return call_failed{unknown_outcome(), attempt_outcome::broken};
     }
     return dispatch::call_pending{};
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/byte_budget.hpp"
 #include "base/clock.hpp"
 #include "dispatch/exchange.hpp"
 #include "gateway/backend_port.hpp"
@@ -43,6 +44,7 @@
     wait_limiter &waits;
     retry::retry_window &retry_budget;
     crash_quarantine &quarantine;
+    base::byte_budget *budget; /**< Of the bytes of answers that are collected whole; null for none. */
 };
 
 /** @brief A caller's request with its route and configuration. */
@@ -139,6 +141,7 @@
     answer_head head_;
     event_splitter events_;
     std::string body_;
+    base::byte_holding body_held_;
     std::optional<http::response> server_answer_; /**< An answer other than 200, to be forwarded. */
     server_incarnation incarnation_;              /**< Of the backend server of the last attempt. */
     bool progress_recorded_{false};               /**< For the last attempt. */
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/byte_budget.hpp"
 #include "base/clock.hpp"
 #include "base/error.hpp"
 #include "http/message.hpp"
@@ -29,6 +30,7 @@
     bool fresh_connection{false};                    /**< Uses a connection of its own, closed afterwards. */
     std::size_t head_limit{std::size_t{64} << 10U};  /**< Bytes of all heads and trailers of the response. */
     std::size_t body_limit{std::size_t{16} << 20U};  /**< Bytes of a body that is not streamed. */
+    base::byte_budget *budget{nullptr};              /**< Shared by all such bodies; outlives the call. */
 };
 
 /**
--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -35,6 +35,10 @@
     if (!within_limit(it, it.body_left, part.size())) {
         return 0;
     }
+    if (it.held && !it.held->resize(it.answer.body.size() + part.size())) {
+        it.too_long = true;
+        return 0;
+    }
     it.answer.body.append(part);
     return part.size();
 }
@@ -177,6 +181,7 @@
     it.handle = handle;
     it.head_left = options.head_limit;
     it.body_left = options.body_limit;
+    it.held = options.budget == nullptr ? nullptr : std::make_unique<base::byte_holding>(options.budget);
     const std::string url = "http://" + std::string{address} + it.message.target;
     it.headers = make_headers(it.message);
     curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
--- a/src/http/curl_transfer.hpp
+++ b/src/http/curl_transfer.hpp
@@ -27,6 +27,7 @@
     std::size_t head_left{0}; /**< Bytes of heads that are still accepted. */
     std::size_t body_left{0}; /**< Bytes of a body that is not streamed that are still accepted. */
     bool too_long{false};
+    std::unique_ptr<base::byte_holding> held{}; /**< What the body has taken of the budget, if there is one. */
     list_ptr headers{nullptr, &curl_slist_free_all};
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -38,6 +38,7 @@
     MHD_Daemon *daemon{nullptr};
     request_handler handler;
     std::size_t most_connections{0};
+    base::byte_budget *budget{nullptr};
     std::atomic<std::size_t> active{0};
     base::boottime_clock time;
 
@@ -112,12 +113,17 @@
 
 /** State of one request; `connection` is null once libmicrohttpd has forgotten it. */
 struct exchange_state {
+    explicit exchange_state(base::byte_budget *budget) : body_held{budget}, buffer_held{budget} {}
+
     std::mutex mutex;
     server_state *owner{nullptr};
     MHD_Connection *connection{nullptr};
     request message;
     std::size_t body_limit{0};
     bool body_too_large{false};
+    bool no_room_for_body{false};
+    base::byte_holding body_held;
+    base::byte_holding buffer_held;
     bool dispatched{false};
     bool suspended{false};
     bool answered{false};
@@ -146,6 +152,7 @@
         const std::size_t n = std::min(limit, it.buffer.size());
         it.buffer.copy(buf, n);
         it.buffer.erase(0, n);
+        (void)it.buffer_held.resize(it.buffer.size());
         return static_cast<ssize_t>(n);
     }
     if (it.aborted) {
@@ -185,10 +192,14 @@
     return MHD_YES;
 }
 
-MHD_Result reject(MHD_Connection *connection, unsigned int status, std::string text) {
+MHD_Result reject(MHD_Connection *connection, unsigned int status, std::string text,
+                  const char *retry_after_seconds = nullptr) {
     MHD_Response *answer = MHD_create_response_from_buffer(text.size(), text.data(), MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(answer, "Content-Type", "application/json");
     MHD_add_response_header(answer, "Connection", "close");
+    if (retry_after_seconds != nullptr) {
+        MHD_add_response_header(answer, "Retry-After", retry_after_seconds);
+    }
     const MHD_Result ok = MHD_queue_response(connection, status, answer);
     MHD_destroy_response(answer);
     return ok;
@@ -273,6 +284,10 @@
     if (*size > 0) {
         if (it.message.body.size() + *size > it.body_limit) {
             it.body_too_large = true;
+        } else if (it.no_room_for_body || !it.body_held.resize(it.message.body.size() + *size)) {
+            it.no_room_for_body = true;
+            it.message.body = {};
+            it.body_held.reset();
         } else {
             it.message.body.append(data, *size);
         }
@@ -282,6 +297,12 @@
     if (it.body_too_large) {
         return reject_body(connection);
     }
+    if (it.no_room_for_body) {
+        return reject(connection, MHD_HTTP_SERVICE_UNAVAILABLE,
+                      R"({"error":{"code":"overloaded","message":"the large bodies in progress leave no room for )"
+                      R"(another one; retry later","ran":"no"}})",
+                      "1");
+    }
     if (!it.dispatched) {
         it.dispatched = true;
         {
@@ -306,7 +327,7 @@
 void *on_uri(void *user, const char *uri, MHD_Connection *connection) {
     auto &owner = *static_cast<server_state *>(user);
     owner.enter(descriptor_of(connection), connection_phase::reading_head);
-    auto held = std::make_unique<state_ptr>(std::make_shared<exchange_state>());
+    auto held = std::make_unique<state_ptr>(std::make_shared<exchange_state>(owner.budget));
     (*held)->message.target = uri;
     return held.release();
 }
@@ -385,6 +406,8 @@
     state_->status = answer.status;
     state_->fields = answer.fields;
     state_->buffer = answer.body;
+    // An answer that is ready is delivered, whatever the budget.
+    (void)state_->buffer_held.resize(answer.body.size());
     state_->resume_locked();
 }
 
@@ -402,7 +425,8 @@
 
 bool exchange::write(std::string_view part) const {
     const std::scoped_lock lock{state_->mutex};
-    if (state_->gone || state_->aborted || state_->buffer.size() + part.size() > internal::stream_buffer_bytes) {
+    const auto size = state_->buffer.size() + part.size();
+    if (state_->gone || state_->aborted || size > internal::stream_buffer_bytes || !state_->buffer_held.resize(size)) {
         return false;
     }
     state_->buffer.append(part);
@@ -444,6 +468,7 @@
 base::result<std::string> server::start(std::string_view address, request_handler handler, server_limits limits) {
     BOOST_OUTCOME_TRY(where, internal::parse_address(address));
     state_->handler = std::move(handler);
+    state_->budget = limits.budget;
     {
         const std::scoped_lock lock{state_->mutex};
         state_->most_connections = limits.connections;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/byte_budget.hpp"
 #include "base/error.hpp"
 #include "http/caller_limits.hpp"
 #include "http/message.hpp"
@@ -60,6 +61,7 @@
     std::size_t body_bytes{std::size_t{4} << 20U};
     std::size_t connections{2000};
     unsigned int idle_timeout_seconds{120};
+    base::byte_budget *budget{nullptr}; /**< Of the bytes of bodies and answers; outlives the server; null for none. */
 };
 
 /** @brief Connections that a server has closed by itself. */
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -53,6 +53,7 @@
 constexpr range<double> retry_ratio_range{0, 10};
 constexpr range<double> retry_allowance_range{0, 1'000'000};
 constexpr range<std::uint64_t> descriptor_range{64, 10'000'000};
+constexpr range<double> memory_range{32, 1'048'576};
 
 void read_bounds(object_reader &in, gateway_bounds &out) {
     for (const auto &it : bounds_in_milliseconds) {
@@ -80,6 +81,7 @@
     in.optional("duties", out.duties, rules::peer_address);
     in.optional("seeds", out.seeds, rules::peer_address);
     in.optional("descriptors", out.descriptors, descriptor_range);
+    in.optional("memory_mb", out.memory_mb, memory_range);
     in.optional_object("bounds", [&out](object_reader &it) { read_bounds(it, out.bounds); });
     in.optional_object("timings", [&out](object_reader &it) {
         for (const auto &time : gateway_times) {
--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -50,6 +50,7 @@
     std::string duties;             /**< Address that takes usage reports; empty if none are to be sent. */
     std::vector<std::string> seeds; /**< Addresses of hosts that may run a gateway; their ports are ignored. */
     std::uint64_t descriptors{4096};
+    double memory_mb{256}; /**< Memory of the process in MiB; a part of it may hold large messages. */
     gateway_bounds bounds;
     gateway_timings timings;
 };
--- a/test/http/caller_connections.cpp
+++ b/test/http/caller_connections.cpp
@@ -211,3 +211,30 @@
     one.send("GET /%C3%A9?q=~%01 HTTP/1.1\r\nHost: a\r\n\r\n");
     CHECK(one.receive().starts_with("HTTP/1.1 200"));
 }
+
+// Guards against memory that grows with the number of large bodies, each of them within the limit.
+TEST_CASE("a body for which there is no room is refused as not run, and smaller requests are served") {
+    base::byte_budget budget{std::size_t{200} << 10U};
+    fixture it{{.budget = &budget}};
+    const std::string body(std::size_t{200} << 10U, 'x');
+    const std::string head =
+        "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    const caller first{it.address};
+    first.send(head + body.substr(1));
+    for (int n = 0; n < 100 && budget.used() == 0; ++n) {
+        std::this_thread::sleep_for(10ms);
+    }
+    const caller second{it.address};
+    second.send(head + body);
+    const auto refused = second.receive();
+    CHECK(refused.starts_with("HTTP/1.1 503"));
+    CHECK(refused.find("Retry-After: 1") != std::string::npos);
+    const caller small{it.address};
+    CHECK(small.served());
+    first.send("x");
+    CHECK(first.receive().starts_with("HTTP/1.1 200"));
+    for (int n = 0; n < 100 && budget.used() > 0; ++n) {
+        std::this_thread::sleep_for(10ms);
+    }
+    CHECK(budget.used() == 0);
+}
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -1,12 +1,16 @@
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <sstream>
 #include <thread>
 
+#include "support/endless_server.hpp"
 #include "support/forward_site.hpp"
 #include "support/site.hpp"
 
@@ -265,3 +269,59 @@
         CHECK_FALSE(runs.contains(id));
     }
 }
+
+namespace {
+
+/** @return Greatest memory that a process has had so far, in MB. */
+long peak_memory_mb(pid_t pid) {
+    std::ifstream in{"/proc/" + std::to_string(pid) + "/status"};
+    std::string line;
+    while (std::getline(in, line)) {
+        if (line.starts_with("VmHWM:")) {
+            return std::stol(line.substr(line.find_first_of("0123456789"))) / 1024;
+        }
+    }
+    return -1;
+}
+
+} // namespace
+
+// Guards against a gateway that exceeds its memory because many servers send bytes without end at the same time, each
+// of them within the limit of one answer.
+TEST_CASE("answers without end from many servers at once stay within the memory of the gateway") {
+    constexpr int servers = 24;
+    constexpr int memory_mb = 64;
+    const std::string part(std::size_t{64} << 10U, 'x');
+    for (const std::string head :
+         {"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\n", "HTTP/1.1 500 Broken\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n"}) {
+        CAPTURE(head);
+        test::forward_site it;
+        it.set_memory_mb(memory_mb);
+        it.configure({"key-1"});
+        std::vector<std::unique_ptr<test::endless_server>> all;
+        for (int n = 0; n < servers; ++n) {
+            all.push_back(std::make_unique<test::endless_server>(head, part));
+            const nlohmann::json entry{{"Service", "desk"},    {"Address", all.back()->address()},
+                                       {"Zone", "east"},       {"Version", "v1"},
+                                       {"Slots", 6},           {"State", "ready"},
+                                       {"ColdRemainingMs", 0}, {"Sequence", 1}};
+            it.write_foreign("servers/endless-" + std::to_string(n), entry.dump());
+        }
+        it.start_gateway(0);
+        REQUIRE(eventually([&it] { return it.ready(0); }));
+        std::vector<std::thread> callers;
+        std::atomic<int> truthful{0};
+        for (int n = 0; n < servers; ++n) {
+            callers.emplace_back([&it, &truthful, n] {
+                truthful += it.send(0, "book", "endless" + std::to_string(n)).status == 502 ? 1 : 0;
+            });
+        }
+        for (auto &caller : callers) {
+            caller.join();
+        }
+        CHECK(truthful == servers);
+        CHECK(peak_memory_mb(it.gateway(0).pid()) < memory_mb);
+        CHECK(it.ready(0));
+    }
+}
--- a/test/settings/gateway_settings.cpp
+++ b/test/settings/gateway_settings.cpp
@@ -31,11 +31,13 @@
 // start because of them.
 TEST_CASE("bounds may be fractions, and whole numbers may be written with a decimal point") {
     const auto it = settings::parse_gateway_settings(
-        "f", text, {"bounds.retry_allowance=38.26", "bounds.drain_ms=2000.5", "descriptors=4100.0"});
+        "f", text, {"bounds.retry_allowance=38.26", "bounds.drain_ms=2000.5", "descriptors=4100.0", "memory_mb=160.5"});
     REQUIRE(it);
     CHECK(it.value().bounds.retry_allowance == doctest::Approx(38.26));
     CHECK(it.value().bounds.drain == 2000500us);
     CHECK(it.value().descriptors == 4100);
+    CHECK(it.value().memory_mb == doctest::Approx(160.5));
+    CHECK_FALSE(settings::parse_gateway_settings("f", text, {"memory_mb=31"}));
     CHECK_FALSE(settings::parse_gateway_settings("f", text, {"descriptors=4100.5"}));
 }
 
--- a/test/support/forward_site.cpp
+++ b/test/support/forward_site.cpp
@@ -101,6 +101,7 @@
                         {"peers", "127.0.0.1:0"},
                         {"metrics", "127.0.0.1:0"}}},
                       {"store", store_paths_[n]->address()},
+                      {"memory_mb", memory_mb_},
                       {"duties", store_paths_[n]->address()},
                       {"bounds", {{"stop_grace_s", 8}, {"usage_window_s", 1}, {"retry_allowance", 500}}}};
     const auto file = folder_ / ("gateway-" + std::to_string(n) + ".json");
--- a/test/support/forward_site.hpp
+++ b/test/support/forward_site.hpp
@@ -53,6 +53,9 @@
     /** @brief Starts gateway `n`, or starts it again. */
     void start_gateway(std::size_t n);
 
+    /** @brief Sets the memory of gateways that are started later. */
+    void set_memory_mb(int memory_mb) noexcept { memory_mb_ = memory_mb; }
+
     [[nodiscard]] child_process &gateway(std::size_t n) { return *gateways_.at(n); }
     [[nodiscard]] std::size_t gateways() const noexcept { return gateways_.size(); }
 
@@ -114,6 +117,7 @@
     std::vector<std::string> caller_addresses_;
     std::vector<std::string> readiness_addresses_;
     std::uint64_t version_{1};
+    int memory_mb_{256};
 };
 
 /** @return The whole stream that the runner makes for a request. */
