Tell parts of prompts that are held together apart by trials

Cause: parts with the same ends and without an answer are equally suspect, all of them are held, and a part that is held cannot be answered any more. Change: what is held for the same ends is one group, also in the report to other gateways. A request that has some of a group, but not all, and nothing else that is held, may run as a trial: one in five seconds, at the one gateway that ranks first for the group. Its answer clears the part everywhere, as answers did before; an end under it confirms what it had, and there are no more trials. So a trial costs one end at most, for each gateway that takes itself for the first.

--- a/src/gateway/crash_quarantine.cpp
+++ b/src/gateway/crash_quarantine.cpp
@@ -1,9 +1,11 @@
 #include "gateway/crash_quarantine.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
+#include "gateway/prefix_cache_tracker.hpp"
 #include "log/event.hpp"
 
 namespace dotterelstack::gateway {
@@ -26,6 +28,11 @@
     return kind == trait_kind::prompt_part ? log::event{"prompt_part_held"} : log::event{"request_held"};
 }
 
+/** @return The same for the same traits in every gateway; 0 for one trait. */
+std::uint64_t group_of(std::span<const request_trait> traits) {
+    return traits.size() < 2 ? 0 : std::ranges::min(traits).id | 1U;
+}
+
 log::event released_event(trait_kind kind) {
     return kind == trait_kind::prompt_part ? log::event{"prompt_part_released"} : log::event{"request_released"};
 }
@@ -83,7 +90,9 @@
             std::ranges::for_each(it.traits, [this](const auto &trait) { add_sound(trait); });
             break;
         case observation_kind::held:
-            std::ranges::for_each(it.traits, [this](const auto &trait) { adopt_hold(trait); });
+            std::ranges::for_each(it.traits, [this, group = internal::group_of(it.traits)](const auto &trait) {
+                adopt_hold(trait, group);
+            });
             break;
         }
     }
@@ -110,6 +119,48 @@
     return out;
 }
 
+bool crash_quarantine::makes_trials(std::uint64_t group) const {
+    const auto rank_of = [group](std::string_view gateway) { return rendezvous_rank(group, engine_hash(gateway)); };
+    const auto own = rank_of(gateways_.own);
+    return gateways_.listed &&
+           std::ranges::none_of(gateways_.others, [&](const auto &it) { return rank_of(it) > own; });
+}
+
+bool crash_quarantine::begin_trial(std::span<const request_trait> traits) {
+    const auto now = time_.now();
+    std::uint64_t group = 0;
+    std::ptrdiff_t n = 0;
+    for (const auto &trait : traits) {
+        const auto found = held_.find(trait);
+        if (found == held_.end() || now >= found->second.until) {
+            continue;
+        }
+        const auto &it = found->second;
+        if (it.group == 0 || it.confirmed || (group != 0 && it.group != group)) {
+            return false;
+        }
+        group = it.group;
+        ++n;
+    }
+    const auto members = std::ranges::count_if(held_, [group](const auto &it) { return it.second.group == group; });
+    const auto next = next_trials_.find(group);
+    const bool due = next == next_trials_.end() || now >= next->second;
+    if (n == 0 || n == members || !due || !makes_trials(group)) {
+        return false;
+    }
+    next_trials_[group] = now + settings_.trial_time;
+    log::write("crash_trial", {{"held", n}, {"together", members}});
+    return true;
+}
+
+void crash_quarantine::on_trial_broken(std::span<const request_trait> traits) {
+    for (const auto &trait : traits) {
+        if (const auto found = held_.find(trait); found != held_.end()) {
+            found->second.confirmed = true;
+        }
+    }
+}
+
 bool crash_quarantine::suspected(std::span<const request_trait> traits) const {
     return std::ranges::any_of(traits, [this](const auto &it) {
         const auto found = suspects_.find(it);
@@ -152,7 +203,7 @@
     changed_ = true;
 }
 
-void crash_quarantine::adopt_hold(const request_trait &trait) {
+void crash_quarantine::adopt_hold(const request_trait &trait, std::uint64_t group) {
     // A request that comes often may have been at several ends of one cause. Gateways that have seen it answered say so
     // once; after that, further ends count.
     if (trait.kind == trait_kind::whole_request && answered_.contains(trait.id) && !sound_.contains(trait)) {
@@ -160,7 +211,8 @@
         observe(observation_kind::sound, "", std::span{&trait, 1});
         return;
     }
-    if (held_.try_emplace(trait, hold{time_.now() + settings_.first_hold, settings_.first_hold}).second) {
+    const hold adopted{time_.now() + settings_.first_hold, settings_.first_hold, group};
+    if (held_.try_emplace(trait, adopted).second) {
         log::write(internal::held_event(trait.kind), {{"id", trait.id}, {"origin", "peer"}});
         changed_ = true;
     }
@@ -168,8 +220,9 @@
 
 void crash_quarantine::observe(observation_kind kind, std::string server, std::span<const request_trait> traits,
                                std::string address) {
-    const bool extends = !own_.empty() && own_.back().what.number > published_ && own_.back().what.kind == kind &&
-                         own_.back().what.server == server;
+    // Traits in one observation of a hold are held together.
+    const bool extends = kind != observation_kind::held && !own_.empty() && own_.back().what.number > published_ &&
+                         own_.back().what.kind == kind && own_.back().what.server == server;
     if (!extends) {
         if (own_.size() == internal::max_observations) {
             own_.pop_front();
@@ -264,12 +317,11 @@
     }
 }
 
-void crash_quarantine::start_hold(const candidate &of) {
+void crash_quarantine::start_hold(const candidate &of, std::uint64_t group) {
     const auto before = released_.find(of.trait);
     const auto length =
         before == released_.end() ? settings_.first_hold : std::min(2 * before->second, settings_.longest_hold);
-    held_[of.trait] = {time_.now() + length, length};
-    observe(observation_kind::held, "", std::span{&of.trait, 1});
+    held_[of.trait] = {time_.now() + length, length, group};
     log::write(internal::held_event(of.trait.kind),
                {{"id", of.trait.id},
                 {"origin", "own"},
@@ -291,11 +343,17 @@
         if (best == all.end() || time_.now() - best->ends.back()->learned_at < settings_.settle) {
             break;
         }
-        for (const auto &it : all) {
-            if (it.ends == best->ends && it.known == best->known && it.trait.kind == best->trait.kind) {
-                start_hold(it);
-            }
+        const auto same_ends = [&best](const auto &it) {
+            return it.ends == best->ends && it.known == best->known && it.trait.kind == best->trait.kind;
+        };
+        std::vector<candidate> chosen;
+        std::ranges::copy_if(all, std::back_inserter(chosen), same_ends);
+        request_traits together;
+        std::ranges::transform(chosen, std::back_inserter(together), &candidate::trait);
+        for (const auto &it : chosen) {
+            start_hold(it, internal::group_of(together));
         }
+        observe(observation_kind::held, "", together);
         explain();
     }
     suspects_.clear();
@@ -317,6 +375,7 @@
         }
     }
     std::erase_if(held_, [now](const auto &it) { return now >= it.second.until; });
+    std::erase_if(next_trials_, [now](const auto &it) { return now >= it.second; });
     const auto oldest = now - settings_.memory;
     std::erase_if(ends_, [&](const auto &it) { return it.learned_at < oldest; });
     std::erase_if(marked_, [&](const auto &it) { return it.second < oldest; });
--- a/src/gateway/crash_quarantine.hpp
+++ b/src/gateway/crash_quarantine.hpp
@@ -10,11 +10,13 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/clock.hpp"
 #include "gateway/answered_requests.hpp"
 #include "gateway/crash_report.hpp"
+#include "gateway/gateway_group.hpp"
 #include "gateway/request_traits.hpp"
 
 namespace dotterelstack::gateway {
@@ -34,7 +36,8 @@
     base::duration settle{std::chrono::milliseconds{300}};
     base::duration first_hold{std::chrono::minutes{10}}; /**< Doubles each time that the trait ends a server again. */
     base::duration longest_hold{std::chrono::hours{2}};
-    base::duration memory{std::chrono::minutes{10}}; /**< Age at which observations are dropped. */
+    base::duration memory{std::chrono::minutes{10}};    /**< Age at which observations are dropped. */
+    base::duration trial_time{std::chrono::seconds{5}}; /**< Between two trials of traits that are held together. */
 };
 
 /** @brief Why a request is held back, and for how long. */
@@ -52,6 +55,10 @@
  * were cut off only where such a trait explains the end are left alone.
  *
  * Gateways exchange their observations, because each sees only some of the requests of a server.
+ *
+ * Traits that were at the same ends are held together, although one of them may explain all ends. A request that has
+ * only some of them tells them apart, so one gateway of the site lets such a request run from time to time, until its
+ * answer clears them or its end confirms them.
  */
 class crash_quarantine {
 public:
@@ -77,6 +84,19 @@
     /** @return The longest hold on a request with these traits; nothing if it may run. */
     [[nodiscard]] std::optional<crash_hold> held(std::span<const request_trait> traits) const;
 
+    /** @brief Sets the gateways, of which one makes the trials of each group of traits. */
+    void set_gateways(gateway_group all) { gateways_ = std::move(all); }
+
+    /**
+     * @brief Lets a request with held traits run as a trial if its answer would tell traits apart. Its end is reported
+     * by `on_progress`, or by `on_trial_broken` besides `on_broken`.
+     * @return True if the request may run.
+     */
+    [[nodiscard]] bool begin_trial(std::span<const request_trait> traits);
+
+    /** @brief A server ended under a trial: there are no more of the traits of this request that are held. */
+    void on_trial_broken(std::span<const request_trait> traits);
+
     /** @return True when a trait that was never answered has seen several ends, so that the request is not repeated. */
     [[nodiscard]] bool suspected(std::span<const request_trait> traits) const;
 
@@ -101,6 +121,8 @@
     struct hold {
         base::instant until{};
         base::duration length{0};
+        std::uint64_t group{0}; /**< The same for traits that are held together; 0 for one that is held alone. */
+        bool confirmed{false};  /**< A server ended under a trial of it. */
     };
 
     /** A trait with the ends that nothing else explains. */
@@ -118,15 +140,16 @@
 
     void add_end(std::string_view server, std::span<const request_trait> traits);
     void add_sound(const request_trait &trait);
-    void adopt_hold(const request_trait &trait);
+    void adopt_hold(const request_trait &trait, std::uint64_t group);
     void observe(observation_kind kind, std::string server, std::span<const request_trait> traits,
                  std::string address = {});
     [[nodiscard]] bool known(const request_trait &trait) const;
     [[nodiscard]] std::vector<candidate> candidates() const;
     [[nodiscard]] std::size_t weigh(const candidate &of) const;
     [[nodiscard]] std::size_t needed(const candidate &of) const;
+    [[nodiscard]] bool makes_trials(std::uint64_t group) const;
     void decide();
-    void start_hold(const candidate &of);
+    void start_hold(const candidate &of, std::uint64_t group);
     void explain();
     void expire();
 
@@ -139,6 +162,8 @@
     answered_requests answered_;
     std::unordered_map<request_trait, bool> suspects_; /**< Traits at several ends; true if answered before. */
     std::unordered_map<request_trait, hold> held_;
+    std::unordered_map<std::uint64_t, base::instant> next_trials_; /**< Of each group that has had one. */
+    gateway_group gateways_;
     std::unordered_map<request_trait, base::duration> released_; /**< Length of the last hold. */
     std::map<std::string, std::uint64_t, std::less<>> read_;     /**< Newest observation taken from each gateway. */
     std::deque<dated_observation> own_;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -143,6 +143,7 @@
     budget_.set_gateways(n);
     table_.set_gateways(n);
     table_.set_limit_sharers(all);
+    quarantine_.set_gateways(all);
     placement_.set_gateways(n);
 }
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <random>
-#include <ranges>
 
 #include "base/overloaded.hpp"
 #include "gateway/peer_call.hpp"
@@ -134,8 +133,8 @@
             [this](const auto &all) { std::ranges::for_each(all, [this](const auto &it) { config_.on_object(it); }); },
             [this](std::span<const store::watch_event> changes) {
                 // Decoding a configuration is expensive, and the newest one that can be read replaces the others.
-                for (const auto &it : std::views::reverse(changes)) {
-                    if (!it.deleted && config_.on_object(it.item)) {
+                for (auto it = changes.rbegin(); it != changes.rend(); ++it) {
+                    if (!it->deleted && config_.on_object(it->item)) {
                         break;
                     }
                 }
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -125,9 +125,15 @@
     return start(placed.plan);
 }
 
-std::optional<dispatch::refusal> opaque_exchange::refusal_for_traits() const {
+std::optional<dispatch::refusal> opaque_exchange::refusal_for_traits() {
     const auto ran = dispatch::ran_claim_of(*this);
-    if (const auto hold = context_.quarantine.held(traits_)) {
+    const bool may_have_run = history().may_have_run();
+    const auto hold = is_trial_ && !may_have_run ? std::nullopt : context_.quarantine.held(traits_);
+    if (hold && !may_have_run && !started_ && context_.quarantine.begin_trial(traits_)) {
+        is_trial_ = true;
+        return std::nullopt;
+    }
+    if (hold) {
         const bool part = hold->kind == trait_kind::prompt_part;
         const auto *code = part ? "prompt_held" : "request_held";
         if (ran == ran_claim::unknown) {
@@ -140,7 +146,7 @@
                                         "or change the request",
                                  ran, hold->left};
     }
-    if (history().may_have_run() && context_.quarantine.suspected(traits_)) {
+    if (may_have_run && context_.quarantine.suspected(traits_)) {
         return refusal_with("crash_suspected", ran_claim::unknown);
     }
     return std::nullopt;
@@ -261,6 +267,9 @@
                                       {"digest", traits_.back().id},
                                       {"parts", internal::part_ids(traits_)}});
         context_.quarantine.on_broken(to_string(incarnation_), address_, traits_);
+        if (is_trial_) {
+            context_.quarantine.on_trial_broken(traits_);
+        }
     }
     if (probably_began(how)) {
         count_start();
@@ -473,7 +482,7 @@
     const auto *decoder = context_.table.find(decode_backend_);
     const bool usable = decoder != nullptr && context_.table.accepts(*decoder) && !context_.table.pausing(*decoder) &&
                         (run_limit_ == limit_use::counted || context_.table.use_limit(*decoder) != limit_use::exceeded);
-    if (!usable || context_.quarantine.held(traits_)) {
+    if (!usable || (!is_trial_ && context_.quarantine.held(traits_))) {
         // The prefill succeeded, but its state cannot be used: the decode engine takes no requests, or the
         // request is held.
         return call_failed{{evidence_kind::never_sent}, attempt_outcome::cancelled};
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -91,7 +91,7 @@
 private:
     [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed);
     void end_wait(bool placed);
-    [[nodiscard]] std::optional<dispatch::refusal> refusal_for_traits() const;
+    [[nodiscard]] std::optional<dispatch::refusal> refusal_for_traits();
     void record_progress();
     [[nodiscard]] base::instant admission_limit() const noexcept;
     [[nodiscard]] base::duration retry_after(base::duration free_in) const;
@@ -118,7 +118,8 @@
     const opaque_request request_;
     const request_traits traits_;
 
-    bool waiting_{false}; /**< Counted by the wait limiter. */
+    bool waiting_{false};  /**< Counted by the wait limiter. */
+    bool is_trial_{false}; /**< Runs although traits of it are held; see `crash_quarantine::begin_trial`. */
 
     // Attempts
     bool may_split_{true};
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -212,6 +212,8 @@
      "All connections for callers are in use and none is idle; new callers wait, and readiness is off.",
      "Add gateways, or raise the limit on descriptors."},
     {1931, "callers_have_room", severity::info, "There is room for connections of callers again.", "none"},
+    {1932, "crash_trial", severity::info,
+     "A request runs although something in it is held, to tell apart what is held together.", "none"},
 });
 
 } // namespace dotterelstack::log
--- a/test/gateway/crash_quarantine.cpp
+++ b/test/gateway/crash_quarantine.cpp
@@ -220,6 +220,94 @@
     CHECK_FALSE(fresh.held({crashing}));
 }
 
+// After a restart no gateway knows which of two parts is sound when both were at every end. Guards against refusing the
+// sound one for minutes, and against trials that cost more than one server (review, further faults, second row).
+TEST_CASE("parts that are held together are told apart by a request that has only one of them") {
+    const auto hold_both = [](fixture &it) {
+        for (int n = 0; n < 3; ++n) {
+            it.engine_ends({{common, crashing}});
+        }
+        it.settle();
+        REQUIRE(it.held({common}));
+        REQUIRE(it.held({crashing}));
+    };
+    fixture it;
+    hold_both(it);
+    // While the other gateways are not known, any of them may be the one that makes the trials.
+    CHECK_FALSE(it.subject.begin_trial(it.of({common})));
+    it.subject.set_gateways({.own = "one", .others = {}, .listed = true});
+    CHECK_FALSE(it.subject.begin_trial(it.of({common, crashing})));
+    CHECK_FALSE(it.subject.begin_trial(it.of({7})));
+    const auto sound = it.of({common, 7});
+    CHECK(it.subject.begin_trial(sound));
+    CHECK_FALSE(it.subject.begin_trial(it.of({common, 8})));
+    it.answer_request(sound);
+    CHECK_FALSE(it.held({common}));
+    CHECK(it.held({crashing}));
+    it.clock.advance(1min);
+    CHECK_FALSE(it.subject.begin_trial(it.of({crashing})));
+
+    fixture worse;
+    hold_both(worse);
+    worse.subject.set_gateways({.own = "one", .others = {}, .listed = true});
+    const auto bad = worse.of({crashing});
+    CHECK(worse.subject.begin_trial(bad));
+    worse.subject.on_broken("engine-9@1", "10.0.0.1:80", bad);
+    worse.subject.on_trial_broken(bad);
+    worse.settle();
+    worse.clock.advance(1min);
+    CHECK_FALSE(worse.subject.begin_trial(worse.of({crashing})));
+    CHECK(worse.held({crashing}));
+    // The other one can still be cleared.
+    CHECK(worse.subject.begin_trial(worse.of({common})));
+    worse.answer({common});
+    CHECK_FALSE(worse.held({common}));
+}
+
+// Guards against a trial at each gateway, and against one that the others do not learn from.
+TEST_CASE("one gateway makes the trials of parts held together, and all learn its result") {
+    fixture one;
+    fixture other;
+    for (int n = 0; n < 3; ++n) {
+        one.engine_ends({{common, crashing}});
+    }
+    one.settle();
+    other.subject.on_report("one", one.subject.take_report().value());
+    CHECK(other.held({common}));
+    one.subject.set_gateways({.own = "one", .others = {"other"}, .listed = true});
+    other.subject.set_gateways({.own = "other", .others = {"one"}, .listed = true});
+    const bool by_one = one.subject.begin_trial(one.of({common}));
+    const bool by_other = other.subject.begin_trial(other.of({common}));
+    CHECK(by_one != by_other);
+    auto &trying = by_one ? one : other;
+    auto &reading = by_one ? other : one;
+    trying.answer({common});
+    reading.subject.on_report(by_one ? "one" : "other", trying.subject.take_report().value());
+    CHECK_FALSE(reading.held({common}));
+    CHECK(reading.held({crashing}));
+}
+
+// Guards against a trial of parts that were held one after the other, which no request tells apart.
+TEST_CASE("parts that are held for different ends have no trials") {
+    fixture it;
+    it.subject.set_gateways({.own = "one", .others = {}, .listed = true});
+    for (const std::uint64_t id : {crashing, crashing + 1}) {
+        for (int n = 0; n < 3; ++n) {
+            it.engine_ends({{id}});
+        }
+        it.settle();
+    }
+    fixture other;
+    other.subject.set_gateways({.own = "one", .others = {}, .listed = true});
+    other.subject.on_report("one", it.subject.take_report().value());
+    for (auto *subject : {&it, &other}) {
+        CHECK(subject->held({crashing}));
+        CHECK(subject->held({crashing + 1}));
+        CHECK_FALSE(subject->subject.begin_trial(subject->of({crashing})));
+        CHECK_FALSE(subject->subject.begin_trial(subject->of({crashing + 1})));
+    }
+}
+
 // Guards against a hold without end, and against losing several engines at each trial.
 TEST_CASE("a hold ends by time, and one more end renews it for longer") {
     fixture it;
--- a/test/gateway/forwarder.cpp
+++ b/test/gateway/forwarder.cpp
@@ -448,6 +448,54 @@
     CHECK(it.backends.calls.size() == calls + 1);
 }
 
+// The first part of all prompts that end engines is that of sound ones, too, and no gateway has seen it answered.
+// Guards against refusing sound prompts for as long as the others (review, further faults, second row).
+TEST_CASE("a prompt with one of the parts that are held together runs as a trial, and its answer clears the part") {
+    for (const bool sound : {true, false}) {
+        CAPTURE(sound);
+        forwarder_fixture it;
+        it.configure();
+        it.subject.set_gateways({.own = "one", .others = {}, .listed = true});
+        const auto with = [](const std::string &parts, int own) -> http::field_list {
+            return {{"Prompt-Prefix", parts + ",f" + std::to_string(own) + ":100"}};
+        };
+        for (int n = 0; n < 3; ++n) {
+            it.subject.on_backends(
+                {test::server("engine-" + std::to_string(n), "llm", gateway::engine_stage::decode, 12)});
+            (void)it.send("/query/" + std::to_string(n), with("a1:100,bad:100", n));
+            it.begin_stream();
+            it.end(call_end::broken);
+            it.clock.advance(600ms);
+            it.subject.tick();
+        }
+        it.clock.advance(500ms);
+        it.subject.tick();
+        it.subject.on_backends({test::server("engine-9", "llm", gateway::engine_stage::decode, 12)});
+        CHECK(it.send("/query/7", with("a1:100,bad:100", 7))->status() == 503);
+        const auto trial = it.send("/query/8", with("a1:100", 8));
+        CHECK_FALSE(trial->ended());
+        // One at a time.
+        CHECK(it.send("/query/9", with("a1:100", 9))->status() == 503);
+        it.begin_stream();
+        if (sound) {
+            it.event(1);
+            it.event(2);
+            it.end(call_end::complete);
+            CHECK(trial->finished);
+        } else {
+            it.end(call_end::broken);
+            CHECK(trial->status() == 502);
+        }
+        it.clock.advance(1min);
+        it.subject.tick();
+        it.subject.on_backends({test::server("engine-10", "llm", gateway::engine_stage::decode, 12)});
+        const auto calls = it.backends.calls.size();
+        CHECK(it.send("/query/10", with("a1:100", 10))->status() == (sound ? 0 : 503));
+        CHECK(it.backends.calls.size() == calls + (sound ? 1 : 0));
+        CHECK(it.send("/query/11", with("a1:100,bad:100", 11))->status() == 503);
+    }
+}
+
 // Guards against a request that goes on ending servers when it comes again, and against refusing others on its route.
 TEST_CASE("a request that servers end on is not repeated, and refused as not run when it comes again") {
     forwarder_fixture it;
--- a/test/promise/promise_15_crashing_prompt.cpp
+++ b/test/promise/promise_15_crashing_prompt.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
@@ -114,3 +115,40 @@
     CHECK(sound_sent_late > 20);
     CHECK(sound_served_late >= sound_sent_late * 9 / 10);
 }
+
+// Guards against refusing a sound part for as long as a crashing one that it was always together with, when the
+// gateways have seen neither of them answered (review, further faults, second row).
+TEST_CASE("promise 15: a sound part that is held together with a crashing one is cleared") {
+    fixture it;
+    const auto with_first = [](const std::string &rest, int own) {
+        char hex[9];
+        std::snprintf(hex, sizeof hex, "%x", 0x200000 + own);
+        return http::field_list{{"Prompt-Prefix", "c3:100," + rest + std::string{hex} + ":100"}};
+    };
+    std::map<std::string, steady::time_point> crashing_sent;
+    int sound_sent = 0;
+    int sound_served = 0;
+    const auto begun = steady::now();
+    // The fifth end, or the last one if there are fewer: from then on the rules count.
+    const auto decisive_end = [&it] { return it.ended_at()[std::min(it.ended_at().size(), ends_before_limit) - 1]; };
+    for (int own = 0; steady::now() < begun + 16s; ++own) {
+        const auto gateway = static_cast<std::size_t>(own) % gateway_count;
+        const auto id = "bad-" + std::to_string(own);
+        crashing_sent[id] = steady::now();
+        (void)it.send(gateway, "query", id, "key-1", with_first("badbad:200,", own));
+        if (steady::now() > begun + 5s) {
+            const bool counted = !it.ended_at().empty() && steady::now() > decisive_end() + 2 * contact_time;
+            const auto answer = it.send((gateway + 1) % gateway_count, "query", "good-" + std::to_string(own), "key-1",
+                                        with_first("", own));
+            sound_sent += counted ? 1 : 0;
+            sound_served += counted && answer.status == 200 ? 1 : 0;
+        }
+        it.replace_ended_runners();
+        std::this_thread::sleep_for(250ms);
+    }
+    CAPTURE(it.ended_at().size());
+    REQUIRE_FALSE(it.ended_at().empty());
+    CHECK(it.runs_sent_after(crashing_sent, decisive_end() + contact_time) <= allowed_after_limit);
+    CHECK(sound_sent >= 20);
+    CHECK(sound_served * 2 >= sound_sent);
+}
