Add unreadable entries and endless answers to the soak

Another writer adds an entry that cannot be read or overwrites that of a runner, and desks join that answer with bytes without end. Besides, corrections for the linter in new tests: capacity that is reserved, and texts put together by append.

--- a/test/base/byte_budget.cpp
+++ b/test/base/byte_budget.cpp
@@ -40,6 +40,7 @@
 TEST_CASE("a budget is exact when threads use it at the same time") {
     base::byte_budget budget{100};
     std::vector<std::thread> all;
+    all.reserve(4);
     for (int n = 0; n < 4; ++n) {
         all.emplace_back([&budget] {
             for (int k = 0; k < 20'000; ++k) {
--- a/test/http/caller_connections.cpp
+++ b/test/http/caller_connections.cpp
@@ -91,6 +91,7 @@
 TEST_CASE("at the limit of connections those that have been idle for longest make room for new callers") {
     fixture it{{.connections = 64}};
     std::vector<std::unique_ptr<caller>> open;
+    open.reserve(300);
     for (int n = 0; n < 300; ++n) {
         CAPTURE(n);
         open.push_back(std::make_unique<caller>(it.address));
@@ -118,6 +119,7 @@
                                     {.connections = 16});
     REQUIRE(bound);
     std::vector<std::unique_ptr<caller>> open;
+    open.reserve(16);
     for (int n = 0; n < 16; ++n) {
         open.push_back(std::make_unique<caller>(bound.value()));
         open.back()->send(request);
--- a/test/platform/http_protocol.cpp
+++ b/test/platform/http_protocol.cpp
@@ -117,7 +117,7 @@
 // process or take much memory when they are parsed (review/3, related path).
 TEST_CASE("a handle is a text without blanks and control characters, and anything else is none") {
     CHECK(protocol.decode_handle(R"({"KvHandle":"3fa09c41b7d5","Tokens":1460,"Version":1})").value() == "3fa09c41b7d5");
-    for (const std::string text :
+    for (const std::string &text :
          {std::string{R"({"KvHandle":"a\r\nTenant: b"})"}, std::string{R"({"KvHandle":"a b"})"},
           std::string{R"({"KvHandle":"é"})"}, std::string{R"({"KvHandle":""})"}, std::string{R"({"KvHandle":7})"},
           std::string{"[]"}, std::string{}, std::string(100'000, '['),
--- a/test/platform/object_codec.cpp
+++ b/test/platform/object_codec.cpp
@@ -58,23 +58,24 @@
 
 // Guards against a limit that becomes enormous because a number is negative or does not fit.
 TEST_CASE("a configuration with numbers out of range cannot be read") {
-    const auto readable = [](const std::string &fields) {
-        return codec.decode_config(R"({"Version":7,"Routes":[{"Host":"h","PathPrefix":"/","Service":"s")" + fields)
-            .has_value();
+    const auto readable = [](const std::string &before, const std::string &number, const std::string &after) {
+        std::string text = R"({"Version":7,"Routes":[{"Host":"h","PathPrefix":"/","Service":"s")";
+        text.append(before).append(number).append(after);
+        return codec.decode_config(text).has_value();
     };
-    CHECK(readable("}]}"));
+    CHECK(readable("", "", "}]}"));
     for (const std::string number : {"-1", "-0.5", "1e300", "\"7\"", "true", "[]", "18446744073709551615"}) {
         CAPTURE(number);
         for (const std::string field : {"TimeoutMs", "TargetLatencyMs", "GapAimMs", "Priority", "MaxAttempts"}) {
             CAPTURE(field);
-            CHECK_FALSE(readable(",\"" + field + "\":" + number + "}]}"));
+            CHECK_FALSE(readable(",\"" + field + "\":", number, "}]}"));
         }
         for (const std::string field : {"MaxHeaderBytes", "MaxBodyBytes", "HeaderTimeoutMs", "IdleTimeoutMs"}) {
             CAPTURE(field);
-            CHECK_FALSE(readable("}],\"Limits\":{\"" + field + "\":" + number + "}}"));
+            CHECK_FALSE(readable("}],\"Limits\":{\"" + field + "\":", number, "}}"));
         }
-        CHECK_FALSE(readable(R"(}],"Services":[{"Name":"s","MaxConnections":)" + number + "}]}"));
-        CHECK_FALSE(readable(R"(,"TrafficSplit":[{"Service":"s","Weight":)" + number + "}]}]}"));
+        CHECK_FALSE(readable(R"(}],"Services":[{"Name":"s","MaxConnections":)", number, "}]}"));
+        CHECK_FALSE(readable(R"(,"TrafficSplit":[{"Service":"s","Weight":)", number, "}]}]}"));
     }
 }
 
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -300,6 +300,7 @@
         it.set_memory_mb(memory_mb);
         it.configure({"key-1"});
         std::vector<std::unique_ptr<test::endless_server>> all;
+        all.reserve(servers);
         for (int n = 0; n < servers; ++n) {
             all.push_back(std::make_unique<test::endless_server>(head, part));
             const nlohmann::json entry{{"Service", "desk"},    {"Address", all.back()->address()},
@@ -311,6 +312,7 @@
         it.start_gateway(0);
         REQUIRE(eventually([&it] { return it.ready(0); }));
         std::vector<std::thread> callers;
+        callers.reserve(servers);
         std::atomic<int> truthful{0};
         for (int n = 0; n < servers; ++n) {
             callers.emplace_back([&it, &truthful, n] {
--- a/test/process/soak.cpp
+++ b/test/process/soak.cpp
@@ -10,6 +10,7 @@
 #include <sstream>
 #include <thread>
 
+#include "support/endless_server.hpp"
 #include "support/forward_site.hpp"
 #include "support/site.hpp"
 
@@ -147,7 +148,7 @@
     /** Does one drawn harm; some of them last, so that harms overlap. */
     void harm() {
         const auto n = static_cast<std::size_t>(draw(0, static_cast<int>(gateway_count) - 1));
-        const int kind = draw(0, 13);
+        const int kind = draw(0, 15);
         story_ += std::to_string(kind) + "@" + std::to_string(n) + " ";
         switch (kind) {
         case 0:
@@ -193,6 +194,10 @@
             return withdraw();
         case 13:
             return crash_desks(n);
+        case 14:
+            return write_unreadable();
+        case 15:
+            return add_endless_server();
         default:
             return withdraw();
         }
@@ -209,6 +214,26 @@
                                                : std::vector<std::string>{"key-1"});
     }
 
+    /** Another writer adds an entry that cannot be read, or overwrites that of a runner. */
+    void write_unreadable() {
+        static const std::array<std::string, 6> texts{
+            R"({"Slots":1e999})", "{Service: desk", "{\"Zone\":\"\x01\"}", std::string(100'000, '['), "]}", "null"};
+        const auto runners = site_.runners();
+        const auto name = draw(0, 2) == 0 ? runners.at(static_cast<std::size_t>(draw(0, 2))) : "printer-7";
+        site_.write_foreign("servers/" + name, texts.at(static_cast<std::size_t>(draw(0, 5))));
+    }
+
+    /** Adds a desk that answers each request with bytes without end. */
+    void add_endless_server() {
+        endless_.push_back(
+            std::make_unique<test::endless_server>("HTTP/1.1 500 Broken\r\n\r\n", std::string(65536, 'x')));
+        const nlohmann::json entry{{"Service", "desk"},    {"Address", endless_.back()->address()},
+                                   {"Zone", "east"},       {"Version", "v1"},
+                                   {"Slots", 6},           {"State", "ready"},
+                                   {"ColdRemainingMs", 0}, {"Sequence", 1}};
+        site_.write_foreign("servers/endless-" + std::to_string(endless_.size()), entry.dump());
+    }
+
     void start_desk(const std::string &id) { site_.start_runner(id, "", {"--crash-target", "/read/bad/1"}); }
 
     /** Sends a request that ends the desks that run it, and starts them again. */
@@ -249,6 +274,7 @@
     }
 
     std::mt19937 random_;
+    std::vector<std::unique_ptr<test::endless_server>> endless_;
     test::forward_site site_;
     std::mutex mutex_;
     std::vector<outcome> outcomes_;
