--- a/test/http/caller_connections.cpp
+++ b/test/http/caller_connections.cpp
@@ -36,6 +36,8 @@
     }
     caller(const caller &) = delete;
     caller &operator=(const caller &) = delete;
+    caller(caller &&) = delete;
+    caller &operator=(caller &&) = delete;
     ~caller() { ::close(fd_); }
 
     void send(const std::string &bytes) const {
