Wait for the request that a test counts, and declare new types ahead

Found with the address and undefined-behaviour sanitizers over the tests of http: 'connections with a request are not closed to make room' waited until any request was active, which the sixteen before may still be, and so failed in 2 of 3 such runs at its count of handled requests; one of these runs then used the list of requests after its end, as the test declared it after the server.

--- a/src/http/fwd.hpp
+++ b/src/http/fwd.hpp
@@ -8,5 +8,7 @@
 class curl_client;
 class exchange;
 class server;
+class connection_ages;
+struct caller_limits;
 
 } // namespace dotterelstack::http
--- a/test/http/caller_connections.cpp
+++ b/test/http/caller_connections.cpp
@@ -110,9 +110,9 @@
 
 // Guards against room that is made by cutting off callers who wait for their answer.
 TEST_CASE("connections with a request are not closed to make room") {
-    http::server server;
     std::vector<http::exchange> held;
     std::mutex mutex;
+    http::server server;
     const auto bound = server.start("127.0.0.1:0",
                                     [&](const http::exchange &call) {
                                         const std::scoped_lock lock{mutex};
@@ -143,12 +143,17 @@
     for (const auto &one : open) {
         CHECK(one->receive().find("done") != std::string::npos);
     }
-    for (int n = 0; n < 100 && server.active() < 1; ++n) {
+    // The one that waited is handled once an idle one has made room for it.
+    const auto handled = [&] {
+        const std::scoped_lock lock{mutex};
+        return held.size();
+    };
+    for (int n = 0; n < 500 && handled() < 17; ++n) {
         std::this_thread::sleep_for(10ms);
     }
+    REQUIRE(handled() == 17);
     CHECK(server.has_room());
     const std::scoped_lock lock{mutex};
-    REQUIRE(held.size() == 17);
     held.back().respond({200, {}, "late"});
     CHECK(waiting.receive().find("late") != std::string::npos);
     held.clear();
