--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -58,6 +58,7 @@
 }
 
 void fleet_view::mark_missing(member &it) {
+    // The grace of an unreadable entry ends when the entry is removed; another grace goes on.
     if (it.remove_at && !std::exchange(it.unreadable, false)) {
         return;
     }
