Use what can be read of a reported load, with the time of work

Gateways treated a load with four figures as unreadable, so that at servers which state how long work takes there no load was known at all.

--- a/src/gateway/request_facts.hpp
+++ b/src/gateway/request_facts.hpp
@@ -48,11 +48,12 @@
     std::optional<std::uint64_t> resume_after{}; /**< Last event that the caller has received. */
 };
 
-/** @brief Number of requests at a backend server, as it reports them; from all callers. */
+/** @brief Load of a backend server, as it reports it; requests are those of all callers. */
 struct reported_load {
     std::uint32_t running{0};
     std::uint32_t waiting{0};
-    std::uint32_t slots{0};
+    std::uint32_t slots{0};              /**< 0 if not reported; those of the discovery entry then hold. */
+    std::optional<double> work_factor{}; /**< Time that work takes there at this moment; 1 is usual. */
 };
 
 /** @brief What a backend server says about itself in an answer; it concerns all requests. */
