Pace requests to servers that have just started or recovered

Callers saw a server that starts or returns either flooded, because every gateway finds it idle in the same instant, or left alone. Each gateway now limits its own requests in progress there and finds the limit from the answers: one more for each answer that is about as fast as the best one, half after a refusal, failure or slow answer. Only services whose servers report how long work takes on their host are paced; what a server states about itself goes first. The order of gateways for a server now stands in one place, `gateway_order`, for limits and for the pace.

--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -29,7 +29,7 @@
 } // namespace internal
 
 backend_table::backend_table(const base::clock &time, health_settings settings)
-    : time_{time}, settings_{settings}, notices_{time} {}
+    : time_{time}, settings_{settings}, notices_{time}, pacing_{time} {}
 
 void backend_table::update(const std::vector<backend_server> &all) {
     std::set<std::string_view> seen;
@@ -47,6 +47,7 @@
     }
     std::erase_if(states_, [&seen](const auto &it) { return !seen.contains(it.first); });
     notices_.forget_unlisted(seen);
+    pacing_.update(all);
     services_.clear();
     for (const auto &[id, it] : states_) {
         services_[it.facts.service].push_back(&it);
@@ -97,7 +98,8 @@
 }
 
 base::instant backend_table::open_at(const backend_state &it) const {
-    return std::max(notices_.pause_end(it.facts), notices_.limit_end(it.facts));
+    return std::max(
+        {notices_.pause_end(it.facts), notices_.limit_end(it.facts), pacing_.open_at(it.facts.id, it.own_requests)});
 }
 
 std::optional<base::duration> backend_table::opens_in(std::string_view service,
@@ -164,6 +166,9 @@
         it->report = load;
         it->reported_at = time_.now();
         it->change_since_report = 0;
+        if (load.work_factor) {
+            pacing_.on_shared_host(it->facts.service);
+        }
     }
 }
 
@@ -184,11 +189,15 @@
     it.probing = false;
 }
 
-void backend_table::ended(std::string_view id, attempt_outcome how) {
+void backend_table::ended(std::string_view id, attempt_outcome how, std::optional<base::instant> sent) {
     auto *it = find_mutable(id);
     if (it == nullptr) {
         return;
     }
+    if (how == attempt_outcome::answered && it->paused_until) {
+        pacing_.on_recovered(it->facts);
+    }
+    pacing_.on_ended(id, how, sent.value_or(time_.now()));
     if (it->own_requests > 0) {
         --it->own_requests;
         --totals_of(*it).own_requests;
@@ -246,8 +255,9 @@
     return it.failures * kept / (it.attempts * kept + internal::assumed_successes);
 }
 
-void backend_table::timed(std::string_view id, double ratio) {
+void backend_table::timed(std::string_view id, double ratio, std::optional<base::instant> sent) {
     if (auto *it = find_mutable(id)) {
+        pacing_.on_time(id, ratio, sent.value_or(time_.now()));
         const double limit = std::log(internal::max_slowness);
         const double decayed = it->log_slowness * std::exp2(-base::to_seconds(time_.now() - it->timed_at) /
                                                             base::to_seconds(settings_.slowness_half_life));
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -14,6 +14,7 @@
 #include "gateway/backend_server.hpp"
 #include "gateway/request_facts.hpp"
 #include "gateway/server_notices.hpp"
+#include "gateway/server_pacing.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -67,7 +68,10 @@
     void set_gateways(std::uint32_t n) noexcept { gateways_ = n == 0 ? 1 : n; }
 
     /** @brief Sets the gateways that share the limits of servers. */
-    void set_limit_sharers(gateway_group group) { notices_.set_gateways(std::move(group)); }
+    void set_limit_sharers(const gateway_group &group) {
+        notices_.set_gateways(group);
+        pacing_.set_gateways(group);
+    }
 
     /** @return The state of a backend server, or null. */
     [[nodiscard]] const backend_state *find(std::string_view id) const;
@@ -75,8 +79,8 @@
     /** @return True unless the server is draining, by its entry or by its own answers. */
     [[nodiscard]] bool accepts(const backend_state &it) const;
 
-    /** @return Backend servers of a service that accept new requests now: not in back-off, pausing, or at their limit.
-     */
+    /** @return Backend servers of a service that accept new requests now: not in back-off, pausing, at their limit or
+     * at their pace. */
     [[nodiscard]] std::vector<const backend_state *> available(std::string_view service) const;
 
     /** @return True when at least one backend server is not draining. */
@@ -122,7 +126,8 @@
 
     void reported(std::string_view id, const reported_load &load);
 
-    void ended(std::string_view id, attempt_outcome how);
+    /** @param sent When the attempt was sent; now if absent. */
+    void ended(std::string_view id, attempt_outcome how, std::optional<base::instant> sent = std::nullopt);
 
     /** @return Estimated number of requests at the backend server, from all gateways. */
     [[nodiscard]] double outstanding(const backend_state &it) const;
@@ -143,8 +148,14 @@
     /** @return Fraction of recent attempts that failed, from 0 to 1. */
     [[nodiscard]] double failure_rate(const backend_state &it) const;
 
-    /** @brief A call has taken this many times as long as expected, by the slowness known before. */
-    void timed(std::string_view id, double ratio);
+    /** @return Number of servers that are being paced after a start or recovery. */
+    [[nodiscard]] std::size_t paced() const noexcept { return pacing_.paced(); }
+
+    /**
+     * @brief A call has taken this many times as long as expected, by the slowness known before.
+     * @param sent When it was sent; now if absent.
+     */
+    void timed(std::string_view id, double ratio, std::optional<base::instant> sent = std::nullopt);
 
     /** @return Time of calls at the backend server relative to others of its kind, at least 1. */
     [[nodiscard]] double slowness(const backend_state &it) const;
@@ -183,6 +194,7 @@
     std::map<std::string, std::vector<const backend_state *>, std::less<>> services_; /**< Servers by service. */
     std::array<stage_totals, engine_stages> stages_{};                                /**< By stage. */
     server_notices notices_;
+    server_pacing pacing_;
     std::uint32_t gateways_{1};
 };
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -158,6 +158,7 @@
         next_second_ = now + internal::second;
         placement_.expire();
         deps_.metrics.set("active_requests", "", static_cast<double>(engine_.size()));
+        deps_.metrics.set("paced_servers", "", static_cast<double>(table_.paced()));
         deps_.metrics.set("held_prompt_parts", "",
                           static_cast<double>(quarantine_.held_count(trait_kind::prompt_part)));
         deps_.metrics.set("held_requests", "", static_cast<double>(quarantine_.held_count(trait_kind::whole_request)));
--- a/src/gateway/limit_share.cpp
+++ b/src/gateway/limit_share.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 
 #include "base/seconds.hpp"
-#include "gateway/prefix_cache_tracker.hpp"
+#include "gateway/gateway_order.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -44,16 +44,12 @@
 
 limit_share share_of_limit(double limit, std::string_view server, const gateway_group &group) {
     const auto rate = std::clamp(limit, internal::least_limit, internal::greatest_limit);
-    const auto rank_of = [key = engine_hash(server)](std::string_view gateway) {
-        return rendezvous_rank(key, engine_hash(gateway));
-    };
-    const auto own = rank_of(group.own);
+    const auto own = rendezvous_rank(engine_hash(server), engine_hash(group.own));
     if (!group.listed) {
         return internal::turns(internal::assumed_gateways, rate, own);
     }
-    const auto before = std::ranges::count_if(group.others, [&](const auto &it) { return rank_of(it) > own; });
     const auto sharing = std::min<double>(group.size(), std::floor(rate) + internal::more_sharing_gateways);
-    if (static_cast<double>(before) < sharing) {
+    if (position_in_order(server, group) < sharing) {
         return {.interval = base::from_seconds(sharing / rate)};
     }
     return internal::turns(group.size() - sharing, rate, own);
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -259,7 +259,7 @@
     if (!first_event_seen_) {
         context_.table.prefill_done(backend_, prefill_tokens_);
     }
-    context_.table.ended(backend_, how);
+    context_.table.ended(backend_, how, attempt_started());
     if (how == attempt_outcome::broken && !prefilling_) {
         log::write("attempt_broken", {{"request", identity().id},
                                       {"backend", backend_},
@@ -286,8 +286,10 @@
 }
 
 void opaque_exchange::record_call_time() {
-    context_.table.timed(backend_, context_.places.on_call_time(identity().service, backend_, estimate_,
-                                                                context_.time.now() - attempt_started()));
+    context_.table.timed(
+        backend_,
+        context_.places.on_call_time(identity().service, backend_, estimate_, context_.time.now() - attempt_started()),
+        attempt_started());
 }
 
 bool opaque_exchange::probably_began(attempt_outcome how) const noexcept {
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -214,6 +214,9 @@
     {1931, "callers_have_room", severity::info, "There is room for connections of callers again.", "none"},
     {1932, "crash_trial", severity::info,
      "A request runs although something in it is held, to tell apart what is held together.", "none"},
+    {1950, "server_paced", severity::info,
+     "A backend server has started or recovered; requests of this gateway to it begin with few and follow its answers.",
+     "none"},
 });
 
 } // namespace dotterelstack::log
