Check quotas of organisations over all gateways together

Each gateway now admits from a ledger of its own (limits/quota_ledger), and the first gateway by rendezvous hashing lends from one bucket per organisation (limits/quota_bank) for the gateways that it hears. Reports go out every 500 ms and when an account is short. Over the quota is 429 with Retry-After; a request refused as not run gets its charge back.

Max-min division moves from loan_allocator to limits/fair_division, which the bank uses as well.

--- a/src/gateway/events.hpp
+++ b/src/gateway/events.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,6 +14,7 @@
 #include "gateway/backend_server.hpp"
 #include "gateway/crash_report.hpp"
 #include "gateway/gateway_group.hpp"
+#include "gateway/quota_port.hpp"
 #include "gateway/shutdown_phase.hpp"
 #include "gateway/traffic_config.hpp"
 #include "http/caller_port.hpp"
@@ -50,8 +52,15 @@
     shutdown_phase how{shutdown_phase::closing};
 };
 
+/** How a report on the use of quotas ended. */
+struct quota_answer_event {
+    std::uint64_t call{0};
+    quota_call_end how{quota_call_end::silent};
+    std::optional<limits::quota_answer> answer;
+};
+
 using gateway_event = std::variant<arrival_event, head_event, data_event, end_event, config_event, backends_event,
-                                   crash_reports_event, gateways_event, settings_event, stop_event>;
+                                   crash_reports_event, gateways_event, settings_event, stop_event, quota_answer_event>;
 
 /** @brief Queue of the forwarder's thread. When it is full, new requests are refused and other producers block. */
 using event_ring = base::bounded_ring<gateway_event>;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -1,6 +1,11 @@
 #include "gateway/forwarder.hpp"
 
 #include <algorithm>
+#include <utility>
+
+#include "base/seconds.hpp"
+#include "gateway/quota_bank_service.hpp"
+#include "log/event.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -25,6 +30,14 @@
                                               .count_unsent_attempts = false,
                                               .charge_sent_attempts = true};
 constexpr auto second = std::chrono::seconds{1};
+// A request waits so long for the bank that lends from its organisation's quota. Answers usually take a few
+// milliseconds; refusing without one would lose requests that the quota allows.
+constexpr auto longest_asking = std::chrono::milliseconds{150};
+
+std::uint64_t tokens_of(const opaque_request &it) noexcept {
+    const auto &facts = it.content.facts;
+    return std::uint64_t{facts.prompt_tokens} + facts.max_output_tokens;
+}
 
 } // namespace internal
 
@@ -32,11 +45,11 @@
     : settings_{std::move(settings)}, deps_{std::move(deps)}, table_{deps_.time, settings_.health},
       placement_{deps_.time, table_, deps_.random, settings_.places}, retry_schedule_{deps_.time}, waits_{deps_.time},
       budget_{deps_.time, settings_.retries}, retries_{deps_.time, budget_, deps_.random, internal::retry_options},
-      quarantine_{deps_.time, settings_.quarantine}, context_{deps_.time,      deps_.metrics, deps_.backends,
-                                                              deps_.protocol,  deps_.starts,  settings_.failure_domain,
-                                                              stop_,           table_,        placement_,
-                                                              retry_schedule_, waits_,        budget_,
-                                                              quarantine_,     deps_.budget},
+      quarantine_{deps_.time, settings_.quarantine}, quotas_{deps_.time}, quota_client_{deps_.time, quotas_,
+                                                                                        deps_.quotas},
+      context_{deps_.time,  deps_.metrics, deps_.backends, deps_.protocol,  deps_.starts, settings_.failure_domain,
+               stop_,       table_,        placement_,     retry_schedule_, waits_,       budget_,
+               quarantine_, quotas_,       deps_.budget},
       engine_{{deps_.time, deps_.metrics, deps_.backends, retries_}} {}
 
 void forwarder::refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const {
@@ -115,14 +128,93 @@
                             received + std::min<base::duration>(time_limit / internal::wait_divisor,
                                                                 std::max<base::duration>(route->latency_objective,
                                                                                          internal::capacity_wait))};
+    if (owner != nullptr && owner->quota) {
+        return check_quota(std::move(of), std::move(what));
+    }
+    add(std::move(of), std::move(what));
+}
+
+void forwarder::add(dispatch::request_identity of, opaque_request what) {
     engine_.start(engine_.add(std::make_unique<opaque_exchange>(context_, std::move(of), std::move(what))));
 }
 
+void forwarder::check_quota(dispatch::request_identity of, opaque_request what) {
+    const auto decision = quotas_.admit(of.organisation, internal::tokens_of(what));
+    if (decision.verdict == limits::quota_verdict::refused) {
+        return refuse_for_quota(of, decision);
+    }
+    if (decision.verdict == limits::quota_verdict::granted) {
+        what.quota_cost = decision.cost;
+        return add(std::move(of), std::move(what));
+    }
+    asking_.push_back(
+        {std::move(of), std::move(what), quota_client_.last_call(), deps_.time.now() + internal::longest_asking});
+    quota_client_.hurry();
+    decide_asking();
+}
+
+void forwarder::refuse_for_quota(const dispatch::request_identity &of, const limits::quota_decision &why) const {
+    log::write("quota_refused", {{"request", of.id},
+                                 {"organisation", of.organisation},
+                                 {"cost", why.cost},
+                                 {"held", why.held},
+                                 {"level", why.level},
+                                 {"in_touch", why.in_touch},
+                                 {"age_ms", base::to_milliseconds(quotas_.age())}});
+    refuse(*of.caller, of.id,
+           {429, "quota_exceeded", "the organisation has used up its quota; retry later", dispatch::ran_claim::no,
+            why.retry_after});
+}
+
+void forwarder::decide_asking() {
+    const auto now = deps_.time.now();
+    std::vector<asking_request> kept;
+    for (auto &it : std::exchange(asking_, {})) {
+        if (it.after_call >= quota_client_.last_answered() && now < it.until) {
+            kept.push_back(std::move(it));
+            continue;
+        }
+        const auto decision = quotas_.admit(it.of.organisation, internal::tokens_of(it.what), false);
+        if (decision.verdict == limits::quota_verdict::granted) {
+            it.what.quota_cost = decision.cost;
+            add(std::move(it.of), std::move(it.what));
+        } else {
+            refuse_for_quota(it.of, decision);
+        }
+    }
+    asking_ = std::move(kept);
+}
+
+void forwarder::on_quota_answer(std::uint64_t call, quota_call_end how,
+                                const std::optional<limits::quota_answer> &answer) {
+    quota_client_.on_end(call, how, answer);
+    if (!asking_.empty()) {
+        decide_asking();
+    }
+    if (!asking_.empty()) {
+        quota_client_.hurry();
+    }
+}
+
+void forwarder::report_quotas() {
+    quotas_.for_each([this](const limits::quota_figures &it) {
+        const auto label = "organisation=\"" + std::string{it.organisation} + "\"";
+        deps_.metrics.set("quota_asked", label, static_cast<double>(it.asked));
+        deps_.metrics.set("quota_granted", label, static_cast<double>(it.granted));
+        deps_.metrics.set("quota_refused", label, static_cast<double>(it.refused));
+        deps_.metrics.set("quota_held", label, static_cast<double>(it.held));
+    });
+    if (!quotas_.empty()) {
+        deps_.metrics.set("quota_age_seconds", "", base::to_seconds(quotas_.age()));
+    }
+}
+
 void forwarder::on_config(traffic_config_ptr config) {
     if (config_ && config->version() <= config_->version()) {
         return;
     }
     config_ = std::move(config);
+    quotas_.set_quotas(quotas_of(*config_));
 }
 
 void forwarder::on_backends(const std::vector<backend_server> &all) {
@@ -145,6 +237,7 @@
     table_.set_limit_sharers(all);
     quarantine_.set_gateways(all);
     placement_.set_gateways(n);
+    quota_client_.set_group(all);
 }
 
 void forwarder::tick() {
@@ -153,10 +246,15 @@
         deps_.on_crash_report(std::move(*report));
     }
     engine_.tick();
+    quota_client_.tick();
+    if (!asking_.empty()) {
+        decide_asking();
+    }
     const auto now = deps_.time.now();
     if (now >= next_second_) {
         next_second_ = now + internal::second;
         placement_.expire();
+        report_quotas();
         deps_.metrics.set("active_requests", "", static_cast<double>(engine_.size()));
         deps_.metrics.set("held_prompt_parts", "",
                           static_cast<double>(quarantine_.held_count(trait_kind::prompt_part)));
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -16,10 +16,13 @@
 #include "gateway/crash_quarantine.hpp"
 #include "gateway/opaque_exchange.hpp"
 #include "gateway/placement.hpp"
+#include "gateway/quota_client.hpp"
+#include "gateway/quota_port.hpp"
 #include "gateway/shutdown_phase.hpp"
 #include "gateway/start_counter.hpp"
 #include "gateway/traffic_config.hpp"
 #include "http/caller_port.hpp"
+#include "limits/quota_ledger.hpp"
 #include "metrics/registry.hpp"
 #include "retry/retry_policy.hpp"
 #include "retry/retry_window.hpp"
@@ -56,6 +59,8 @@
         std::function<bool()> config_confirmed{};
         /** Of the bytes of answers that are collected whole; there is no limit on all of them together if null. */
         base::byte_budget *budget{nullptr};
+        /** Reports the use of quotas; null if each gateway spends its own part. */
+        quota_port *quotas{nullptr};
     };
 
     forwarder(forwarder_settings settings, dependencies deps);
@@ -82,6 +87,9 @@
     /** @brief Sets the gateways that share the traffic. */
     void set_gateways(const gateway_group &all);
 
+    /** @brief A report on the use of quotas was answered or has failed. */
+    void on_quota_answer(std::uint64_t call, quota_call_end how, const std::optional<limits::quota_answer> &answer);
+
     /** @brief Sets the limits on retries. */
     void set_retries(const retry::retry_window_settings &values) { budget_.set_limits(values); }
 
@@ -102,7 +110,7 @@
         return stop_ == shutdown_phase::none && config_ && table_.any_accepting();
     }
 
-    [[nodiscard]] std::size_t active() const noexcept { return engine_.size(); }
+    [[nodiscard]] std::size_t active() const noexcept { return engine_.size() + asking_.size(); }
     [[nodiscard]] std::uint64_t config_version() const noexcept { return config_ ? config_->version() : 0; }
 
 private:
@@ -110,6 +118,20 @@
     void refuse_by_config(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const;
     [[nodiscard]] std::string choose_service(const traffic_route &route) const;
 
+    /** @brief A request that waits for an answer of the bank. */
+    struct asking_request {
+        dispatch::request_identity of;
+        opaque_request what;
+        std::uint64_t after_call{0}; /**< Later reports to the bank contain what the request needs. */
+        base::instant until{};
+    };
+
+    void check_quota(dispatch::request_identity of, opaque_request what);
+    void add(dispatch::request_identity of, opaque_request what);
+    void refuse_for_quota(const dispatch::request_identity &of, const limits::quota_decision &why) const;
+    void decide_asking();
+    void report_quotas();
+
     const forwarder_settings settings_;
     dependencies deps_;
     backend_table table_;
@@ -119,6 +141,9 @@
     retry::retry_window budget_;
     retry::retry_policy retries_;
     crash_quarantine quarantine_;
+    limits::quota_ledger quotas_;
+    quota_client quota_client_;
+    std::vector<asking_request> asking_;
     shutdown_phase stop_{shutdown_phase::none};
     const exchange_context context_;
     traffic_config_ptr config_;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -5,6 +5,7 @@
 
 #include "base/overloaded.hpp"
 #include "gateway/peer_call.hpp"
+#include "gateway/quota_codec.hpp"
 #include "http/exchange_caller.hpp"
 #include "log/event.hpp"
 
@@ -99,15 +100,17 @@
                                                                   internal::event_ring_bytes},
       time_of_day_{deps_.time, &system_wall_clock}, starts_{[this] { return time_of_day_.now(); },
                                                             settings_.bounds.usage_window, internal::kept_windows},
-      link_{transfers_, events_, settings_.timings.connect_timeout, message_bytes_},
+      link_{transfers_, events_, settings_.timings.connect_timeout, message_bytes_}, quota_bank_{deps_.time, metrics_},
+      quota_link_{transfers_, events_, [this](const auto &it) { return quota_bank_.answer(it); }},
       forwarder_{{.failure_domain = settings_.failure_domain, .retries = internal::retries_of(settings_.bounds)},
                  {deps_.time, metrics_, link_, deps_.protocol, starts_, internal::uniform_source(),
                   [this](crash_report it) { crash_reports_.offer(std::move(it)); },
-                  [this] { return config_.confirmed_within(internal::confirmation_limit(settings_)); },
-                  &message_bytes_}},
+                  [this] { return config_.confirmed_within(internal::confirmation_limit(settings_)); }, &message_bytes_,
+                  &quota_link_}},
       config_{{deps_.time, deps_.codec, deps_.client, [this] { return peers(); },
                [this](traffic_config_ptr it) {
                    callers_.set_limits(it->values().limits);
+                   quota_bank_.on_config(*it);
                    events_.push(config_event{std::move(it)});
                }}},
       config_peers_{{.overdue = internal::answer_interval(settings_)}, deps_.time, [this] { config_.ask_peers(); }},
@@ -190,9 +193,13 @@
     out.readiness = readiness;
     member_settings about{.name = settings_.name, .incarnation = incarnation_, .peer_address = peers};
     about.publish_every = settings_.bounds.usage_window / 2;
-    members_ = std::make_unique<member_task>(
-        about, member_task::dependencies{deps_.time, deps_.store, deps_.ids, starts_, directory_,
-                                         [this](gateway_group all) { events_.push(gateways_event{std::move(all)}); }});
+    quota_link_.set_own_address(peers);
+    members_ =
+        std::make_unique<member_task>(about, member_task::dependencies{deps_.time, deps_.store, deps_.ids, starts_,
+                                                                       directory_, [this](gateway_group all) {
+                                                                           quota_bank_.set_gateways(all.names);
+                                                                           events_.push(gateways_event{std::move(all)});
+                                                                       }});
     published_members_ = members_.get();
     events_.push(gateways_event{{.own = std::string{members_prefix} + incarnation_}});
     forward_thread_ = std::thread{[this] { run_forwarder(); }};
@@ -244,13 +251,16 @@
     }
 }
 
-http::response gateway_daemon::answer_peer(const http::request &message) const {
+http::response gateway_daemon::answer_peer(const http::request &message) {
     if (message.path() == traffic_config_path) {
         return config_.answer_peer(message);
     }
     if (message.path() == servers_path) {
         return servers_.answer_peer();
     }
+    if (message.path() == quota_path) {
+        return quota_bank_.answer_peer(message);
+    }
     const auto *members = published_members_.load();
     if (message.path() == member_path && members != nullptr) {
         return internal::json_answer(200, to_json(members->record()).dump());
@@ -327,6 +337,7 @@
                    [this](const gateways_event &it) { forwarder_.set_gateways(it.all); },
                    [this](const settings_event &it) { forwarder_.set_retries(it.retries); },
                    [this](const stop_event &it) { forwarder_.stop(it.how); },
+                   [this](const quota_answer_event &it) { forwarder_.on_quota_answer(it.call, it.how, it.answer); },
                },
                event);
 }
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -13,9 +13,11 @@
 #include "gateway/events.hpp"
 #include "gateway/forwarder.hpp"
 #include "gateway/http_backend_port.hpp"
+#include "gateway/http_quota_port.hpp"
 #include "gateway/jump_filter_clock.hpp"
 #include "gateway/member_directory.hpp"
 #include "gateway/member_task.hpp"
+#include "gateway/quota_bank_service.hpp"
 #include "gateway/server_source.hpp"
 #include "gateway/site_codec.hpp"
 #include "gateway/store_feed.hpp"
@@ -75,7 +77,7 @@
 
 private:
     void on_call(const http::exchange &call);
-    [[nodiscard]] http::response answer_peer(const http::request &message) const;
+    [[nodiscard]] http::response answer_peer(const http::request &message);
     [[nodiscard]] std::optional<member_record> ask_member(std::string_view address) const;
     [[nodiscard]] std::vector<std::string> peers() const;
     void on_crash_objects(std::span<const store::watch_event> changes);
@@ -97,6 +99,8 @@
     windowed_start_counter starts_;
     http::async_client transfers_;
     http_backend_port link_;
+    quota_bank_service quota_bank_;
+    http_quota_port quota_link_;
     forwarder forwarder_;
     config_source config_;
     config_peer_task config_peers_;
--- a/src/gateway/member_task.cpp
+++ b/src/gateway/member_task.cpp
@@ -1,6 +1,8 @@
 #include "gateway/member_task.hpp"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 #include "base/interruptible_wait.hpp"
 #include "log/event.hpp"
@@ -66,9 +68,13 @@
     deps_.members.on_list(all.value());
     const auto now = deps_.time.now();
     std::vector<std::string> others;
-    gateway_group live{.own = own_.key(), .listed = true};
+    gateway_group live{.own = own_.key(), .listed = true, .own_name = settings_.name};
     std::size_t preceding = 0;
+    std::map<std::string, std::pair<base::instant, std::string>> named;
     for (const auto &it : deps_.members.all()) {
+        // Of two incarnations with one name, the record of the one that ended does not advance any more.
+        auto &of = named[it.record.name];
+        of = std::max(of, {it.advanced_at, it.record.peer_address});
         if (it.key == own_.key() || now - it.advanced_at > settings_.record_ttl) {
             continue;
         }
@@ -76,6 +82,13 @@
         preceding += it.key < own_.key() ? 1U : 0U;
         others.push_back(it.record.peer_address);
     }
+    named[settings_.name] = {now, settings_.peer_address};
+    live.names = named.size();
+    for (auto &[name, it] : named) {
+        if (now - it.first <= settings_.record_ttl) {
+            live.named.push_back({name, std::move(it.second)});
+        }
+    }
     may_hold_leases_ = preceding < internal::lease_candidates;
     deps_.on_group(std::move(live));
     const std::scoped_lock lock{mutex_};
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -562,6 +562,9 @@
     } else if (server_answer_) {
         return forward_server_answer();
     } else {
+        if (why.status == 503 && why.ran == ran_claim::no && request_.quota_cost > 0) {
+            context_.quotas.refund(identity().organisation, request_.quota_cost);
+        }
         refuse_caller(context_, caller, identity().id, request_.config->version(), why);
     }
     finish(why.status, why.code);
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -24,6 +24,7 @@
 #include "gateway/stream_end.hpp"
 #include "gateway/traffic_config.hpp"
 #include "gateway/wait_limiter.hpp"
+#include "limits/quota_ledger.hpp"
 #include "metrics/registry.hpp"
 #include "retry/retry_window.hpp"
 
@@ -44,6 +45,7 @@
     wait_limiter &waits;
     retry::retry_window &retry_budget;
     crash_quarantine &quarantine;
+    limits::quota_ledger &quotas;
     base::byte_budget *budget; /**< Of the bytes of answers that are collected whole; null for none. */
 };
 
@@ -54,6 +56,7 @@
     const traffic_route *route{nullptr};
     std::optional<unsigned int> priority;
     base::instant wait_until{}; /**< Until then the request may wait for a place. */
+    std::int64_t quota_cost{0}; /**< Charged to the organisation's quota; 0 if it has none. */
 };
 
 /** @return Retry properties of the route's requests. */
--- a/src/gateway/traffic_config.hpp
+++ b/src/gateway/traffic_config.hpp
@@ -12,6 +12,7 @@
 
 #include "base/clock.hpp"
 #include "http/caller_limits.hpp"
+#include "limits/quota.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -61,6 +62,7 @@
     std::string name;
     std::vector<std::string> keys;
     std::optional<unsigned int> priority; /**< Overrides the priority of a route. */
+    std::optional<limits::quota> quota{}; /**< None if its use is not limited. */
 };
 
 /** @brief Values of one version of the traffic configuration. */
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -27,10 +27,11 @@
     base::duration connect_timeout{std::chrono::seconds{1}};
     base::duration timeout{std::chrono::seconds{5}}; /**< Whole call; zero means none. */
     base::duration idle_timeout{0};                  /**< Longest silence inside a stream; zero means none. */
-    bool fresh_connection{false};                    /**< Uses a connection of its own, closed afterwards. */
-    std::size_t head_limit{std::size_t{64} << 10U};  /**< Bytes of all heads and trailers of the response. */
-    std::size_t body_limit{std::size_t{16} << 20U};  /**< Bytes of a body that is not streamed. */
-    base::byte_budget *budget{nullptr};              /**< Shared by all such bodies; outlives the call. */
+    bool repeatable{false};       /**< A POST that may arrive twice, and so may use a kept connection. */
+    bool fresh_connection{false}; /**< Uses a connection of its own, closed afterwards. */
+    std::size_t head_limit{std::size_t{64} << 10U}; /**< Bytes of all heads and trailers of the response. */
+    std::size_t body_limit{std::size_t{16} << 20U}; /**< Bytes of a body that is not streamed. */
+    base::byte_budget *budget{nullptr};             /**< Shared by all such bodies; outlives the call. */
 };
 
 /**
--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -191,7 +191,7 @@
     curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
     // libcurl repeats a request by itself when a reused connection closes before the first byte of the response, which
     // would run a call twice. A new connection is never retried.
-    const bool idempotent = it.message.method == "GET" || it.message.method == "HEAD";
+    const bool idempotent = it.message.method == "GET" || it.message.method == "HEAD" || options.repeatable;
     curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, idempotent && !options.fresh_connection ? 0L : 1L);
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, options.fresh_connection ? 1L : 0L);
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, it.headers.get());
--- a/src/limits/loan_allocator.cpp
+++ b/src/limits/loan_allocator.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "limits/fair_division.hpp"
+
 namespace dotterelstack::limits {
 
 namespace {
@@ -27,27 +29,18 @@
 
 loan_allocator::entitlement loan_allocator::entitled(std::size_t self, std::size_t resource, std::uint64_t available,
                                                      base::instant now) const {
-    // Max-min fair division (water filling) over the entries with a demand: the level rises until it no longer
-    // satisfies further demands in full. The remainder of the integer division goes in turns to the entries that have
-    // waited longest for an extra unit, so that a limit of 1 rotates among the entries.
+    // The remainder of the integer division goes in turns to the entries that have waited longest for an extra unit, so
+    // that a limit of 1 rotates among the entries.
     const auto &all = borrowers_;
     const auto has_demand = [&](const borrower_state &it) { return now < it.expires && it.wanted[resource] > 0; };
     const auto own = all[self].wanted[resource];
-    std::uint64_t level = 0;
-    std::uint64_t rest = available;
-    std::uint64_t unsatisfied = 0;
-    for (bool rises = true; rises;) {
-        rest = available;
-        unsatisfied = 0;
+    const auto [level, rest, unsatisfied] = divide_fairly(available, [&](auto take) {
         for (const auto &it : all) {
             if (has_demand(it)) {
-                it.wanted[resource] <= level ? rest -= it.wanted[resource] : ++unsatisfied;
+                take(it.wanted[resource]);
             }
         }
-        const auto next = unsatisfied == 0 ? level : rest / unsatisfied;
-        rises = next > level;
-        level = next;
-    }
+    });
     if (unsatisfied == 0 || own <= level) {
         return {own, false};
     }
--- a/src/limits/token_bucket.hpp
+++ b/src/limits/token_bucket.hpp
@@ -26,8 +26,12 @@
      * @param rate Units per second; 0 stops the refill.
      */
     void limit(double rate, base::instant now) noexcept {
+        limit(rate, rate * std::chrono::duration<double>(burst_window).count(), now);
+    }
+
+    /** @brief As above, with a burst that does not follow from the rate. @param burst Greatest level in units. */
+    void limit(double rate, double burst, base::instant now) noexcept {
         refill(now);
-        const double burst = rate * std::chrono::duration<double>(burst_window).count();
         level_ = limited_ ? std::min(level_, burst) : burst;
         limited_ = true;
         rate_ = rate;
