--- a/src/gateway/quota_client.cpp
+++ b/src/gateway/quota_client.cpp
@@ -39,7 +39,9 @@
         bank_ = static_cast<std::size_t>(at - banks_.begin());
     } else if (!banks_.empty()) {
         use(0);
-        await_former_bank();
+        if (!present.empty()) {
+            await_former_bank();
+        }
     }
 }
 
--- a/test/gateway/fixture.hpp
+++ b/test/gateway/fixture.hpp
@@ -8,6 +8,7 @@
 
 #include "base/clock.hpp"
 #include "gateway/forwarder.hpp"
+#include "limits/quota_bank.hpp"
 #include "metrics/registry.hpp"
 #include "platform/http_protocol.hpp"
 #include "support/fake_caller.hpp"
@@ -87,6 +88,23 @@
     return out;
 }
 
+/** @brief A bank that is asked without a network. */
+struct fake_bank final : gateway::quota_port {
+    limits::quota_bank bank;
+    std::vector<std::uint64_t> calls;
+    bool at_once{true};          /**< Reports are answered when they are sent; later by the test otherwise. */
+    limits::quota_report last{}; /**< The latest report. */
+
+    explicit fake_bank(const base::clock &time) : bank{time} {}
+
+    std::optional<limits::quota_answer> send(std::string_view, std::uint64_t call,
+                                             const limits::quota_report &report) override {
+        calls.push_back(call);
+        last = report;
+        return at_once ? std::optional{bank.answer(report)} : std::nullopt;
+    }
+};
+
 /** @brief A forwarder with fake ports and a manually advanced clock. */
 struct forwarder_fixture {
     base::manual_clock clock;
@@ -95,6 +113,7 @@
     platform::http_protocol protocol;
     fake_starts starts;
     bool config_confirmed{true};
+    fake_bank bank{clock};
     gateway::forwarder subject;
 
     explicit forwarder_fixture(gateway::forwarder_settings settings = {.failure_domain = "east"})
@@ -106,7 +125,9 @@
                    starts,
                    [] { return 0.0; },
                    {},
-                   [this] { return config_confirmed; }}} {}
+                   [this] { return config_confirmed; },
+                   nullptr,
+                   &bank}} {}
 
     void configure(gateway::traffic_values values = sample_values()) {
         subject.on_config(std::make_shared<const gateway::traffic_config>(std::move(values)));
--- a/test/limits/quota.cpp
+++ b/test/limits/quota.cpp
@@ -284,9 +284,8 @@
             default:
                 break;
             }
-            play(it, kind > 5 ? 3s : 700ms, 6, std::max<std::int64_t>(cost, 40), [&] {
-                return kind % 2 == 0 ? it.random()() % gateways : target;
-            });
+            play(it, kind > 5 ? 3s : 700ms, 6, std::max<std::int64_t>(cost, 40),
+                 [&] { return kind % 2 == 0 ? it.random()() % gateways : target; });
         }
         RC_ASSERT(static_cast<double>(it.most_in_window()) <= it.bound(cost));
     });
--- a/test/platform/object_codec.cpp
+++ b/test/platform/object_codec.cpp
@@ -79,6 +79,33 @@
     }
 }
 
+// Guards against a quota that is read in another unit, and against one odd quota that stops an organisation's service
+// or keeps a configuration from being adopted.
+TEST_CASE("the quota of an organisation is decoded, and an odd part of it has a safe reading") {
+    const auto quota = [](const std::string &fields) {
+        const auto values =
+            codec.decode_config(R"({"Version":7,"Routes":[],"Tenants":[{"Name":"o","ApiKeys":["k"])" + fields + "}]}");
+        REQUIRE(values);
+        return values.value().organisations->at(0).quota;
+    };
+    using limits::quota_unit;
+    const limits::quota tokens{.rate = 711181, .burst = 5, .unit = quota_unit::tokens, .unstated_tokens = 200};
+    CHECK(quota(R"(,"Unit":"tokens","PlainTokens":200,"RatePerS":711181,"Burst":5)") == tokens);
+    const limits::quota requests{.rate = 2.5, .burst = 0, .unit = quota_unit::requests, .unstated_tokens = 1};
+    CHECK(quota(R"(,"RatePerS":2.5)") == requests);
+    for (const std::string none :
+         {R"()", R"(,"RatePerS":0,"Burst":9)", R"(,"RatePerS":null)", R"(,"RatePerS":-1)", R"(,"RatePerS":"5")",
+          R"(,"RatePerS":1e300)", R"(,"RatePerS":5,"Unit":"bytes")", R"(,"RatePerS":5,"Unit":3)"}) {
+        CAPTURE(none);
+        CHECK_FALSE(quota(none));
+    }
+    for (const std::string odd : {"-1", "\"5\"", "1e300"}) {
+        CAPTURE(odd);
+        CHECK(quota(R"(,"RatePerS":5,"Burst":)" + odd)->burst == 5);
+        CHECK(quota(R"(,"Unit":"tokens","RatePerS":5,"PlainTokens":)" + odd)->unstated_tokens == 1);
+    }
+}
+
 // Guards against a system that is open to everybody once the last organisation has been taken away.
 TEST_CASE(
     "a configuration without organisations, one with an empty list and one that cannot be read are three things") {
--- a/test/support/forward_site.cpp
+++ b/test/support/forward_site.cpp
@@ -114,13 +114,15 @@
 }
 
 json forward_site::next_config(const std::vector<std::string> &keys) {
+    json organisation{{"Name", "sangh"}, {"ApiKeys", keys}};
+    organisation.update(quota_);
     return {
         {"Version", ++version_},
         {"Routes",
          {internal::route("draft", "streaming", "llm", 3, true), internal::route("query", "streaming", "llm", 1, false),
           internal::route("book", "unsafe", "desk", 2, false), internal::route("read", "safe", "desk", 3, false)}},
         {"Services", {{{"Name", "llm"}, {"Engine", {{"Slots", 6}}}}, {{"Name", "desk"}}}},
-        {"Tenants", {{{"Name", "sangh"}, {"ApiKeys", keys}}}}};
+        {"Tenants", {std::move(organisation)}}};
 }
 
 void forward_site::configure(const std::vector<std::string> &keys) {
--- a/test/support/forward_site.hpp
+++ b/test/support/forward_site.hpp
@@ -59,6 +59,9 @@
     [[nodiscard]] child_process &gateway(std::size_t n) { return *gateways_.at(n); }
     [[nodiscard]] std::size_t gateways() const noexcept { return gateways_.size(); }
 
+    /** @brief Sets the fields of the organisation's quota in later configurations. */
+    void set_quota(nlohmann::json fields) { quota_ = std::move(fields); }
+
     /** @brief Writes the next version of the configuration with these keys of one organisation. */
     void configure(const std::vector<std::string> &keys);
 
@@ -116,6 +119,7 @@
     std::vector<std::unique_ptr<child_process>> gateways_;
     std::vector<std::string> caller_addresses_;
     std::vector<std::string> readiness_addresses_;
+    nlohmann::json quota_ = nlohmann::json::object();
     std::uint64_t version_{1};
     int memory_mb_{256};
 };
