Estimate the speed of servers in both directions, and weigh homes of prefixes by it

Servers of a service differ for good and share hosts with others, but a gateway could only tell that a server was slower than usual for some seconds: a fast one counted as usual, and a slow one was the home of as many prefixes.

The new module speed keeps a steady and a momentary part for each incarnation. Measured times are divided by the factor that the server reports. Member records carry the steady part of servers that differ clearly; weights of homes (0.6, 1, 1.6, with hysteresis) follow the records of all gateways together. Waits and queue places follow the speed. The random part of a placement's cost follows what a gateway cannot know at the age of its reports. A call whose load was unknown is not a measurement any more; before, it counted as one of usual length.

Thirty-one gateways with reports 100 ms old: 31 requests at one of ten servers without the random part, below 15 with it (test). Not yet measured on a deployment.

--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -6,6 +6,7 @@
 
 #include "base/seconds.hpp"
 #include "gateway/prefix_cache_tracker.hpp"
+#include "log/event.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -20,11 +21,22 @@
 constexpr double unreported_load_fraction = 0.25;
 // A server is silent after this many times the expected time of a request.
 constexpr int silence_factor = 4;
-// Weight of the newest call in the slowness of a server, and the range of its ratio.
-constexpr double slowness_gain = 0.15;
-constexpr double max_slowness = 8;
-// Measured times vary by about this factor without any server being slow.
-constexpr double usual_spread = 1.3;
+
+// A report of this age came with the answer that is being read.
+constexpr auto same_answer = std::chrono::milliseconds{20};
+// Servers within this factor of the usual time are not shown one by one.
+constexpr double usual_time_range = 1.2;
+
+struct mean {
+    double sum{0};
+    double n{0};
+
+    void add(double it) noexcept {
+        sum += it;
+        n += 1;
+    }
+    [[nodiscard]] double value() const noexcept { return n > 0 ? sum / n : 0; }
+};
 
 } // namespace internal
 
@@ -42,6 +54,7 @@
             state = {};
             state.known_since = time_.now();
             state.id_hash = engine_hash(it.id);
+            state.speed.emplace(time_, settings_.speed);
         }
         state.facts = it;
     }
@@ -135,6 +148,7 @@
                                  settings_.silence + internal::silence_factor * expected);
         it->heard_due = it->heard_due.value_or(time_.now() + it->allowance);
         sample_pending_prefill(*it);
+        totals_of(*it).in_progress.add(totals_of(*it).own_requests);
         ++totals_of(*it).own_requests;
         ++it->own_requests;
         ++it->change_since_report;
@@ -164,6 +178,9 @@
         it->report = load;
         it->reported_at = time_.now();
         it->change_since_report = 0;
+        if (load.work_factor) {
+            it->speed->reported(*load.work_factor);
+        }
     }
 }
 
@@ -241,6 +258,16 @@
     return it.own_prefill_tokens + std::max(0.0, others) * all.pending_prefill.value;
 }
 
+bool backend_table::was_alone(const backend_state &it) const {
+    const auto age = report_age(it);
+    return age && *age <= internal::same_answer && it.report.work_factor && it.report.running + it.report.waiting <= 1;
+}
+
+double backend_table::usual_others(const backend_state &it) const {
+    const auto &all = stages_.at(stage_index(it));
+    return all.in_progress.value / std::max(1U, all.servers) * (gateways_ - 1);
+}
+
 double backend_table::failure_rate(const backend_state &it) const {
     const double kept = decay(it);
     return it.failures * kept / (it.attempts * kept + internal::assumed_successes);
@@ -248,22 +275,67 @@
 
 void backend_table::timed(std::string_view id, double ratio) {
     if (auto *it = find_mutable(id)) {
-        const double limit = std::log(internal::max_slowness);
-        const double decayed = it->log_slowness * std::exp2(-base::to_seconds(time_.now() - it->timed_at) /
-                                                            base::to_seconds(settings_.slowness_half_life));
-        const double seen = std::log(std::clamp(ratio, 1 / internal::max_slowness, internal::max_slowness));
-        it->log_slowness = std::clamp(decayed + internal::slowness_gain * seen, 0.0, limit);
-        it->timed_at = time_.now();
+        it->speed->measured(ratio);
+    }
+}
+
+void backend_table::settle_speeds() {
+    std::map<std::string_view, internal::mean> services;
+    for (const auto &[id, it] : states_) {
+        services[it.facts.service].add(it.speed->steady().log_time);
+    }
+    for (auto &[id, it] : states_) {
+        it.speed->settle(services[it.facts.service].value());
     }
 }
 
-double backend_table::slowness(const backend_state &it) const {
-    if (it.log_slowness <= 0) {
-        return 1;
+std::vector<std::pair<std::string_view, double>> backend_table::unusual_speeds(std::size_t most) const {
+    std::vector<std::pair<std::string_view, double>> out;
+    for (const auto &[id, it] : states_) {
+        const double time = slowness(it);
+        if (out.size() < most && (time < 1 / internal::usual_time_range || time > internal::usual_time_range)) {
+            out.emplace_back(id, time);
+        }
+    }
+    return out;
+}
+
+speed::speed_record backend_table::measured_speeds() const {
+    speed::speed_record out;
+    for (const auto &[id, it] : states_) {
+        if (const auto own = it.speed->own(); own.samples > 0) {
+            out.emplace(to_string(incarnation_of(it.facts)), own);
+        }
+    }
+    speed::trim(out);
+    return out;
+}
+
+void backend_table::on_server_speeds(const server_speeds &told) {
+    const auto note_of = [](const speed::speed_record &from, const std::string &name) {
+        const auto it = from.find(name);
+        return it == from.end() ? speed::speed_note{} : it->second;
+    };
+    std::map<std::string_view, internal::mean> services;
+    for (const auto &[id, it] : states_) {
+        services[it.facts.service].add(note_of(told.all, to_string(incarnation_of(it.facts))).log_time);
+    }
+    for (auto &[id, it] : states_) {
+        const auto name = to_string(incarnation_of(it.facts));
+        if (told.others.contains(name)) {
+            it.speed->shared(note_of(told.others, name));
+        }
+        const auto all = note_of(told.all, name);
+        const double before = it.home.value();
+        it.home.update(all, services[it.facts.service].value());
+        if (it.home.value() != before) {
+            log::write("server_home_weight", {{"server", name},
+                                              {"weight", it.home.value()},
+                                              {"before", before},
+                                              {"log_time", all.log_time},
+                                              {"samples", all.samples}});
+        }
     }
-    const double value = std::exp(it.log_slowness * std::exp2(-base::to_seconds(time_.now() - it.timed_at) /
-                                                              base::to_seconds(settings_.slowness_half_life)));
-    return std::max(1.0, value / internal::usual_spread);
 }
 
 } // namespace dotterelstack::gateway
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/clock.hpp"
@@ -14,6 +15,9 @@
 #include "gateway/backend_server.hpp"
 #include "gateway/request_facts.hpp"
 #include "gateway/server_notices.hpp"
+#include "gateway/server_speeds.hpp"
+#include "speed/home_weight.hpp"
+#include "speed/server_speed.hpp"
 
 namespace dotterelstack::gateway {
 
@@ -25,9 +29,9 @@
         std::chrono::milliseconds{300}}; /**< Back-off after a failed connection; doubles with each failure. */
     base::duration longest_pause{std::chrono::seconds{3}};
     base::duration failure_half_life{std::chrono::seconds{3}};
-    base::duration slowness_half_life{std::chrono::seconds{4}};
     base::duration silence{std::chrono::milliseconds{800}};         /**< Added to a multiple of the expected time. */
     base::duration report_max_age{std::chrono::milliseconds{1000}}; /**< Older load reports are ignored. */
+    speed::speed_settings speed{};
 };
 
 /** @brief State of one backend server: its discovery entry, load and health. */
@@ -43,8 +47,8 @@
     double failures{0};                  /**< Failed attempts, with exponential decay. */
     double attempts{0};                  /**< All attempts, with the same decay. */
     base::instant decayed_at{};
-    double log_slowness{0}; /**< Logarithm of measured over usual times; returns to 0 by and by. */
-    base::instant timed_at{};
+    std::optional<speed::server_speed> speed; /**< Always there for servers of a `backend_table`. */
+    speed::home_weight home;
     base::duration pause{0}; /**< Length of the latest back-off. */
     std::optional<base::instant> paused_until;
     base::duration allowance{0};              /**< Longest usual silence with requests in progress. */
@@ -134,20 +138,51 @@
      */
     [[nodiscard]] double pending_prefill_tokens(const backend_state &it) const;
 
+    /** @return Prefill tokens that a request of another gateway has on average at a server of the same stage. */
+    [[nodiscard]] double usual_pending_prefill(const backend_state &it) const {
+        return stages_.at(stage_index(it)).pending_prefill.value;
+    }
+
+    /** @return Time since the latest load report, if that is recent. */
+    [[nodiscard]] std::optional<base::duration> report_age(const backend_state &it) const {
+        return has_report(it) ? std::optional{time_.now() - *it.reported_at} : std::nullopt;
+    }
+
+    /** @return Mean number of requests of other gateways at a server of the same stage, inferred from own ones. */
+    [[nodiscard]] double usual_others(const backend_state &it) const;
+
     /**
      * @return True when estimates for the server rest on facts: a recent report, or own requests in progress, which
      * show that a missing report means a queue.
      */
     [[nodiscard]] bool load_known(const backend_state &it) const { return has_report(it) || it.own_requests > 0; }
 
+    /**
+     * @return True when the server, which reports how long work takes there, has just reported that it works on no more
+     * than the request that it answers, so that the request has hardly waited.
+     */
+    [[nodiscard]] bool was_alone(const backend_state &it) const;
+
     /** @return Fraction of recent attempts that failed, from 0 to 1. */
     [[nodiscard]] double failure_rate(const backend_state &it) const;
 
-    /** @brief A call has taken this many times as long as expected, by the slowness known before. */
+    /** @brief A call has taken this many times as long as usual at servers of the service. */
     void timed(std::string_view id, double ratio);
 
-    /** @return Time of calls at the backend server relative to others of its kind, at least 1. */
-    [[nodiscard]] double slowness(const backend_state &it) const;
+    /** @return Expected time of calls at the backend server now, relative to others of its kind; below 1 if fast. */
+    [[nodiscard]] double slowness(const backend_state &it) const { return it.speed ? it.speed->time_factor() : 1; }
+
+    /** @brief Compares the speeds of the servers of each service. Call it about once a second. */
+    void settle_speeds();
+
+    /** @return Servers that are clearly faster or slower than usual now, with their time; `most` of them at most. */
+    [[nodiscard]] std::vector<std::pair<std::string_view, double>> unusual_speeds(std::size_t most) const;
+
+    /** @return Own measurements, for the other gateways. */
+    [[nodiscard]] speed::speed_record measured_speeds() const;
+
+    /** @brief Takes what gateways have measured; sets the weights of servers as homes of prefixes. */
+    void on_server_speeds(const server_speeds &told);
 
 private:
     /** Running mean: arithmetic over the first samples, then exponential. */
@@ -163,6 +198,7 @@
         std::uint32_t servers{0};
         std::uint32_t own_requests{0};
         running_mean pending_prefill; /**< Pending prefill tokens per own request. */
+        running_mean in_progress;     /**< Own requests in progress when one starts. */
     };
 
     [[nodiscard]] base::instant open_at(const backend_state &it) const;
--- a/src/gateway/events.hpp
+++ b/src/gateway/events.hpp
@@ -13,6 +13,7 @@
 #include "gateway/backend_server.hpp"
 #include "gateway/crash_report.hpp"
 #include "gateway/gateway_group.hpp"
+#include "gateway/server_speeds.hpp"
 #include "gateway/shutdown_phase.hpp"
 #include "gateway/traffic_config.hpp"
 #include "http/caller_port.hpp"
@@ -43,6 +44,9 @@
 struct gateways_event {
     gateway_group all;
 };
+struct speeds_event {
+    server_speeds all;
+};
 struct settings_event {
     retry::retry_window_settings retries;
 };
@@ -51,7 +55,7 @@
 };
 
 using gateway_event = std::variant<arrival_event, head_event, data_event, end_event, config_event, backends_event,
-                                   crash_reports_event, gateways_event, settings_event, stop_event>;
+                                   crash_reports_event, gateways_event, speeds_event, settings_event, stop_event>;
 
 /** @brief Queue of the forwarder's thread. When it is full, new requests are refused and other producers block. */
 using event_ring = base::bounded_ring<gateway_event>;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -25,6 +25,8 @@
                                               .count_unsent_attempts = false,
                                               .charge_sent_attempts = true};
 constexpr auto second = std::chrono::seconds{1};
+// Greatest number of servers whose speed is among the metrics.
+constexpr std::size_t max_shown_speeds = 32;
 
 } // namespace internal
 
@@ -147,6 +149,22 @@
     placement_.set_gateways(n);
 }
 
+void forwarder::show_speeds() {
+    constexpr std::string_view name = "server_relative_time";
+    std::set<std::string> labels;
+    for (const auto &[id, time] : table_.unusual_speeds(internal::max_shown_speeds)) {
+        const auto label = "server=\"" + std::string{id} + "\"";
+        deps_.metrics.set(name, label, time);
+        labels.insert(label);
+    }
+    for (const auto &it : shown_speeds_) {
+        if (!labels.contains(it)) {
+            deps_.metrics.remove(name, it);
+        }
+    }
+    shown_speeds_ = std::move(labels);
+}
+
 void forwarder::tick() {
     quarantine_.tick();
     if (auto report = quarantine_.take_report(); report && deps_.on_crash_report) {
@@ -157,6 +175,11 @@
     if (now >= next_second_) {
         next_second_ = now + internal::second;
         placement_.expire();
+        table_.settle_speeds();
+        show_speeds();
+        if (deps_.on_speeds) {
+            deps_.on_speeds(table_.measured_speeds());
+        }
         deps_.metrics.set("active_requests", "", static_cast<double>(engine_.size()));
         deps_.metrics.set("held_prompt_parts", "",
                           static_cast<double>(quarantine_.held_count(trait_kind::prompt_part)));
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,6 +57,8 @@
         std::function<bool()> config_confirmed{};
         /** Of the bytes of answers that are collected whole; there is no limit on all of them together if null. */
         base::byte_budget *budget{nullptr};
+        /** Takes the measured speeds of servers about once a second, for other gateways; may be empty. */
+        std::function<void(speed::speed_record)> on_speeds{};
     };
 
     forwarder(forwarder_settings settings, dependencies deps);
@@ -82,6 +85,9 @@
     /** @brief Sets the gateways that share the traffic. */
     void set_gateways(const gateway_group &all);
 
+    /** @brief Takes what gateways have measured of the speed of servers. */
+    void on_server_speeds(const server_speeds &told) { table_.on_server_speeds(told); }
+
     /** @brief Sets the limits on retries. */
     void set_retries(const retry::retry_window_settings &values) { budget_.set_limits(values); }
 
@@ -108,6 +114,7 @@
 private:
     void refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const;
     void refuse_by_config(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const;
+    void show_speeds();
     [[nodiscard]] std::string choose_service(const traffic_route &route) const;
 
     const forwarder_settings settings_;
@@ -123,6 +130,7 @@
     const exchange_context context_;
     traffic_config_ptr config_;
     base::instant next_second_{};
+    std::set<std::string> shown_speeds_; /**< Labels of servers whose speed is among the metrics. */
     dispatch::engine engine_;
 };
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -103,8 +103,8 @@
       forwarder_{{.failure_domain = settings_.failure_domain, .retries = internal::retries_of(settings_.bounds)},
                  {deps_.time, metrics_, link_, deps_.protocol, starts_, internal::uniform_source(),
                   [this](crash_report it) { crash_reports_.offer(std::move(it)); },
-                  [this] { return config_.confirmed_within(internal::confirmation_limit(settings_)); },
-                  &message_bytes_}},
+                  [this] { return config_.confirmed_within(internal::confirmation_limit(settings_)); }, &message_bytes_,
+                  [this](speed::speed_record it) { speeds_.set(std::move(it)); }}},
       config_{{deps_.time, deps_.codec, deps_.client, [this] { return peers(); },
                [this](traffic_config_ptr it) {
                    callers_.set_limits(it->values().limits);
@@ -192,7 +192,9 @@
     about.publish_every = settings_.bounds.usage_window / 2;
     members_ = std::make_unique<member_task>(
         about, member_task::dependencies{deps_.time, deps_.store, deps_.ids, starts_, directory_,
-                                         [this](gateway_group all) { events_.push(gateways_event{std::move(all)}); }});
+                                         [this](gateway_group all) { events_.push(gateways_event{std::move(all)}); },
+                                         [this] { return speeds_.get(); },
+                                         [this](server_speeds all) { events_.push(speeds_event{std::move(all)}); }});
     published_members_ = members_.get();
     events_.push(gateways_event{{.own = std::string{members_prefix} + incarnation_}});
     forward_thread_ = std::thread{[this] { run_forwarder(); }};
@@ -325,6 +327,7 @@
                        }
                    },
                    [this](const gateways_event &it) { forwarder_.set_gateways(it.all); },
+                   [this](const speeds_event &it) { forwarder_.on_server_speeds(it.all); },
                    [this](const settings_event &it) { forwarder_.set_retries(it.retries); },
                    [this](const stop_event &it) { forwarder_.stop(it.how); },
                },
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -27,6 +27,7 @@
 #include "lease/lease_thread.hpp"
 #include "metrics/registry.hpp"
 #include "settings/gateway_settings.hpp"
+#include "speed/speed_board.hpp"
 #include "store/object_store.hpp"
 
 namespace dotterelstack::gateway {
@@ -97,6 +98,7 @@
     windowed_start_counter starts_;
     http::async_client transfers_;
     http_backend_port link_;
+    speed::speed_board speeds_;
     forwarder forwarder_;
     config_source config_;
     config_peer_task config_peers_;
--- a/src/gateway/member_directory.cpp
+++ b/src/gateway/member_directory.cpp
@@ -44,6 +44,7 @@
         record.starts.erase(record.starts.begin());
     }
     if (advanced) {
+        record.speeds = seen.speeds;
         known.advanced_at = time_.now();
     }
 }
--- a/src/gateway/member_record.cpp
+++ b/src/gateway/member_record.cpp
@@ -1,7 +1,9 @@
 #include "gateway/member_record.hpp"
 
 #include <charconv>
+#include <cmath>
 
+#include "log/event.hpp"
 #include "store/settled_write.hpp"
 
 namespace dotterelstack::gateway {
@@ -15,6 +17,38 @@
                       key + " cannot be decoded (" + why + "); run the same release on all hosts");
 }
 
+// Logarithms are stored as integers of this many parts, which keeps records short.
+constexpr double log_parts = 1000;
+
+json to_json(const speed::speed_record &record) {
+    json out = json::object();
+    for (const auto &[server, it] : record) {
+        out[server] = {std::lround(it.log_time * log_parts), std::lround(it.samples)};
+    }
+    return out;
+}
+
+/** Entries that cannot be read are left out: speeds are hints, and the rest of the record is needed. */
+speed::speed_record parse_speeds(const std::string &key, const json &record) {
+    speed::speed_record out;
+    const auto speeds = record.find("speeds");
+    if (speeds == record.end()) {
+        return out;
+    }
+    bool unreadable = !speeds->is_object();
+    for (const auto &[server, it] : speeds->items()) {
+        const bool readable = it.is_array() && it.size() == 2 && it[0].is_number() && it[1].is_number_unsigned();
+        if (readable && out.size() < speed::max_recorded) {
+            out[server] = {it[0].get<double>() / log_parts, it[1].get<double>()};
+        }
+        unreadable = unreadable || !readable;
+    }
+    if (unreadable) {
+        log::write("member_unreadable", {{"object", key}, {"reason", "a speed of a server cannot be decoded"}});
+    }
+    return out;
+}
+
 std::uint64_t to_window(const std::string &text) {
     std::uint64_t out = 0;
     std::from_chars(text.data(), text.data() + text.size(), out);
@@ -35,7 +69,8 @@
     return json{{"name", record.name},
                 {"peers", record.peer_address},
                 {"windows", std::move(windows)},
-                {"window", record.window}};
+                {"window", record.window},
+                {"speeds", internal::to_json(record.speeds)}};
 }
 
 base::result<member_record> parse_member(const store::object &item) {
@@ -46,6 +81,7 @@
             out.starts[internal::to_window(window)] = counts.get<start_counts>();
         }
         out.window = value.at("window").get<std::uint64_t>();
+        out.speeds = internal::parse_speeds(item.key, value);
         return out;
     } catch (const json::exception &ec) {
         return internal::bad_record(item.key, ec.what());
--- a/src/gateway/member_record.hpp
+++ b/src/gateway/member_record.hpp
@@ -8,6 +8,7 @@
 
 #include "base/error.hpp"
 #include "gateway/windowed_start_counter.hpp"
+#include "speed/speed_record.hpp"
 #include "store/object_store.hpp"
 
 namespace dotterelstack::gateway {
@@ -20,7 +21,8 @@
     std::string name;
     std::string peer_address; /**< Address for other gateways. */
     window_counts starts;
-    std::uint64_t window{0}; /**< Current one when written, by the gateway's clock; earlier ones are final. */
+    std::uint64_t window{0};      /**< Current one when written, by the gateway's clock; earlier ones are final. */
+    speed::speed_record speeds{}; /**< Of servers, as the gateway has measured them; none in records of older form. */
 };
 
 [[nodiscard]] nlohmann::json to_json(const member_record &record);
--- a/src/gateway/member_task.cpp
+++ b/src/gateway/member_task.cpp
@@ -1,6 +1,7 @@
 #include "gateway/member_task.hpp"
 
 #include <algorithm>
+#include <optional>
 
 #include "base/interruptible_wait.hpp"
 #include "log/event.hpp"
@@ -46,7 +47,8 @@
 member_record member_task::record() const {
     // Reads the window before the counts: starts counted in between belong to this window or a later one.
     const auto window = deps_.starts.current_window();
-    return {settings_.name, settings_.peer_address, deps_.starts.counts(), window};
+    return {settings_.name, settings_.peer_address, deps_.starts.counts(), window,
+            deps_.speeds ? deps_.speeds() : speed::speed_record{}};
 }
 
 bool member_task::publish() {
@@ -68,16 +70,32 @@
     std::vector<std::string> others;
     gateway_group live{.own = own_.key(), .listed = true};
     std::size_t preceding = 0;
+    std::vector<speed::speed_record> measured;
+    std::optional<speed::speed_record> own_measured;
     for (const auto &it : deps_.members.all()) {
-        if (it.key == own_.key() || now - it.advanced_at > settings_.record_ttl) {
+        if (it.key == own_.key()) {
+            own_measured = it.record.speeds;
             continue;
         }
+        if (now - it.advanced_at > settings_.record_ttl) {
+            continue;
+        }
+        measured.push_back(it.record.speeds);
         live.others.push_back(it.key);
         preceding += it.key < own_.key() ? 1U : 0U;
         others.push_back(it.record.peer_address);
     }
     may_hold_leases_ = preceding < internal::lease_candidates;
+    server_speeds speeds;
+    speeds.others = speed::pooled(measured);
+    if (own_measured) {
+        measured.push_back(std::move(*own_measured));
+    }
+    speeds.all = speed::pooled(measured);
     deps_.on_group(std::move(live));
+    if (deps_.on_speeds) {
+        deps_.on_speeds(std::move(speeds));
+    }
     const std::scoped_lock lock{mutex_};
     peers_ = std::move(others);
 }
--- a/src/gateway/member_task.hpp
+++ b/src/gateway/member_task.hpp
@@ -13,6 +13,7 @@
 #include "gateway/gateway_group.hpp"
 #include "gateway/member_directory.hpp"
 #include "gateway/own_record.hpp"
+#include "gateway/server_speeds.hpp"
 #include "store/object_store.hpp"
 
 namespace dotterelstack::gateway {
@@ -40,6 +41,9 @@
         const windowed_start_counter &starts;
         member_directory &members;
         std::function<void(gateway_group)> on_group; /**< Takes the live gateways. */
+        /** Returns own measurements; may be empty. Called from any thread. */
+        std::function<speed::speed_record()> speeds{};
+        std::function<void(server_speeds)> on_speeds{}; /**< Takes what the live gateways say; may be empty. */
     };
 
     member_task(member_settings settings, dependencies deps);
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -216,6 +216,7 @@
                                   {"prefill", plan.prefill == nullptr ? "" : plan.prefill->facts.id},
                                   {"backend", plan.run->facts.id},
                                   {"outstanding", context_.table.outstanding(*plan.run)},
+                                  {"relative_time", context_.table.slowness(*plan.run)},
                                   {"expected_ms", base::to_milliseconds(plan.expected)},
                                   {"uncached", static_cast<std::uint64_t>(plan.prefill_tokens)}});
     // The choice is among servers that may get a request now, so both uses are within their limits.
@@ -286,8 +287,10 @@
 }
 
 void opaque_exchange::record_call_time() {
-    context_.table.timed(backend_, context_.places.on_call_time(identity().service, backend_, estimate_,
-                                                                context_.time.now() - attempt_started()));
+    const auto taken = context_.time.now() - attempt_started();
+    if (const auto ratio = context_.places.on_call_time(identity().service, backend_, estimate_, taken)) {
+        context_.table.timed(backend_, *ratio);
+    }
 }
 
 bool opaque_exchange::probably_began(attempt_outcome how) const noexcept {
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 
 namespace dotterelstack::gateway {
 
@@ -90,29 +91,33 @@
     return timing_of(service).at(static_cast<std::size_t>(kind));
 }
 
-double placement::on_call_time(std::string_view service, std::string_view engine, const call_estimate &expected,
-                               base::duration taken) {
-    if (!expected.load_known) {
-        return 1;
+std::optional<double> placement::on_call_time(std::string_view service, std::string_view engine,
+                                              const call_estimate &expected, base::duration taken) {
+    const auto *state = table_.find(engine);
+    if (!expected.load_known && (state == nullptr || !table_.was_alone(*state))) {
+        return std::nullopt;
     }
     auto &model = timing_of(service).at(static_cast<std::size_t>(expected.kind));
-    const auto *state = table_.find(engine);
     const double slowness = state == nullptr ? 1 : table_.slowness(*state);
-    const double own_ms = std::max(1.0, internal::to_ms(taken) - expected.other_ms) / slowness;
+    const double own_ms = std::max(1.0, internal::to_ms(taken) - expected.other_ms);
     const double ratio = own_ms / std::max(1.0, model.expected_ms(expected.tokens));
-    model.record(expected.tokens, own_ms);
+    model.record(expected.tokens, own_ms / slowness);
     return ratio;
 }
 
-double placement::wait_ms(const backend_state &it) const {
+double placement::wait_ms(const backend_state &it, double slowness) const {
     const double slots = std::max(1U, it.facts.slots);
     const double ahead = table_.outstanding(it) - slots + 1;
-    return ahead <= 0 ? 0 : ahead * slot_ms(it.facts.service) / slots;
+    return ahead <= 0 ? 0 : ahead * slowness * slot_ms(it.facts.service) / slots;
 }
 
-bool placement::has_room(const backend_state &it) const {
-    const double slots = std::max(1U, it.facts.slots);
-    return table_.outstanding(it) < slots * (1 + settings_.queue_per_slot);
+double placement::places(const backend_state &it, double slowness) const {
+    // Queues of equal length in time: a server that works faster may have more requests in its queue.
+    return std::max(1U, it.facts.slots) * (1 + settings_.queue_per_slot / slowness);
+}
+
+bool placement::has_room(const backend_state &it, double slowness) const {
+    return table_.outstanding(it) < places(it, slowness);
 }
 
 double placement::loss(const placement_request &request, double expected_ms) const {
@@ -132,6 +137,24 @@
            settings_.failure_cost * table_.failure_rate(it) + internal::jitter_cost * random_();
 }
 
+double placement::unknown_requests(const backend_state &it) const {
+    // Requests of others come and go within about the time for which one holds a slot, so an older report says nothing.
+    const auto age = table_.report_age(it);
+    const double known = age ? std::exp(-internal::to_ms(*age) / slot_ms(it.facts.service)) : 0;
+    return std::sqrt(table_.usual_others(it) * (1 - known));
+}
+
+/** @param added_ms Time that one more request at the server adds. */
+double placement::spread_cost(const backend_state &it, const placement_request &request, double expected_ms,
+                              double added_ms) const {
+    const double n = unknown_requests(it);
+    const double spread = it.speed ? it.speed->factor_spread() : 0;
+    const double later_ms = expected_ms * (1 + spread) + n * added_ms;
+    const double lost = loss(request, later_ms) - loss(request, expected_ms);
+    const double load = settings_.load_cost * n / std::max(1U, it.facts.slots);
+    return settings_.uncertainty_share * (lost + load) * random_();
+}
+
 double placement::disturbance(double tokens) const {
     const double linear = settings_.disturbance_cost * tokens / 1000;
     return settings_.max_disturbance * (1 - std::exp(-linear / settings_.max_disturbance));
@@ -140,9 +163,10 @@
 base::duration placement::free_in(const state_list &from) const {
     double best = std::numeric_limits<double>::max();
     for (const auto *it : from) {
+        const double slowness = table_.slowness(*it);
         const double slots = std::max(1U, it->facts.slots);
-        const double excess = table_.outstanding(*it) - slots * (1 + settings_.queue_per_slot) + 1;
-        best = std::min(best, std::max(1.0, excess) * slot_ms(it->facts.service) / slots);
+        const double excess = table_.outstanding(*it) - places(*it, slowness) + 1;
+        best = std::min(best, std::max(1.0, excess) * slowness * slot_ms(it->facts.service) / slots);
     }
     return internal::to_duration(best);
 }
@@ -151,11 +175,14 @@
     placement_result out{{}, placement_rejection::full, {}};
     double best = std::numeric_limits<double>::max();
     for (const auto *it : from) {
-        if (!has_room(*it)) {
+        const double slowness = table_.slowness(*it);
+        if (!has_room(*it, slowness)) {
             continue;
         }
-        const double expected_ms = (wait_ms(*it) + slot_ms(request.service)) * table_.slowness(*it);
-        const double cost = loss(request, expected_ms) + penalty(*it, request);
+        const double expected_ms = wait_ms(*it, slowness) + slowness * slot_ms(request.service);
+        const double added_ms = slowness * slot_ms(request.service) / std::max(1U, it->facts.slots);
+        const double cost =
+            loss(request, expected_ms) + penalty(*it, request) + spread_cost(*it, request, expected_ms, added_ms);
         if (cost < best) {
             best = cost;
             out.plan.run = it;
@@ -182,19 +209,23 @@
         // All of them, or as many as are compared, from a random position.
         const auto first = static_cast<std::size_t>(random_() * static_cast<double>(all.size()));
         for (std::size_t it = 0; it < n; ++it) {
-            out.push_back({all[(first + it) % all.size()], 0});
+            const auto *engine = all[(first + it) % all.size()];
+            out.push_back({engine, 0, table_.slowness(*engine)});
         }
         return out;
     }
-    std::vector<std::pair<std::uint64_t, const backend_state *>> order;
+    // By weighted rank; the rank itself decides between those that are equal as floating-point numbers.
+    using position = std::tuple<double, std::uint64_t, const backend_state *>;
+    std::vector<position> order;
     order.reserve(all.size());
     for (const auto *it : all) {
-        order.emplace_back(rendezvous_rank(key, it->id_hash), it);
+        const auto rank = rendezvous_rank(key, it->id_hash);
+        order.emplace_back(weighted_rank(rank, it->home.value()), rank, it);
     }
-    std::ranges::partial_sort(order, order.begin() + static_cast<std::ptrdiff_t>(n), std::ranges::greater{},
-                              [](const auto &it) { return it.first; });
+    std::ranges::partial_sort(order, order.begin() + static_cast<std::ptrdiff_t>(n), std::ranges::greater{});
     for (std::size_t it = 0; it < n; ++it) {
-        out.push_back({order[it].second, static_cast<double>(it)});
+        const auto *engine = std::get<const backend_state *>(order[it]);
+        out.push_back({engine, static_cast<double>(it), table_.slowness(*engine)});
     }
     return out;
 }
@@ -234,9 +265,9 @@
     const auto work = prefill_work_at(request, engine, prefix);
     const double tokens = work.own + work.cold;
     const double ahead = table_.pending_prefill_tokens(engine);
-    const double slowness = table_.slowness(engine);
+    const double slowness = at.slowness;
     const auto &model = timing(request.service, call_kind::direct);
-    const double other_ms = wait_ms(engine) + work.fetch_ms;
+    const double other_ms = wait_ms(engine, slowness) + work.fetch_ms;
     candidate out{.plan = {.run = &engine,
                            .fetch_from = prefix.home == &engine ? nullptr : prefix.home,
                            .prefill_tokens = tokens,
@@ -245,7 +276,9 @@
     out.own_ms = slowness * (model.expected_ms(tokens) - idle_ms) + work.fetch_ms;
     out.usual_ms = model.expected_ms(work.own) - idle_ms + work.fetch_ms;
     out.expected_ms = slowness * model.expected_ms(ahead + tokens) + other_ms;
-    out.cost = loss(request, out.expected_ms) + penalty(engine, request) + settings_.spill_cost * at.rank +
+    const double added_ms = slowness * (model.expected_ms(table_.usual_pending_prefill(engine)) - idle_ms);
+    out.cost = loss(request, out.expected_ms) + penalty(engine, request) +
+               spread_cost(engine, request, out.expected_ms, added_ms) + settings_.spill_cost * at.rank +
                disturbance(tokens) + settings_.move_cost * work.fetched / 1000;
     return out;
 }
@@ -258,12 +291,13 @@
     const auto work = prefill_work_at(request, engine, prefix);
     const double tokens = work.own + work.cold;
     const double ahead = table_.pending_prefill_tokens(engine);
-    const double slowness = table_.slowness(engine);
+    const double slowness = at.slowness;
+    const double run_slowness = table_.slowness(run);
     const auto &model = timing(request.service, call_kind::prefill);
     const auto move = internal::same_domain(engine, run) ? call_kind::near_transfer : call_kind::far_transfer;
     const double moved = request.prompt_tokens;
     const double move_ms = timing(request.service, move).expected_ms(moved);
-    const double waiting_ms = wait_ms(run);
+    const double waiting_ms = wait_ms(run, run_slowness);
     candidate out{.plan = {.prefill = &engine,
                            .run = &run,
                            .fetch_from = prefix.home,
@@ -274,8 +308,10 @@
     out.own_ms = slowness * (model.expected_ms(tokens) - idle_ms) + work.fetch_ms + move_ms;
     out.usual_ms = model.expected_ms(work.own) - idle_ms + work.fetch_ms + move_ms;
     out.expected_ms =
-        slowness * model.expected_ms(ahead + tokens) + work.fetch_ms + waiting_ms + table_.slowness(run) * move_ms;
-    out.cost = loss(request, out.expected_ms) + penalty(engine, request) + decoder.first +
+        slowness * model.expected_ms(ahead + tokens) + work.fetch_ms + waiting_ms + run_slowness * move_ms;
+    const double added_ms = slowness * (model.expected_ms(table_.usual_pending_prefill(engine)) - idle_ms);
+    out.cost = loss(request, out.expected_ms) + penalty(engine, request) +
+               spread_cost(engine, request, out.expected_ms, added_ms) + decoder.first +
                settings_.spill_cost * at.rank + settings_.move_cost * (moved + work.fetched) / 1000;
     return out;
 }
@@ -307,12 +343,12 @@
         }
     };
     for (const auto &at : decoders) {
-        if (!has_room(*at.engine)) {
+        if (!has_room(*at.engine, at.slowness)) {
             continue;
         }
         consider(direct(request, at, prefix));
-        const double cost =
-            loss(request, wait_ms(*at.engine)) + penalty(*at.engine, request) + settings_.spill_cost * at.rank;
+        const double cost = loss(request, wait_ms(*at.engine, at.slowness)) + penalty(*at.engine, request) +
+                            settings_.spill_cost * at.rank;
         const auto [it, first] = choices.try_emplace(at.engine->facts.failure_domain, cost, at.engine);
         if (!first && cost < it->second.first) {
             it->second = {cost, at.engine};
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -44,6 +44,9 @@
     std::uint32_t min_split_tokens{500};   /**< Shorter prompts are prefilled where their generation runs. */
     std::size_t max_candidates{32};        /**< Engines of one stage that are compared for a request. */
     base::duration prefix_ttl{std::chrono::seconds{10}};
+    /** Random part of the cost, relative to the loss by a deviation of load and speed from their reports that is usual
+     * at their age. Gateways with the same reports then do not all choose the same server. */
+    double uncertainty_share{1};
     /** Requests that may queue at a backend server, per slot. */
     double queue_per_slot{1.0};
 };
@@ -130,10 +133,11 @@
 
     /**
      * @brief Learns from the time that a call to an engine has taken.
-     * @return The time relative to the expected one, without the engine's own slowness.
+     * @return The time relative to the usual one at engines of the service, unless it may have been spent in a queue
+     * that this gateway could not see.
      */
-    double on_call_time(std::string_view service, std::string_view engine, const call_estimate &expected,
-                        base::duration taken);
+    std::optional<double> on_call_time(std::string_view service, std::string_view engine, const call_estimate &expected,
+                                       base::duration taken);
 
     /** @brief Updates the mean time for which requests of a service hold a slot. */
     void on_slot_time(std::string_view service, base::duration held);
@@ -179,6 +183,7 @@
     struct ranked_engine {
         const backend_state *engine{nullptr};
         double rank{0};
+        double slowness{1};
     };
 
     /** Decode engines that may run the generation of a split request: the best one of each failure domain. */
@@ -187,11 +192,15 @@
     using state_list = std::vector<const backend_state *>;
 
     [[nodiscard]] double slot_ms(std::string_view service) const;
-    [[nodiscard]] double wait_ms(const backend_state &it) const;
+    [[nodiscard]] double wait_ms(const backend_state &it, double slowness) const;
+    [[nodiscard]] double places(const backend_state &it, double slowness) const;
     [[nodiscard]] double loss(const placement_request &request, double expected_ms) const;
     [[nodiscard]] double penalty(const backend_state &it, const placement_request &request) const;
     [[nodiscard]] double disturbance(double tokens) const;
-    [[nodiscard]] bool has_room(const backend_state &it) const;
+    [[nodiscard]] double unknown_requests(const backend_state &it) const;
+    [[nodiscard]] double spread_cost(const backend_state &it, const placement_request &request, double expected_ms,
+                                     double added_ms) const;
+    [[nodiscard]] bool has_room(const backend_state &it, double slowness) const;
     [[nodiscard]] engine_timing &timing_of(std::string_view service);
     [[nodiscard]] const size_time_model &timing(std::string_view service, call_kind kind);
     [[nodiscard]] placement_result choose_plain(const placement_request &request, const state_list &from);
--- a/src/gateway/prefix_cache_tracker.cpp
+++ b/src/gateway/prefix_cache_tracker.cpp
@@ -1,5 +1,8 @@
 #include "gateway/prefix_cache_tracker.hpp"
 
+#include <cmath>
+#include <limits>
+
 #include "base/stable_hash.hpp"
 
 namespace dotterelstack::gateway {
@@ -79,4 +82,10 @@
     return internal::mix(key ^ engine);
 }
 
+double weighted_rank(std::uint64_t rank, double weight) noexcept {
+    // With u uniform in [0, 1], u^(1/w) has the order of -w / ln(u); engines of weight 1 need no power.
+    const double uniform = std::ldexp(static_cast<double>(rank), -std::numeric_limits<std::uint64_t>::digits);
+    return weight == 1 ? uniform : std::pow(uniform, 1 / weight);
+}
+
 } // namespace dotterelstack::gateway
--- a/src/gateway/prefix_cache_tracker.hpp
+++ b/src/gateway/prefix_cache_tracker.hpp
@@ -52,4 +52,12 @@
 /** @return Rendezvous-hashing weight of an engine for a key, equal at all gateways. The highest is the home. */
 [[nodiscard]] std::uint64_t rendezvous_rank(std::uint64_t key, std::uint64_t engine) noexcept;
 
+/**
+ * @brief Rank of an engine that is the home of a part of the prefixes in proportion to its weight. A change of one
+ * weight moves prefixes from or to that engine only; with equal weights the order is that of `rendezvous_rank`.
+ * @param rank From `rendezvous_rank`. @param weight Above 0.
+ * @return Value in [0, 1]; the highest is the home.
+ */
+[[nodiscard]] double weighted_rank(std::uint64_t rank, double weight) noexcept;
+
 } // namespace dotterelstack::gateway
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -214,6 +214,9 @@
     {1931, "callers_have_room", severity::info, "There is room for connections of callers again.", "none"},
     {1932, "crash_trial", severity::info,
      "A request runs although something in it is held, to tell apart what is held together.", "none"},
+    {1940, "server_home_weight", severity::info,
+     "The weight of a server as a home of prefixes has changed with its steady speed.",
+     "none; look at the server's host if many become slow."},
 });
 
 } // namespace dotterelstack::log
--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -116,6 +116,11 @@
     state_->gauges[{std::string{name}, std::string{label}}] = value;
 }
 
+void registry::remove(std::string_view name, std::string_view label) {
+    const std::scoped_lock lock{state_->mutex};
+    state_->gauges.erase({std::string{name}, std::string{label}});
+}
+
 std::string registry::text() const {
     const std::scoped_lock lock{state_->mutex};
     std::string out;
--- a/src/metrics/registry.hpp
+++ b/src/metrics/registry.hpp
@@ -40,6 +40,9 @@
     /** @brief Sets a gauge. */
     void set(std::string_view name, std::string_view label, double value);
 
+    /** @brief Removes a gauge, if it is there. */
+    void remove(std::string_view name, std::string_view label);
+
     /** @return All metrics in the Prometheus text exposition format, version 0.0.4. */
     [[nodiscard]] std::string text() const;
 
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -434,3 +434,105 @@
     CAPTURE(naive);
     CHECK(read < naive / 2);
 }
+
+namespace {
+
+/** @return Requests at the server with most of them, when 31 gateways choose among ten with the same reports. */
+int longest_of_same_reports(double uncertainty_share) {
+    constexpr int gateways = 31;
+    std::mt19937 random{5};
+    std::map<std::string, int> chosen;
+    std::vector<gateway::backend_server> all;
+    for (int n = 0; n < 10; ++n) {
+        all.push_back(test::server("desk-" + std::to_string(n), "desk"));
+    }
+    for (int n = 0; n < gateways; ++n) {
+        base::manual_clock clock;
+        gateway::backend_table table{clock};
+        gateway::placement_settings settings;
+        settings.uncertainty_share = uncertainty_share;
+        gateway::placement subject{clock, table, [&random] { return std::uniform_real_distribution{}(random); },
+                                   settings};
+        table.update(all);
+        table.set_gateways(gateways);
+        for (const auto &it : all) {
+            table.started(it.id, 0);
+        }
+        for (std::size_t it = 0; it < all.size(); ++it) {
+            table.ended(all[it].id, gateway::attempt_outcome::answered);
+            table.reported(all[it].id, {.running = it == 0 ? 0U : 2U, .waiting = 0, .slots = 6});
+        }
+        clock.advance(100ms);
+        ++chosen[subject.choose({.service = "desk", .prompt = {}, .failure_domain = "east", .objective = 300ms})
+                     .plan.run->facts.id];
+    }
+    return std::ranges::max_element(chosen, {}, [](const auto &it) { return it.second; })->second;
+}
+
+} // namespace
+
+// Thirty-one gateways have the same reports, 100 ms old, of which one names the least load. Guards against all of them
+// sending there before any hears of it.
+TEST_CASE("gateways with the same reports do not all choose the same server") {
+    const int before = longest_of_same_reports(0);
+    const int after = longest_of_same_reports(1);
+    CAPTURE(before);
+    CAPTURE(after);
+    CHECK(before == 31);
+    CHECK(after < 15);
+}
+
+// Hosts of three generations, at 0.6, 1 and 1.6 of the usual speed. Guards against as many prefixes at slow engines as
+// at fast ones, and against prefixes that move between engines whose weight has not changed.
+TEST_CASE("an engine is the home of prefixes in proportion to its steady speed") {
+    fixture it;
+    it.engines(12, 0);
+    const auto homes = [&it] {
+        std::vector<std::string> out;
+        for (std::uint64_t shared = 1; shared <= 1200; ++shared) {
+            out.push_back(it.choose(draft(shared, 10'000 + shared), false).plan.run->facts.id);
+        }
+        return out;
+    };
+    const auto before = homes();
+    gateway::server_speeds told;
+    const std::set<std::string> slow{"decode-0", "decode-1", "decode-2"};
+    const std::set<std::string> fast{"decode-3", "decode-4", "decode-5"};
+    for (int n = 0; n < 6; ++n) {
+        told.all["decode-" + std::to_string(n) + "@0"] = {n < 3 ? 0.5 : -0.47, 100};
+    }
+    it.table.on_server_speeds(told);
+    const auto after = homes();
+    const auto held = [](const auto &all, const std::set<std::string> &by) {
+        return std::ranges::count_if(all, [&by](const auto &id) { return by.contains(id); });
+    };
+    // 0.6 and 1.6 of 3 * (0.6 + 1.6) + 6 weights.
+    CHECK(held(after, slow) == doctest::Approx(1200 * 1.8 / 12.6).epsilon(0.15));
+    CHECK(held(after, fast) == doctest::Approx(1200 * 4.8 / 12.6).epsilon(0.15));
+    for (std::size_t n = 0; n < before.size(); ++n) {
+        CHECK((before[n] == after[n] || slow.contains(before[n]) || fast.contains(after[n])));
+    }
+    it.table.on_server_speeds({});
+    CHECK(homes() == after);
+}
+
+// Demand moves between failure domains by the hour. Guards against queueing near the gateway while servers elsewhere
+// are idle, and against leaving the failure domain for a gain that is smaller than the way.
+TEST_CASE("a near server with a queue is compared by time with a far one without") {
+    fixture it;
+    auto near = test::server("near", "desk");
+    auto far = test::server("far", "desk");
+    far.failure_domain = "west";
+    it.table.update({near, far});
+    const auto choose = [&it] {
+        return it.subject.choose({.service = "desk", .prompt = {}, .failure_domain = "east", .objective = 300ms})
+            .plan.run->facts.id;
+    };
+    it.table.reported("far", {.running = 0, .waiting = 0, .slots = 6});
+    it.table.reported("near", {.running = 2, .waiting = 0, .slots = 6});
+    CHECK(choose() == "near");
+    it.table.reported("near", {.running = 6, .waiting = 4, .slots = 6});
+    CHECK(choose() == "far");
+    it.table.reported("far", {.running = 6, .waiting = 4, .slots = 6});
+    CHECK(choose() == "near");
+}
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -589,3 +589,28 @@
     REQUIRE(it.of_window(19).size() == 1);
     CHECK(it.of_window(19).front().counts == gateway::start_counts{{"sangh", 6}, {"ward", 3}});
 }
+
+// Gateways of two releases run side by side while one replaces the other. Guards against records of the older form, or
+// with a speed of another form, that are left out altogether.
+TEST_CASE("member records carry speeds of servers, and are readable without them") {
+    gateway::member_record record{"g1", "g1:7", {{19, {{"sangh", 2}}}}, 20};
+    record.speeds = {{"engine-1@5", {-0.47, 31}}};
+    const auto value = gateway::to_json(record);
+    const auto parse = [](const nlohmann::json &it) { return gateway::parse_member({"gateways/g1", 1, it.dump()}); };
+    const auto whole = parse(value);
+    REQUIRE(whole);
+    REQUIRE(whole.value().speeds.contains("engine-1@5"));
+    CHECK(whole.value().speeds.at("engine-1@5").log_time == doctest::Approx(-0.47));
+    CHECK(whole.value().speeds.at("engine-1@5").samples == 31);
+    auto older = value;
+    older.erase("speeds");
+    REQUIRE(parse(older));
+    CHECK(parse(older).value().speeds.empty());
+    CHECK(parse(older).value().starts.at(19).at("sangh") == 2);
+    auto other = value;
+    other["speeds"]["engine-2@5"] = "fast";
+    REQUIRE(parse(other));
+    CHECK(parse(other).value().speeds.size() == 1);
+    other["speeds"] = 7;
+    CHECK(parse(other));
+}
