--- a/src/gateway/events.hpp
+++ b/src/gateway/events.hpp
@@ -15,6 +15,7 @@
 #include "gateway/crash_report.hpp"
 #include "gateway/gateway_group.hpp"
 #include "gateway/quota_port.hpp"
+#include "gateway/server_speeds.hpp"
 #include "gateway/shutdown_phase.hpp"
 #include "gateway/traffic_config.hpp"
 #include "http/caller_port.hpp"
@@ -45,6 +46,9 @@
 struct gateways_event {
     gateway_group all;
 };
+struct speeds_event {
+    server_speeds all;
+};
 struct settings_event {
     retry::retry_window_settings retries;
 };
@@ -59,8 +63,9 @@
     std::optional<limits::quota_answer> answer;
 };
 
-using gateway_event = std::variant<arrival_event, head_event, data_event, end_event, config_event, backends_event,
-                                   crash_reports_event, gateways_event, settings_event, stop_event, quota_answer_event>;
+using gateway_event =
+    std::variant<arrival_event, head_event, data_event, end_event, config_event, backends_event, crash_reports_event,
+                 gateways_event, speeds_event, settings_event, stop_event, quota_answer_event>;
 
 /** @brief Queue of the forwarder's thread. When it is full, new requests are refused and other producers block. */
 using event_ring = base::bounded_ring<gateway_event>;
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -38,6 +38,8 @@
     const auto &facts = it.content.facts;
     return std::uint64_t{facts.prompt_tokens} + facts.max_output_tokens;
 }
+// Greatest number of servers whose speed is among the metrics.
+constexpr std::size_t max_shown_speeds = 32;
 
 } // namespace internal
 
@@ -240,6 +242,22 @@
     quota_client_.set_group(all);
 }
 
+void forwarder::show_speeds() {
+    constexpr std::string_view name = "server_relative_time";
+    std::set<std::string> labels;
+    for (const auto &[id, time] : table_.unusual_speeds(internal::max_shown_speeds)) {
+        const auto label = "server=\"" + std::string{id} + "\"";
+        deps_.metrics.set(name, label, time);
+        labels.insert(label);
+    }
+    for (const auto &it : shown_speeds_) {
+        if (!labels.contains(it)) {
+            deps_.metrics.remove(name, it);
+        }
+    }
+    shown_speeds_ = std::move(labels);
+}
+
 void forwarder::tick() {
     quarantine_.tick();
     if (auto report = quarantine_.take_report(); report && deps_.on_crash_report) {
@@ -255,6 +273,11 @@
         next_second_ = now + internal::second;
         placement_.expire();
         report_quotas();
+        table_.settle_speeds();
+        show_speeds();
+        if (deps_.on_speeds) {
+            deps_.on_speeds(table_.measured_speeds());
+        }
         deps_.metrics.set("active_requests", "", static_cast<double>(engine_.size()));
         deps_.metrics.set("paced_servers", "", static_cast<double>(table_.paced()));
         deps_.metrics.set("held_prompt_parts", "",
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -61,6 +62,8 @@
         base::byte_budget *budget{nullptr};
         /** Reports the use of quotas; null if each gateway spends its own part. */
         quota_port *quotas{nullptr};
+        /** Takes the measured speeds of servers about once a second, for other gateways; may be empty. */
+        std::function<void(speed::speed_record)> on_speeds{};
     };
 
     forwarder(forwarder_settings settings, dependencies deps);
@@ -89,6 +92,8 @@
 
     /** @brief A report on the use of quotas was answered or has failed. */
     void on_quota_answer(std::uint64_t call, quota_call_end how, const std::optional<limits::quota_answer> &answer);
+    /** @brief Takes what gateways have measured of the speed of servers. */
+    void on_server_speeds(const server_speeds &told) { table_.on_server_speeds(told); }
 
     /** @brief Sets the limits on retries. */
     void set_retries(const retry::retry_window_settings &values) { budget_.set_limits(values); }
@@ -116,6 +121,7 @@
 private:
     void refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const;
     void refuse_by_config(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const;
+    void show_speeds();
     [[nodiscard]] std::string choose_service(const traffic_route &route) const;
 
     /** @brief A request that waits for an answer of the bank. */
@@ -148,6 +154,7 @@
     const exchange_context context_;
     traffic_config_ptr config_;
     base::instant next_second_{};
+    std::set<std::string> shown_speeds_; /**< Labels of servers whose speed is among the metrics. */
     dispatch::engine engine_;
 };
 
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -29,6 +29,7 @@
 #include "lease/lease_thread.hpp"
 #include "metrics/registry.hpp"
 #include "settings/gateway_settings.hpp"
+#include "speed/speed_board.hpp"
 #include "store/object_store.hpp"
 
 namespace dotterelstack::gateway {
@@ -101,6 +102,7 @@
     http_backend_port link_;
     quota_bank_service quota_bank_;
     http_quota_port quota_link_;
+    speed::speed_board speeds_;
     forwarder forwarder_;
     config_source config_;
     config_peer_task config_peers_;
--- a/src/gateway/member_task.cpp
+++ b/src/gateway/member_task.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "base/interruptible_wait.hpp"
@@ -48,7 +49,8 @@
 member_record member_task::record() const {
     // Reads the window before the counts: starts counted in between belong to this window or a later one.
     const auto window = deps_.starts.current_window();
-    return {settings_.name, settings_.peer_address, deps_.starts.counts(), window};
+    return {settings_.name, settings_.peer_address, deps_.starts.counts(), window,
+            deps_.speeds ? deps_.speeds() : speed::speed_record{}};
 }
 
 bool member_task::publish() {
@@ -71,13 +73,20 @@
     gateway_group live{.own = own_.key(), .listed = true, .own_name = settings_.name};
     std::size_t preceding = 0;
     std::map<std::string, std::pair<base::instant, std::string>> named;
+    std::vector<speed::speed_record> measured;
+    std::optional<speed::speed_record> own_measured;
     for (const auto &it : deps_.members.all()) {
         // Of two incarnations with one name, the record of the one that ended does not advance any more.
         auto &of = named[it.record.name];
         of = std::max(of, {it.advanced_at, it.record.peer_address});
-        if (it.key == own_.key() || now - it.advanced_at > settings_.record_ttl) {
+        if (it.key == own_.key()) {
+            own_measured = it.record.speeds;
             continue;
         }
+        if (now - it.advanced_at > settings_.record_ttl) {
+            continue;
+        }
+        measured.push_back(it.record.speeds);
         live.others.push_back(it.key);
         preceding += it.key < own_.key() ? 1U : 0U;
         others.push_back(it.record.peer_address);
@@ -90,7 +99,16 @@
         }
     }
     may_hold_leases_ = preceding < internal::lease_candidates;
+    server_speeds speeds;
+    speeds.others = speed::pooled(measured);
+    if (own_measured) {
+        measured.push_back(std::move(*own_measured));
+    }
+    speeds.all = speed::pooled(measured);
     deps_.on_group(std::move(live));
+    if (deps_.on_speeds) {
+        deps_.on_speeds(std::move(speeds));
+    }
     const std::scoped_lock lock{mutex_};
     peers_ = std::move(others);
 }
