Place new requests in the order of those that wait

Callers saw urgent checks wait while requests that came later, also less urgent ones, were placed at once: an arrival was placed ahead of everything that waited, and what waited was ordered by urgency and arrival only, so that an organisation with a large backlog delayed all others.

Requests of a service now stand in one line, ordered by urgency, virtual start time of the organisation and deadline. The line is kept ordered, and a new request is compared with the first one that found no capacity (O(log n)); it joins the line behind that one. Once a request of the line finds no place, the ones behind it are not tried again in the same pass, which saves a placement for each of them.

--- /dev/null
+++ b/src/admission/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace dotterelstack::admission {
+
+class fair_shares;
+
+} // namespace dotterelstack::admission
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -82,20 +82,67 @@
     if (of.caller->gone() && it->ends_with_caller()) {
         return end(number, it->refusal_for(end_reason::caller_gone, ran_claim_of(*it)));
     }
+    if (must_wait_in_line(*it)) {
+        return take(number, *it, it->wait_in_line());
+    }
     attempt(number, *it);
 }
 
+bool engine::must_wait_in_line(const exchange &it) const {
+    const auto line = lines_.find(it.line());
+    if (it.line().empty() || line == lines_.end() || !line->second.blocked) {
+        return false;
+    }
+    const auto &first = *line->second.blocked;
+    return deps_.time.now() < first.due && first < it.rank();
+}
+
+void engine::enter_line(exchange_number number, exchange &it, const wait_for_capacity &wait) {
+    auto found = lines_.find(it.line());
+    if (found == lines_.end()) {
+        found = lines_.emplace(std::string{it.line()}, waiting_line{}).first;
+    }
+    auto &line = found->second;
+    it.waiting_rank_ = it.rank();
+    line.requests.emplace(*it.waiting_rank_, number);
+    if (wait.blocks_line && (!line.blocked || *it.waiting_rank_ < *line.blocked)) {
+        line.blocked = it.waiting_rank_;
+    }
+}
+
+void engine::leave_line(exchange_number number, exchange &it) {
+    if (!it.waiting_rank_) {
+        return;
+    }
+    for (auto &[name, line] : lines_) {
+        if (line.requests.erase({*it.waiting_rank_, number}) > 0 && line.blocked == it.waiting_rank_) {
+            line.blocked.reset();
+        }
+    }
+    it.waiting_rank_.reset();
+}
+
+void engine::erase(exchange_number number) {
+    if (auto *it = find(number)) {
+        leave_line(number, *it);
+        exchanges_.erase(number);
+    }
+}
+
 void engine::attempt(exchange_number number, exchange &it) {
-    auto found = it.place();
+    take(number, it, it.place());
+}
+
+void engine::take(exchange_number number, exchange &it, place_result found) {
+    leave_line(number, it);
     if (auto *call = std::get_if<outgoing_call>(&found)) {
         return open_call(number, it, std::move(*call));
     }
+    it.stage_ = exchange_stage::waiting;
     if (const auto *wait = std::get_if<wait_for_capacity>(&found)) {
-        it.stage_ = exchange_stage::waiting;
         it.next_step_ = wait->until;
-        return;
+        return enter_line(number, it, *wait);
     }
-    it.stage_ = exchange_stage::waiting;
     end(number, std::move(std::get<refusal>(found)));
 }
 
@@ -132,7 +179,7 @@
         close_call(*it, attempt_outcome::cancelled, true);
     }
     it->refuse(why);
-    exchanges_.erase(number);
+    erase(number);
 }
 
 void engine::end_all(const refusal &why) {
@@ -188,7 +235,7 @@
                                     close_call(it, attempt_outcome::answered, false);
                                     it.stage_ = exchange_stage::answered;
                                     if (it.complete()) {
-                                        exchanges_.erase(number);
+                                        erase(number);
                                     }
                                 },
                                 [&](follow_up_call &follow_up) {
@@ -298,20 +345,32 @@
 }
 
 void engine::place_waiting() {
-    std::vector<std::pair<exchange_number, exchange *>> waiting;
-    for (const auto &[number, it] : exchanges_) {
-        if (it->stage_ == exchange_stage::waiting) {
-            waiting.emplace_back(number, it.get());
+    std::vector<std::string> names;
+    names.reserve(lines_.size());
+    for (const auto &[name, line] : lines_) {
+        if (!line.requests.empty()) {
+            names.push_back(name);
         }
     }
-    std::ranges::stable_sort(waiting, {}, [](const auto &it) {
-        return std::pair{it.second->priority(), it.second->identity().received};
-    });
+    for (const auto &name : names) {
+        place_line(name);
+    }
+}
+
+void engine::place_line(const std::string &name) {
+    auto &line = lines_.at(name);
+    const std::vector<std::pair<exchange_rank, exchange_number>> waiting{line.requests.begin(), line.requests.end()};
+    line.blocked.reset();
     const auto now = deps_.time.now();
     std::set<std::string, std::less<>> full;
-    for (const auto &[number, it] : waiting) {
+    for (const auto &[rank, number] : waiting) {
+        auto *it = find(number);
+        if (it == nullptr || it->stage_ != exchange_stage::waiting) {
+            continue;
+        }
         const std::string group{it->wait_group()};
-        if (full.contains(group) && now < it->next_step_) {
+        const bool blocked = line.blocked && !it->line().empty();
+        if ((blocked || full.contains(group)) && now < it->next_step_) {
             continue;
         }
         attempt(number, *it);
--- a/src/dispatch/engine.hpp
+++ b/src/dispatch/engine.hpp
@@ -2,10 +2,15 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
+#include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/clock.hpp"
@@ -50,7 +55,7 @@
     void end(exchange_number number, refusal why);
 
     /** @brief Removes a request that its front end has answered. */
-    void finish(exchange_number number) { exchanges_.erase(number); }
+    void finish(exchange_number number) { erase(number); }
 
     /** @param seen Result of the inquiry; ignored when it is no longer awaited. */
     void on_inquiry(exchange_number number, retry::evidence_kind seen);
@@ -64,7 +69,7 @@
     /** @brief Periodic work: deadlines, delayed and waiting requests, callers that have disconnected. */
     void tick();
 
-    /** @brief Tries to place the requests that wait for capacity, in order of priority, then of arrival. */
+    /** @brief Tries to place the requests that wait for capacity, those of each line in order of rank. */
     void place_waiting();
 
     /** @brief Ends all requests. */
@@ -74,7 +79,20 @@
     [[nodiscard]] std::size_t size() const noexcept { return exchanges_.size(); }
 
 private:
+    /** Requests that wait for the same capacity, in order of rank. */
+    struct waiting_line {
+        std::set<std::pair<exchange_rank, exchange_number>> requests;
+        /** Rank of the first request that blocks the line, as of the latest attempt to place it. */
+        std::optional<exchange_rank> blocked;
+    };
+
     [[nodiscard]] std::vector<exchange_number> numbers() const;
+    [[nodiscard]] bool must_wait_in_line(const exchange &it) const;
+    void enter_line(exchange_number number, exchange &it, const wait_for_capacity &wait);
+    void leave_line(exchange_number number, exchange &it);
+    void erase(exchange_number number);
+    void place_line(const std::string &name);
+    void take(exchange_number number, exchange &it, place_result found);
     void attempt(exchange_number number, exchange &it);
     void open_call(exchange_number number, exchange &it, outgoing_call what);
     void close_call(exchange &it, attempt_outcome how, bool still_open);
@@ -86,6 +104,7 @@
     dependencies deps_;
     std::map<exchange_number, std::unique_ptr<exchange>> exchanges_;
     std::unordered_map<call_id, exchange_number> calls_;
+    std::map<std::string, waiting_line, std::less<>> lines_;
     exchange_number next_number_{1};
     call_id next_call_{1};
 };
--- a/src/dispatch/exchange.hpp
+++ b/src/dispatch/exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -48,7 +49,17 @@
 
 /** @brief No backend server has capacity now, but one is expected to have some before the deadline. */
 struct wait_for_capacity {
-    base::instant until{}; /**< Afterwards placement is tried even if others of the group still wait. */
+    base::instant until{};   /**< Afterwards placement is tried even if others of the line or group still wait. */
+    bool blocks_line{false}; /**< Requests of its line that rank after it find no capacity either. */
+};
+
+/** @brief Rank among requests that wait for the same capacity; the least is placed first. */
+struct exchange_rank {
+    unsigned int urgency{0}; /**< 0 is the most urgent. */
+    double virtual_start{0}; /**< See `admission::fair_shares`; 0 without shares. */
+    base::instant due{};     /**< Time by which the caller needs the answer. */
+
+    [[nodiscard]] friend auto operator<=>(const exchange_rank &, const exchange_rank &) = default;
 };
 
 /** @brief A call to the chosen backend server, a wait for capacity, or a refusal. */
@@ -141,8 +152,17 @@
     /** @brief Asks whether the last attempt ran. @return How long to wait for the reply; empty if nobody can tell. */
     [[nodiscard]] virtual std::optional<base::duration> inquire() { return std::nullopt; }
 
-    /** @return Rank among waiting requests; 0 is placed first. */
-    [[nodiscard]] virtual unsigned int priority() const noexcept { return 0; }
+    /** @return Rank among waiting requests; must not change while the request waits. */
+    [[nodiscard]] virtual exchange_rank rank() const noexcept { return {.due = identity_.received}; }
+
+    /**
+     * @return Requests of one line take capacity in order of rank: a new one is not placed while one that ranks before
+     * it waits and blocks the line. Empty: the request is in no line.
+     */
+    [[nodiscard]] virtual std::string_view line() const noexcept { return {}; }
+
+    /** @brief Called instead of the first `place` while the request's line is blocked. @return A wait or a refusal. */
+    [[nodiscard]] virtual place_result wait_in_line() { return place(); }
 
     /** @return Requests of one group wait for the same capacity: while one has to wait, so do all. Empty: no group. */
     [[nodiscard]] virtual std::string_view wait_group() const noexcept { return {}; }
@@ -159,6 +179,7 @@
     exchange_stage stage_{exchange_stage::held};
     call_id call_{0}; /**< 0 if none. */
     base::instant attempt_started_{};
+    std::optional<exchange_rank> waiting_rank_; /**< While waiting. */
     std::optional<base::instant> caller_checked_at_;
     base::instant
         next_step_{}; /**< While delayed: time of the next attempt. While inquiring or waiting: end of the wait. */
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -35,8 +35,8 @@
       quarantine_{deps_.time, settings_.quarantine}, context_{deps_.time,      deps_.metrics, deps_.backends,
                                                               deps_.protocol,  deps_.starts,  settings_.failure_domain,
                                                               stop_,           table_,        placement_,
-                                                              retry_schedule_, waits_,        budget_,
-                                                              quarantine_,     deps_.budget},
+                                                              retry_schedule_, waits_,        shares_,
+                                                              budget_,         quarantine_,   deps_.budget},
       engine_{{deps_.time, deps_.metrics, deps_.backends, retries_}} {}
 
 void forwarder::refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const {
@@ -157,6 +157,7 @@
     if (now >= next_second_) {
         next_second_ = now + internal::second;
         placement_.expire();
+        shares_.expire();
         deps_.metrics.set("active_requests", "", static_cast<double>(engine_.size()));
         deps_.metrics.set("held_prompt_parts", "",
                           static_cast<double>(quarantine_.held_count(trait_kind::prompt_part)));
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "admission/fair_shares.hpp"
 #include "base/clock.hpp"
 #include "dispatch/engine.hpp"
 #include "gateway/backend_port.hpp"
@@ -116,6 +117,7 @@
     placement placement_;
     retry_after_scheduler retry_schedule_;
     wait_limiter waits_;
+    admission::fair_shares shares_;
     retry::retry_window budget_;
     retry::retry_policy retries_;
     crash_quarantine quarantine_;
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -29,6 +29,10 @@
 // Callers of the platform wait no longer than their remaining time divided by this.
 constexpr int retry_after_divisor = 3;
 constexpr int first_server_error = 500;
+// Work of a request besides its tokens, in prompt tokens: plain requests have no other.
+constexpr double slot_work = 100;
+// A generated token occupies an engine for about as long as this many prompt tokens that are read with others.
+constexpr double generated_token_work = 2;
 // Longest answer that is not a stream, and longest event of a stream, in bytes. Faulty servers send bytes without end.
 constexpr std::size_t body_limit = std::size_t{8} << 20U;
 constexpr std::size_t event_limit = std::size_t{1} << 20U;
@@ -48,6 +52,15 @@
     return fields;
 }
 
+/**
+ * @return Work that a request asks of its service, in tokens: what engines have to read and generate for it alone, and
+ * the slot that it holds.
+ */
+double work_of(const request_facts &facts) noexcept {
+    const double own = facts.prompt.empty() ? facts.prompt_tokens : facts.prompt.back().tokens;
+    return slot_work + own + generated_token_work * facts.max_output_tokens;
+}
+
 /** @return Ids of the parts of the prompt among the traits, separated by commas. */
 std::string part_ids(std::span<const request_trait> traits) {
     std::string out;
@@ -92,7 +105,23 @@
 
 opaque_exchange::opaque_exchange(const exchange_context &context, dispatch::request_identity of, opaque_request request)
     : exchange{std::move(of)}, context_{context}, request_{std::move(request)},
-      traits_{traits_of(request_.content, identity().organisation)}, body_held_{context.budget} {}
+      traits_{traits_of(request_.content, identity().organisation)}, work_{internal::work_of(request_.content.facts)},
+      virtual_start_{context.shares.arrive(identity().service, identity().organisation, work_)}, body_held_{
+                                                                                                     context.budget} {}
+
+dispatch::exchange_rank opaque_exchange::rank() const noexcept {
+    return {request_.priority.value_or(0), virtual_start_, identity().deadline};
+}
+
+std::string_view opaque_exchange::line() const noexcept {
+    // Further attempts have fewer servers to choose from.
+    return history().attempt() == 1 ? std::string_view{identity().service} : std::string_view{};
+}
+
+dispatch::place_result opaque_exchange::wait_in_line() {
+    return wait_or_refuse({{}, placement_rejection::full, context_.places.slot_time(identity().service)},
+                          line_effect::blocks);
+}
 
 dispatch::place_result opaque_exchange::place() {
     // Without ids, events already delivered cannot be recognised in the stream of another run.
@@ -114,13 +143,14 @@
                                                 .may_split = may_split_ && first && !started_ && !facts.last_event,
                                                 .is_new = stage() == dispatch::exchange_stage::held});
     if (placed.rejection != placement_rejection::none) {
-        return wait_or_refuse(placed);
+        return wait_or_refuse(placed,
+                              placed.rejection == placement_rejection::full ? line_effect::blocks : line_effect::none);
     }
     // Admission must not depend on the request's size, or the largest requests would never be served under load.
     const bool in_time = context_.time.now() + placed.plan.typical < admission_limit();
     const bool spare = placed.plan.typical < request_.route->latency_objective * internal::spare_percent / 100;
     if (first && !in_time && !spare) {
-        return wait_or_refuse({{}, placement_rejection::full, placed.plan.typical});
+        return wait_or_refuse({{}, placement_rejection::full, placed.plan.typical}, line_effect::none);
     }
     return start(placed.plan);
 }
@@ -174,7 +204,7 @@
     return late && history().attempt() == 1 ? std::string_view{request_.route->name} : std::string_view{};
 }
 
-dispatch::place_result opaque_exchange::wait_or_refuse(const placement_result &placed) {
+dispatch::place_result opaque_exchange::wait_or_refuse(const placement_result &placed, line_effect effect) {
     const auto now = context_.time.now();
     const bool may_wait = placed.rejection != placement_rejection::excluded && now < request_.wait_until &&
                           now + placed.free_in < identity().deadline;
@@ -182,7 +212,7 @@
         if (!std::exchange(waiting_, true)) {
             context_.waits.begin(identity().service);
         }
-        return dispatch::wait_for_capacity{request_.wait_until};
+        return dispatch::wait_for_capacity{request_.wait_until, effect == line_effect::blocks};
     }
     if (started_ || history().may_have_run()) {
         return refusal_with("no_backend", ran_claim::unknown);
@@ -202,6 +232,9 @@
 
 dispatch::outgoing_call opaque_exchange::start(const placement_plan &plan) {
     end_wait(true);
+    if (!std::exchange(was_placed_, true)) {
+        context_.shares.place(identity().service, virtual_start_);
+    }
     if (history().attempt() == 1) {
         context_.retry_schedule.on_placed(identity().service);
     }
@@ -595,6 +628,9 @@
 
 void opaque_exchange::finish(int status, std::string_view code) {
     end_wait(false);
+    if (!was_placed_) {
+        context_.shares.withdraw(identity().service, identity().organisation, work_);
+    }
     release_state();
     const auto &of = identity();
     context_.metrics.count("requests_total", "service=\"" + of.service + "\",outcome=\"" + std::string{code} + "\"");
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "admission/fair_shares.hpp"
 #include "base/byte_budget.hpp"
 #include "base/clock.hpp"
 #include "dispatch/exchange.hpp"
@@ -42,6 +43,7 @@
     placement &places;
     retry_after_scheduler &retry_schedule;
     wait_limiter &waits;
+    admission::fair_shares &shares;
     retry::retry_window &retry_budget;
     crash_quarantine &quarantine;
     base::byte_budget *budget; /**< Of the bytes of answers that are collected whole; null for none. */
@@ -85,11 +87,19 @@
     [[nodiscard]] std::string_view backend() const noexcept override { return backend_; }
     [[nodiscard]] bool ends_with_caller() const noexcept override;
     [[nodiscard]] bool call_may_run() const noexcept override { return !prefilling_; }
-    [[nodiscard]] unsigned int priority() const noexcept override { return request_.priority.value_or(0); }
+    [[nodiscard]] dispatch::exchange_rank rank() const noexcept override;
+    [[nodiscard]] std::string_view line() const noexcept override;
+    [[nodiscard]] dispatch::place_result wait_in_line() override;
     [[nodiscard]] std::string_view wait_group() const noexcept override;
 
 private:
-    [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed);
+    /** Whether requests that rank after a waiting one find no capacity either. */
+    enum class line_effect : std::uint8_t {
+        none,
+        blocks
+    };
+
+    [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed, line_effect effect);
     void end_wait(bool placed);
     [[nodiscard]] std::optional<dispatch::refusal> refusal_for_traits();
     void record_progress();
@@ -118,6 +128,11 @@
     const opaque_request request_;
     const request_traits traits_;
 
+    // Order
+    const double work_;          /**< For the shares of organisations. */
+    const double virtual_start_; /**< See `admission::fair_shares`. */
+    bool was_placed_{false};
+
     bool waiting_{false};  /**< Counted by the wait limiter. */
     bool is_trial_{false}; /**< Runs although traits of it are held; see `crash_quarantine::begin_trial`. */
 
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -66,6 +66,10 @@
     return it == slot_ms_.end() ? internal::initial_slot_ms : it->second;
 }
 
+base::duration placement::slot_time(std::string_view service) const {
+    return internal::to_duration(slot_ms(service));
+}
+
 void placement::on_slot_time(std::string_view service, base::duration held) {
     internal::update_mean(slot_ms_, service, internal::to_ms(held));
 }
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -135,6 +135,9 @@
     double on_call_time(std::string_view service, std::string_view engine, const call_estimate &expected,
                         base::duration taken);
 
+    /** @return Mean time for which requests of a service hold a slot. */
+    [[nodiscard]] base::duration slot_time(std::string_view service) const;
+
     /** @brief Updates the mean time for which requests of a service hold a slot. */
     void on_slot_time(std::string_view service, base::duration held);
 
