--- a/src/limits/quota_ledger.cpp
+++ b/src/limits/quota_ledger.cpp
@@ -13,10 +13,15 @@
 // Time constant of the mean demand. Shorter than the burst of most quotas would bind amounts at gateways that have
 // just had one large request.
 constexpr double demand_seconds = 1.5;
+// Time constant of the mean demand while there are no requests.
+constexpr double rest_seconds = 0.35;
 // Wanted in advance, in seconds of the demand: the interval between two reports and a margin for a late answer.
 constexpr double advance_seconds = 0.6;
 // Accounts with a smaller demand than this, in units a second, have no row in reports.
 constexpr double idle_demand = 0.01;
+// Part of the rate, as a divisor, that a gateway may expect to find at the bank. Asking for less costs messages of all
+// gateways under a flood; asking for more refuses what the bank could have lent.
+constexpr double share_divisor = 2;
 // Limits of Retry-After.
 constexpr base::duration shortest_return = std::chrono::milliseconds{100};
 constexpr base::duration longest_return = std::chrono::seconds{10};
@@ -161,7 +166,9 @@
             return out;
         }
         const auto enough = std::min(cost, internal::floor_of(bucket_size(it.limit) / 2));
-        if (first && !it.dry && it.level >= it.waiting + enough) {
+        // Others share what has come in at the bank since its answer.
+        const double since = it.limit.rate * base::to_seconds(now - answered_report_at_) / internal::share_divisor;
+        if (first && it.level + internal::floor_of(since) >= it.waiting + enough) {
             it.waiting += cost;
             out.verdict = quota_verdict::ask;
             return out;
@@ -192,13 +199,15 @@
     drop_expired(now);
     const double elapsed = std::max(base::to_seconds(now - std::exchange(report_at_, now)), 0.001);
     const double weight = 1 - std::exp(-elapsed / internal::demand_seconds);
+    const double rest_weight = 1 - std::exp(-elapsed / internal::rest_seconds);
     quota_report out{.gateway = {}, .incarnation = {}, .sequence = ++sequence_, .rows = {}};
     for (auto &[name, it] : accounts_) {
         if (!it.active) {
             continue;
         }
         const auto asked = static_cast<double>(it.asked - std::exchange(it.reported_asked, it.asked));
-        it.demand += (asked / elapsed - it.demand) * weight;
+        // Without requests the demand falls faster, since what is held for it is missing at other gateways.
+        it.demand += (asked / elapsed - it.demand) * (asked > 0 ? weight : rest_weight);
         const auto wanted = internal::floor_of(it.demand * internal::advance_seconds) + it.waiting;
         // Held amounts that are not wanted go back, and may be lent to others from here on.
         it.ceiling = std::min(it.ceiling, std::max(it.spent + wanted, it.spent));
--- a/src/limits/quota_message.hpp
+++ b/src/limits/quota_message.hpp
@@ -10,7 +10,7 @@
 namespace dotterelstack::limits {
 
 /** @brief Interval in which a gateway sends its bank a message. */
-inline constexpr base::duration quota_interval = std::chrono::milliseconds{500};
+inline constexpr base::duration quota_interval = std::chrono::milliseconds{400};
 
 /**
  * @brief Time from a message for which its gateway counts as a member of its bank, so that the bank lends its part.
