--- a/bench/limits.cpp
+++ b/bench/limits.cpp
@@ -1,11 +1,14 @@
 #include <benchmark/benchmark.h>
 
 #include <malloc.h>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "limits/admission.hpp"
+#include "limits/quota_bank.hpp"
+#include "limits/quota_ledger.hpp"
 #include "limits/share_coordinator.hpp"
 #include "limits/share_holder.hpp"
 
@@ -167,6 +170,57 @@
 }
 BENCHMARK(demand_and_answer)->Arg(3)->Arg(30)->Arg(340);
 
+/** @brief Quotas with the given number of organisations. */
+quota_list quotas_of(std::size_t organisations) {
+    quota_list out;
+    for (std::size_t n = 0; n < organisations; ++n) {
+        out.emplace_back("organisation-" + std::to_string(n),
+                         quota{.rate = 100'000, .burst = 100'000, .unit = quota_unit::tokens});
+    }
+    return out;
+}
+
+/** @brief One decision on a request, with the given number of organisations that have quotas. */
+void quota_decision_of_one(benchmark::State &state) {
+    const auto all = quotas_of(static_cast<std::size_t>(state.range(0)));
+    const boottime_clock clock;
+    quota_ledger ledger{clock};
+    ledger.set_quotas(all);
+    std::mt19937_64 random{20261204};
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(ledger.admit(all[random() % all.size()].first, 400));
+    }
+}
+BENCHMARK(quota_decision_of_one)->Arg(16)->Arg(940);
+
+/** @brief A report with 16 rows and its answer, at a bank of the given number of gateways and 940 organisations. */
+void quota_report_and_answer(benchmark::State &state) {
+    const auto gateways = static_cast<std::size_t>(state.range(0));
+    const auto all = quotas_of(940);
+    manual_clock clock;
+    quota_bank bank{clock};
+    bank.set_quotas(all);
+    bank.set_gateways(gateways);
+    std::vector<std::unique_ptr<quota_ledger>> ledgers;
+    for (std::size_t n = 0; n < gateways; ++n) {
+        ledgers.push_back(std::make_unique<quota_ledger>(clock));
+        ledgers.back()->set_quotas(all);
+        ledgers.back()->set_gateways(gateways);
+    }
+    std::size_t n = 0;
+    for (auto _ : state) {
+        const auto at = n++ % gateways;
+        for (std::size_t row = 0; row < 16; ++row) {
+            benchmark::DoNotOptimize(ledgers[at]->admit(all[row].first, 400));
+        }
+        auto report = ledgers[at]->report();
+        report.gateway = "gateway-" + std::to_string(at);
+        ledgers[at]->on_answer(bank.answer(report));
+        clock.advance(quota_interval / gateways);
+    }
+}
+BENCHMARK(quota_report_and_answer)->Arg(31)->Arg(340);
+
 } // namespace
 
 BENCHMARK_MAIN();
--- a/src/limits/quota_bank.cpp
+++ b/src/limits/quota_bank.cpp
@@ -60,6 +60,10 @@
 }
 
 void quota_bank::expire(account &it, base::instant now) {
+    if (now < it.expiry_due) {
+        return;
+    }
+    it.expiry_due = now + quota_interval;
     for (auto at = it.lines.begin(); at != it.lines.end();) {
         const auto next = std::next(at);
         if (at->second.expires <= now) {
@@ -88,14 +92,18 @@
     to.missing = std::max<std::int64_t>(use.wanted - to.held(), 0);
     const auto level = static_cast<std::int64_t>(std::floor(it.bucket.level_at(now)));
     const auto available = std::max<std::int64_t>(level, 0);
-    const auto fair = divide_fairly(available, [&it](auto take) {
-        for (const auto &[name, other] : it.lines) {
-            if (other.missing > 0) {
-                take(other.missing);
+    auto granted = to.missing;
+    // Nobody's fair share is less than an even one.
+    if (granted > available / static_cast<std::int64_t>(it.lines.size())) {
+        const auto fair = divide_fairly(available, [&it](auto take) {
+            for (const auto &[name, other] : it.lines) {
+                if (other.missing > 0) {
+                    take(other.missing);
+                }
             }
-        }
-    });
-    const auto granted = std::min(to.missing, fair.unsatisfied > 0 ? fair.level : to.missing);
+        });
+        granted = fair.unsatisfied > 0 ? std::min(granted, fair.level) : granted;
+    }
     to.missing -= granted;
     to.ceiling += granted;
     it.outstanding += granted;
--- a/src/limits/quota_bank.hpp
+++ b/src/limits/quota_bank.hpp
@@ -69,6 +69,7 @@
         quota limit;
         token_bucket bucket; /**< What can be lent. */
         std::map<std::string, line, std::less<>> lines;
+        base::instant expiry_due{};  /**< Of the next look for lines that have expired. */
         std::int64_t outstanding{0}; /**< Lent, not reported as spent and not expired. */
     };
 
