Return homes to neutral weight when few measurements are told

Records leave out servers that are usual again, so a weight once taken would have lasted at gateways that knew it, while those that start later have the neutral one.

Run: test_speed (8 cases), test_gateway (153 cases).

--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -149,6 +149,9 @@
                               double added_ms) const {
     const double n = unknown_requests(it);
     const double spread = it.speed ? it.speed->factor_spread() : 0;
+    if (n == 0 && spread == 0) {
+        return 0;
+    }
     const double later_ms = expected_ms * (1 + spread) + n * added_ms;
     const double lost = loss(request, later_ms) - loss(request, expected_ms);
     const double load = settings_.load_cost * n / std::max(1U, it.facts.slots);
