Measure the speed of plain servers that state their time of work

The speed of a plain server was only what it stated at the moment. Its answers that say that no request waits there are now measured against the mean of the service, which takes the speed of the servers out of the times for which slots are held. Other servers are as before.

--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -258,9 +258,17 @@
     return it.own_prefill_tokens + std::max(0.0, others) * all.pending_prefill.value;
 }
 
-bool backend_table::was_alone(const backend_state &it) const {
+bool backend_table::reports_with_answer(const backend_state &it) const {
     const auto age = report_age(it);
-    return age && *age <= internal::same_answer && it.report.work_factor && it.report.running + it.report.waiting <= 1;
+    return age && *age <= internal::same_answer && it.report.work_factor;
+}
+
+bool backend_table::was_alone(const backend_state &it) const {
+    return reports_with_answer(it) && it.report.running + it.report.waiting <= 1;
+}
+
+bool backend_table::was_unqueued(const backend_state &it) const {
+    return reports_with_answer(it) && it.report.waiting == 0;
 }
 
 double backend_table::usual_others(const backend_state &it) const {
--- a/src/gateway/backend_table.hpp
+++ b/src/gateway/backend_table.hpp
@@ -163,6 +163,9 @@
      */
     [[nodiscard]] bool was_alone(const backend_state &it) const;
 
+    /** @return True when such a server has just reported that no request waits for a slot. */
+    [[nodiscard]] bool was_unqueued(const backend_state &it) const;
+
     /** @return Fraction of recent attempts that failed, from 0 to 1. */
     [[nodiscard]] double failure_rate(const backend_state &it) const;
 
@@ -203,6 +206,7 @@
 
     [[nodiscard]] base::instant open_at(const backend_state &it) const;
     [[nodiscard]] backend_state *find_mutable(std::string_view id);
+    [[nodiscard]] bool reports_with_answer(const backend_state &it) const;
     [[nodiscard]] bool has_report(const backend_state &it) const;
     [[nodiscard]] stage_totals &totals_of(const backend_state &it) { return stages_.at(stage_index(it)); }
     [[nodiscard]] static std::size_t stage_index(const backend_state &it) noexcept {
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -277,7 +277,10 @@
     }
     if (how == attempt_outcome::answered) {
         if (!prefilling_) {
-            context_.places.on_slot_time(identity().service, context_.time.now() - attempt_started());
+            const auto held = context_.time.now() - attempt_started();
+            if (const auto ratio = context_.places.on_slot_time(identity().service, backend_, held)) {
+                context_.table.timed(backend_, *ratio);
+            }
         }
         return;
     }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -67,8 +67,18 @@
     return it == slot_ms_.end() ? internal::initial_slot_ms : it->second;
 }
 
-void placement::on_slot_time(std::string_view service, base::duration held) {
-    internal::update_mean(slot_ms_, service, internal::to_ms(held));
+std::optional<double> placement::on_slot_time(std::string_view service, std::string_view server, base::duration held) {
+    const double held_ms = internal::to_ms(held);
+    const auto *state = table_.find(server);
+    if (state == nullptr || !table_.was_unqueued(*state)) {
+        internal::update_mean(slot_ms_, service, held_ms);
+        return std::nullopt;
+    }
+    const bool plain = state->facts.stage == engine_stage::none;
+    const auto ratio =
+        plain && slot_ms_.contains(service) ? std::optional{held_ms / std::max(1.0, slot_ms(service))} : std::nullopt;
+    internal::update_mean(slot_ms_, service, held_ms / table_.slowness(*state));
+    return ratio;
 }
 
 void placement::on_prefill_done(std::string_view engine, std::span<const prompt_part> prompt) {
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -139,8 +139,12 @@
     std::optional<double> on_call_time(std::string_view service, std::string_view engine, const call_estimate &expected,
                                        base::duration taken);
 
-    /** @brief Updates the mean time for which requests of a service hold a slot. */
-    void on_slot_time(std::string_view service, base::duration held);
+    /**
+     * @brief Updates the mean time for which requests of a service hold a slot.
+     * @return For plain services, the time relative to that mean, where the server states the time of work and that no
+     * request waits there.
+     */
+    std::optional<double> on_slot_time(std::string_view service, std::string_view server, base::duration held);
 
     /** @brief Sets the number of gateways, to extrapolate prefix use at this gateway to all. */
     void set_gateways(std::uint32_t n) noexcept { warmth_.set_gateways(n); }
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -537,3 +537,32 @@
     it.table.reported("far", {.running = 6, .waiting = 4, .slots = 6});
     CHECK(choose() == "near");
 }
+
+// A booking service on hosts of several generations. Guards against as many requests at the slow server as at the fast
+// one, and against taking its queue for its speed.
+TEST_CASE("the speed of plain servers that state their time of work is measured") {
+    fixture it;
+    it.table.update({test::server("slow", "desk"), test::server("fast", "desk")});
+    const auto answer = [&it](const std::string &id, base::duration held, std::uint32_t waiting) {
+        it.clock.advance(50ms);
+        it.table.started(id, 0);
+        it.table.reported(id, {.running = 1, .waiting = waiting, .slots = 6, .work_factor = 1.0});
+        it.table.ended(id, gateway::attempt_outcome::answered);
+        if (const auto ratio = it.subject.on_slot_time("desk", id, held)) {
+            it.table.timed(id, *ratio);
+        }
+        it.table.settle_speeds();
+    };
+    for (int n = 0; n < 40; ++n) {
+        answer("slow", 50ms, 0);
+        answer("fast", 20ms, 0);
+    }
+    const double slow = it.table.slowness(*it.table.find("slow"));
+    const double fast = it.table.slowness(*it.table.find("fast"));
+    CHECK(slow / fast == doctest::Approx(2.5).epsilon(0.25));
+    CHECK(fast < 0.8);
+    for (int n = 0; n < 40; ++n) {
+        answer("fast", 200ms, 3);
+    }
+    CHECK(it.table.slowness(*it.table.find("fast")) < 0.8);
+}
