--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -71,8 +71,18 @@
     return internal::to_duration(slot_ms(service));
 }
 
-void placement::on_slot_time(std::string_view service, base::duration held) {
-    internal::update_mean(slot_ms_, service, internal::to_ms(held));
+std::optional<double> placement::on_slot_time(std::string_view service, std::string_view server, base::duration held) {
+    const double held_ms = internal::to_ms(held);
+    const auto *state = table_.find(server);
+    if (state == nullptr || !table_.was_unqueued(*state)) {
+        internal::update_mean(slot_ms_, service, held_ms);
+        return std::nullopt;
+    }
+    const bool plain = state->facts.stage == engine_stage::none;
+    const auto ratio =
+        plain && slot_ms_.contains(service) ? std::optional{held_ms / std::max(1.0, slot_ms(service))} : std::nullopt;
+    internal::update_mean(slot_ms_, service, held_ms / table_.slowness(*state));
+    return ratio;
 }
 
 void placement::on_prefill_done(std::string_view engine, std::span<const prompt_part> prompt) {
@@ -153,6 +163,9 @@
                               double added_ms) const {
     const double n = unknown_requests(it);
     const double spread = it.speed ? it.speed->factor_spread() : 0;
+    if (n == 0 && spread == 0) {
+        return 0;
+    }
     const double later_ms = expected_ms * (1 + spread) + n * added_ms;
     const double lost = loss(request, later_ms) - loss(request, expected_ms);
     const double load = settings_.load_cost * n / std::max(1U, it.facts.slots);
