Keep room for urgent requests, and correct estimates by recent answers

Callers of urgent checks got answers too late in floods: hardly any request was refused, because the estimates of a gateway rest on few and old reports and know nothing of what other gateways send meanwhile, and less urgent reviews were placed by their own, longer objective into the room that checks needed.

New in admission: recent_times, the mean time of recent answers by service and urgency, which lengthens the estimate for a request of usual size (it never shortens it); urgent_reserve, with which less urgent requests get no room while answers to more urgent ones take over half of their objective, down to a floor of half of what is asked for.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -32,11 +32,10 @@
     : settings_{std::move(settings)}, deps_{std::move(deps)}, table_{deps_.time, settings_.health},
       placement_{deps_.time, table_, deps_.random, settings_.places}, retry_schedule_{deps_.time}, waits_{deps_.time},
       budget_{deps_.time, settings_.retries}, retries_{deps_.time, budget_, deps_.random, internal::retry_options},
-      quarantine_{deps_.time, settings_.quarantine}, context_{deps_.time,      deps_.metrics, deps_.backends,
-                                                              deps_.protocol,  deps_.starts,  settings_.failure_domain,
-                                                              stop_,           table_,        placement_,
-                                                              retry_schedule_, waits_,        shares_,
-                                                              budget_,         quarantine_,   deps_.budget},
+      reserve_{deps_.time}, times_{deps_.time}, quarantine_{deps_.time, settings_.quarantine},
+      context_{deps_.time, deps_.metrics, deps_.backends, deps_.protocol,  deps_.starts, settings_.failure_domain,
+               stop_,      table_,        placement_,     retry_schedule_, waits_,       shares_,
+               reserve_,   times_,        budget_,        quarantine_,     deps_.budget},
       engine_{{deps_.time, deps_.metrics, deps_.backends, retries_}} {}
 
 void forwarder::refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const {
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "admission/fair_shares.hpp"
+#include "admission/recent_times.hpp"
+#include "admission/urgent_reserve.hpp"
 #include "base/clock.hpp"
 #include "dispatch/engine.hpp"
 #include "gateway/backend_port.hpp"
@@ -120,6 +122,8 @@
     admission::fair_shares shares_;
     retry::retry_window budget_;
     retry::retry_policy retries_;
+    admission::urgent_reserve reserve_;
+    admission::recent_times times_;
     crash_quarantine quarantine_;
     shutdown_phase stop_{shutdown_phase::none};
     const exchange_context context_;
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -26,6 +26,9 @@
 // Percentage of the latency objective below which the expected time shows that there is capacity to spare. Requests
 // that will be late anyway are placed only then, so that they make no others late.
 constexpr int spare_percent = 35;
+// Percentage of the objective of more urgent requests that these may take before others get no room. They need the
+// rest for what arrives at the servers before an answer shows it.
+constexpr int reserve_percent = 50;
 // Callers of the platform wait no longer than their remaining time divided by this.
 constexpr int retry_after_divisor = 3;
 constexpr int first_server_error = 500;
@@ -107,7 +110,9 @@
     : exchange{std::move(of)}, context_{context}, request_{std::move(request)},
       traits_{traits_of(request_.content, identity().organisation)}, work_{internal::work_of(request_.content.facts)},
       virtual_start_{context.shares.arrive(identity().service, identity().organisation, work_)}, body_held_{
-                                                                                                     context.budget} {}
+                                                                                                     context.budget} {
+    context_.reserve.ask(identity().service, request_.priority.value_or(0), request_.route->latency_objective);
+}
 
 dispatch::exchange_rank opaque_exchange::rank() const noexcept {
     return {request_.priority.value_or(0), virtual_start_, identity().deadline};
@@ -147,14 +152,28 @@
                               placed.rejection == placement_rejection::full ? line_effect::blocks : line_effect::none);
     }
     // Admission must not depend on the request's size, or the largest requests would never be served under load.
-    const bool in_time = context_.time.now() + placed.plan.typical < admission_limit();
-    const bool spare = placed.plan.typical < request_.route->latency_objective * internal::spare_percent / 100;
-    if (first && !in_time && !spare) {
-        return wait_or_refuse({{}, placement_rejection::full, placed.plan.typical}, line_effect::none);
+    const auto typical = context_.times.corrected(work_class(), placed.plan.typical);
+    if (first && !fits(placed.plan, typical)) {
+        return wait_or_refuse({{}, placement_rejection::full, typical}, line_effect::none);
     }
     return start(placed.plan);
 }
 
+bool opaque_exchange::fits(const placement_plan &plan, base::duration typical) const {
+    const bool in_time = context_.time.now() + typical < admission_limit();
+    const bool spare = typical < request_.route->latency_objective * internal::spare_percent / 100;
+    const auto urgent = context_.reserve.above(identity().service, request_.priority.value_or(0));
+    const bool leaves_room = !urgent || context_.times.corrected({identity().service, urgent->urgency}, plan.queued) <
+                                            urgent->objective * internal::reserve_percent / 100;
+    return leaves_room && (in_time || spare);
+}
+
+void opaque_exchange::record_answer_time() {
+    if (history().attempt() == 1) {
+        context_.times.record(work_class(), context_.time.now() - identity().received - placed_after_);
+    }
+}
+
 std::optional<dispatch::refusal> opaque_exchange::refusal_for_traits() {
     const auto ran = dispatch::ran_claim_of(*this);
     const bool may_have_run = history().may_have_run();
@@ -233,6 +252,7 @@
 dispatch::outgoing_call opaque_exchange::start(const placement_plan &plan) {
     end_wait(true);
     if (!std::exchange(was_placed_, true)) {
+        context_.reserve.place(identity().service, request_.priority.value_or(0));
         context_.shares.place(identity().service, virtual_start_);
     }
     if (history().attempt() == 1) {
@@ -450,6 +470,7 @@
     } else {
         first_event_after_ = now - of.received;
         record_call_time();
+        record_answer_time();
         context_.metrics.observe(metrics::timing::first_token, of.organisation, of.service, first_event_after_);
     }
     last_event_at_ = now;
@@ -566,6 +587,7 @@
         of.caller->finish();
     } else {
         count_start();
+        record_answer_time();
         of.caller->respond({head_.status, internal::with_close(context_, head_.fields), body_});
     }
     finish(head_.status, "served");
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "admission/fair_shares.hpp"
+#include "admission/recent_times.hpp"
+#include "admission/urgent_reserve.hpp"
 #include "base/byte_budget.hpp"
 #include "base/clock.hpp"
 #include "dispatch/exchange.hpp"
@@ -44,6 +46,8 @@
     retry_after_scheduler &retry_schedule;
     wait_limiter &waits;
     admission::fair_shares &shares;
+    admission::urgent_reserve &reserve;
+    admission::recent_times &times;
     retry::retry_window &retry_budget;
     crash_quarantine &quarantine;
     base::byte_budget *budget; /**< Of the bytes of answers that are collected whole; null for none. */
@@ -99,6 +103,11 @@
         blocks
     };
 
+    [[nodiscard]] bool fits(const placement_plan &plan, base::duration typical) const;
+    void record_answer_time();
+    [[nodiscard]] admission::work_class work_class() const noexcept {
+        return {identity().service, request_.priority.value_or(0)};
+    }
     [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed, line_effect effect);
     void end_wait(bool placed);
     [[nodiscard]] std::optional<dispatch::refusal> refusal_for_traits();
