--- a/standin/runner/main.cpp
+++ b/standin/runner/main.cpp
@@ -160,7 +160,11 @@
                 return call.abort();
             }
             respond(call, 200, {{"Response-Signature", options_.id}},
-                    json{{"request", id}, {"by", options_.id}, {"runs", runs_[id]}}.dump());
+                    json{{"request", id},
+                         {"by", options_.id},
+                         {"runs", runs_[id]},
+                         {"padding", std::string(number(call.message(), "Test-Size", 0), 'x')}}
+                        .dump());
         });
     }
 
--- a/test/support/forward_site.cpp
+++ b/test/support/forward_site.cpp
@@ -102,6 +102,7 @@
                         {"metrics", "127.0.0.1:0"}}},
                       {"store", store_paths_[n]->address()},
                       {"memory_mb", memory_mb_},
+                      {"descriptors", descriptors_},
                       {"duties", store_paths_[n]->address()},
                       {"bounds", {{"stop_grace_s", 8}, {"usage_window_s", 1}, {"retry_allowance", 500}}}};
     const auto file = folder_ / ("gateway-" + std::to_string(n) + ".json");
@@ -166,8 +167,8 @@
 }
 
 forward_reply forward_site::send(std::size_t n, const std::string &kind, const std::string &id, const std::string &key,
-                                 http::field_list more) const {
-    http::request message{"POST", "/" + kind + "/1", std::move(more), "body"};
+                                 http::field_list more, std::string body) const {
+    http::request message{"POST", "/" + kind + "/1", std::move(more), std::move(body)};
     message.fields.insert(
         message.fields.end(),
         {{"Host", "site.example"}, {"Attempt-Id", id}, {"Authorization", "Bearer " + key}, {"Deadline-Ms", "4000"}});
@@ -182,6 +183,7 @@
     }
     http::call_options options;
     options.timeout = std::chrono::seconds{6};
+    options.fresh_connection = fresh_connections_;
     auto answer = client_.call(callers(n), message, options);
     if (!answer) {
         return {};
@@ -190,7 +192,9 @@
 }
 
 bool forward_site::ready(std::size_t n) const {
-    const auto answer = client_.call(readiness_addresses_.at(n), {"GET", "/readiness", {}, ""}, {});
+    http::call_options options;
+    options.fresh_connection = fresh_connections_;
+    const auto answer = client_.call(readiness_addresses_.at(n), {"GET", "/readiness", {}, ""}, options);
     return answer && answer.value().status == 200;
 }
 
--- a/test/support/forward_site.hpp
+++ b/test/support/forward_site.hpp
@@ -56,6 +56,15 @@
     /** @brief Sets the memory of gateways that are started later. */
     void set_memory_mb(int memory_mb) noexcept { memory_mb_ = memory_mb; }
 
+    /** @brief Sets the limit on descriptors of gateways that are started later. */
+    void set_descriptors(int descriptors) noexcept { descriptors_ = descriptors; }
+
+    /** @brief Lets each request come on a connection of its own, as from a new caller. */
+    void set_fresh_connections() noexcept { fresh_connections_ = true; }
+
+    /** @return Address of gateway `n` for callers. */
+    [[nodiscard]] std::string callers(std::size_t n) const;
+
     [[nodiscard]] child_process &gateway(std::size_t n) { return *gateways_.at(n); }
     [[nodiscard]] std::size_t gateways() const noexcept { return gateways_.size(); }
 
@@ -83,7 +92,8 @@
     /** @brief Sends a request to gateway `n`. Callable from any thread. @param more Further fields; may set the parts
      * of the prompt. */
     [[nodiscard]] forward_reply send(std::size_t n, const std::string &kind, const std::string &id,
-                                     const std::string &key = "key-1", http::field_list more = {}) const;
+                                     const std::string &key = "key-1", http::field_list more = {},
+                                     std::string body = "body") const;
 
     /** @return True once gateway `n` says that it is ready. */
     [[nodiscard]] bool ready(std::size_t n) const;
@@ -102,7 +112,6 @@
 
 private:
     [[nodiscard]] nlohmann::json counts(child_process &runner) const;
-    [[nodiscard]] std::string callers(std::size_t n) const;
     [[nodiscard]] nlohmann::json next_config(const std::vector<std::string> &keys);
     void set_store_faults(const nlohmann::json &faults) const;
 
@@ -118,6 +127,8 @@
     std::vector<std::string> readiness_addresses_;
     std::uint64_t version_{1};
     int memory_mb_{256};
+    int descriptors_{4096};
+    bool fresh_connections_{false};
 };
 
 /** @return The whole stream that the runner makes for a request. */
