Count all that callers make a gateway hold, and end who makes no progress

http::server now charges heads with their fields, bodies by the capacity of their buffer, what the handler holds beside, and answers that wait, all to one budget for each listener; libmicrohttpd's room bounds the number of connections by memory as well as by descriptors. Bodies that are declared too long get 413 from their head, and what is refused is dropped as it is read. At the limit of the budget or of connections, the body or head without progress for longest (1 s) is ended, then idle connections, then readers of answers without progress for 5 s; answers beyond 5/4 of the budget end the slowest reader at once. Answers over 16 KiB are no longer copied for the library, requests no longer for the forwarder. The gateway gives a sixth of its memory to messages of callers, an eighth to answers of servers (a budget of its own now), a quarter to connections of callers; the other listeners have a few connections and 512 KiB each. The kernel's receive buffer of a connection is limited to 64 KiB instead of growing to megabytes.

--- a/src/base/byte_budget.hpp
+++ b/src/base/byte_budget.hpp
@@ -17,13 +17,16 @@
     [[nodiscard]] bool take(std::size_t n) noexcept {
         auto used = used_.load();
         do {
-            if (n > limit_ - used) {
+            if (used > limit_ || n > limit_ - used) {
                 return false;
             }
         } while (!used_.compare_exchange_weak(used, used + n));
         return true;
     }
 
+    /** @brief Takes bytes that are held in any case, also beyond the limit. */
+    void take_always(std::size_t n) noexcept { used_ += n; }
+
     void give_back(std::size_t n) noexcept { used_ -= n; }
 
     [[nodiscard]] std::size_t used() const noexcept { return used_; }
@@ -37,11 +40,12 @@
 /**
  * @brief What one message has taken of a budget; given back at its end. Not thread-safe.
  *
- * The first bytes of each message are free, so that messages of usual size are never refused because of large ones.
+ * All bytes are counted. The first bytes of each message are never refused, so that messages of usual size get through
+ * beside large ones.
  */
 class byte_holding {
 public:
-    static constexpr std::size_t free_bytes = std::size_t{64} << 10U;
+    static constexpr std::size_t granted_bytes = std::size_t{16} << 10U;
 
     /** @param from Budget, which must outlive this object; null for none. */
     explicit byte_holding(byte_budget *from = nullptr) noexcept : budget_{from} {}
@@ -52,22 +56,38 @@
     /** @brief Takes what a message of a size needs, or gives back the rest. @return False if the budget does not allow
      * it; nothing changes then. */
     [[nodiscard]] bool resize(std::size_t size) noexcept {
-        const auto needed = size > free_bytes ? size - free_bytes : 0;
-        if (budget_ == nullptr) {
+        if (size <= granted_bytes) {
+            hold(size);
             return true;
         }
-        if (needed > taken_ && !budget_->take(needed - taken_)) {
+        return try_resize(size);
+    }
+
+    /** @brief As `resize`, with nothing granted. */
+    [[nodiscard]] bool try_resize(std::size_t size) noexcept {
+        if (budget_ != nullptr && size > taken_ && !budget_->take(size - taken_)) {
             return false;
         }
-        if (needed < taken_) {
-            budget_->give_back(taken_ - needed);
+        if (budget_ != nullptr && size < taken_) {
+            budget_->give_back(taken_ - size);
         }
-        taken_ = needed;
+        taken_ = size;
         return true;
     }
 
+    /** @brief Takes what a message of a size needs, also beyond the limit, or gives back the rest. */
+    void hold(std::size_t size) noexcept {
+        if (budget_ != nullptr && size > taken_) {
+            budget_->take_always(size - taken_);
+            taken_ = size;
+        }
+        (void)try_resize(size);
+    }
+
     /** @brief Gives everything back. */
-    void reset() noexcept { (void)resize(0); }
+    void reset() noexcept { (void)try_resize(0); }
+
+    [[nodiscard]] std::size_t taken() const noexcept { return taken_; }
 
 private:
     byte_budget *budget_;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -5,6 +5,7 @@
 
 #include "base/overloaded.hpp"
 #include "gateway/peer_call.hpp"
+#include "http/connection_room.hpp"
 #include "http/exchange_caller.hpp"
 #include "log/event.hpp"
 
@@ -15,9 +16,24 @@
 constexpr std::size_t event_ring_limit = 8192;
 // Bytes of answers that wait for the forwarder, beyond which their servers are slowed down.
 constexpr std::size_t event_ring_bytes = std::size_t{4} << 20U;
-// Large messages may hold the process's memory divided by this: each is copied while it is passed on, and its buffer
-// may be twice as large as its content.
-constexpr double message_memory_divisor = 8;
+// Shares of the process's memory, as divisors. What they leave is for the process itself and for buffers that are
+// larger than their content.
+constexpr std::size_t caller_bytes_divisor = 6;
+constexpr std::size_t server_bytes_divisor = 8;
+constexpr std::size_t caller_connections_divisor = 4;
+constexpr std::size_t peer_connections_divisor = 32;
+// A body of the largest legal size always has room, with its copy for the server and beside other requests.
+constexpr std::size_t least_caller_bytes = std::size_t{9} << 20U;
+// A request in progress takes about this much for its state, its transfer and its connection to a server.
+constexpr std::size_t request_bytes = std::size_t{24} << 10U;
+// One is kept for further attempts, one is on its way.
+constexpr std::size_t body_copies = 2;
+// At other listeners: bodies are not needed there, and the callers are few.
+constexpr std::size_t other_connections = 32;
+constexpr std::size_t other_bytes = std::size_t{512} << 10U;
+constexpr http::caller_limits other_limits{.body_bytes = 4096, .header_timeout = std::chrono::seconds{10}};
+// Part of the descriptors for each of the other listeners.
+constexpr std::uint64_t other_share_divisor = 16;
 // Period of the forwarder's periodic work while requests are in progress, and while there are none.
 constexpr auto busy_tick = std::chrono::milliseconds{25};
 constexpr auto idle_tick = std::chrono::milliseconds{200};
@@ -72,9 +88,22 @@
     return std::max(from.bounds.config_apply, answer_interval(from));
 }
 
-std::size_t message_bytes(const settings::gateway_settings &from) {
+std::size_t memory_bytes(const settings::gateway_settings &from) {
     constexpr double mebibyte = 1024 * 1024;
-    return static_cast<std::size_t>(from.memory_mb * mebibyte / message_memory_divisor);
+    return static_cast<std::size_t>(from.memory_mb * mebibyte);
+}
+
+std::size_t caller_bytes(const settings::gateway_settings &from) {
+    return std::max(least_caller_bytes, memory_bytes(from) / caller_bytes_divisor);
+}
+
+/** Limits of a listener that is not for callers. */
+http::server_limits limits_of_other(const settings::gateway_settings &from, std::size_t most,
+                                    base::byte_budget &budget) {
+    return {.body_bytes = other_limits.body_bytes,
+            .connections =
+                http::connections_within(most * http::connection_room_bytes, from.descriptors / other_share_divisor),
+            .budget = &budget};
 }
 
 store_failure failure_of(const base::error &why) {
@@ -95,16 +124,18 @@
 
 gateway_daemon::gateway_daemon(settings::gateway_settings values, dependencies deps)
     : settings_{std::move(values)}, deps_{deps}, incarnation_{deps_.ids.next()},
-      message_bytes_{internal::message_bytes(settings_)}, events_{internal::event_ring_limit,
-                                                                  internal::event_ring_bytes},
+      caller_bytes_{internal::caller_bytes(settings_)}, server_bytes_{internal::memory_bytes(settings_) /
+                                                                      internal::server_bytes_divisor},
+      peers_bytes_{internal::other_bytes}, metrics_bytes_{internal::other_bytes},
+      readiness_bytes_{internal::other_bytes}, events_{internal::event_ring_limit, internal::event_ring_bytes},
       time_of_day_{deps_.time, &system_wall_clock}, starts_{[this] { return time_of_day_.now(); },
                                                             settings_.bounds.usage_window, internal::kept_windows},
-      link_{transfers_, events_, settings_.timings.connect_timeout, message_bytes_},
+      link_{transfers_, events_, settings_.timings.connect_timeout, server_bytes_},
       forwarder_{{.failure_domain = settings_.failure_domain, .retries = internal::retries_of(settings_.bounds)},
                  {deps_.time, metrics_, link_, deps_.protocol, starts_, internal::uniform_source(),
                   [this](crash_report it) { crash_reports_.offer(std::move(it)); },
                   [this] { return config_.confirmed_within(internal::confirmation_limit(settings_)); },
-                  &message_bytes_}},
+                  &server_bytes_}},
       config_{{deps_.time, deps_.codec, deps_.client, [this] { return peers(); },
                [this](traffic_config_ptr it) {
                    callers_.set_limits(it->values().limits);
@@ -171,22 +202,33 @@
 
 base::result<gateway_addresses> gateway_daemon::start() {
     gateway_addresses out;
+    for (auto *it : {&peers_server_, &metrics_server_, &readiness_}) {
+        it->set_limits(internal::other_limits);
+    }
+    const auto few = [this](base::byte_budget &budget) {
+        return internal::limits_of_other(settings_, internal::other_connections, budget);
+    };
+    const auto peer_connections =
+        internal::memory_bytes(settings_) / internal::peer_connections_divisor / http::connection_room_bytes;
     BOOST_OUTCOME_TRY(peers, peers_server_.start(settings_.listen.peers, http::answer_with([this](const auto &message) {
                                                      return answer_peer(message);
-                                                 })));
+                                                 }),
+                                                 internal::limits_of_other(settings_, peer_connections, peers_bytes_)));
     out.peers = peers;
     BOOST_OUTCOME_TRY(
         metrics, metrics_server_.start(
                      settings_.listen.metrics, http::answer_with([this](const auto &) {
                          return http::response{200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text()};
-                     })));
+                     }),
+                     few(metrics_bytes_)));
     out.metrics = metrics;
     BOOST_OUTCOME_TRY(readiness, readiness_.start(settings_.listen.readiness, http::answer_with([this](const auto &) {
                                                       return ready_ && callers_.has_room()
                                                                  ? internal::json_answer(200, R"({"status":"ready"})")
                                                                  : internal::json_answer(503,
                                                                                          R"({"status":"not ready"})");
-                                                  })));
+                                                  }),
+                                                  few(readiness_bytes_)));
     out.readiness = readiness;
     member_settings about{.name = settings_.name, .incarnation = incarnation_, .peer_address = peers};
     about.publish_every = settings_.bounds.usage_window / 2;
@@ -224,8 +266,12 @@
         duty_thread_->start();
     }
     http::server_limits limits;
-    limits.connections = settings_.descriptors / internal::caller_share_divisor;
-    limits.budget = &message_bytes_;
+    limits.connections =
+        http::connections_within(internal::memory_bytes(settings_) / internal::caller_connections_divisor,
+                                 settings_.descriptors / internal::caller_share_divisor);
+    limits.budget = &caller_bytes_;
+    limits.request_bytes = internal::request_bytes;
+    limits.body_copies = internal::body_copies;
     BOOST_OUTCOME_TRY(callers,
                       callers_.start(
                           settings_.listen.callers, [this](const http::exchange &call) { on_call(call); }, limits));
@@ -235,7 +281,7 @@
 
 void gateway_daemon::on_call(const http::exchange &call) {
     auto caller = std::make_shared<http::exchange_caller>(call);
-    if (!events_.try_push(arrival_event{caller, call.message(), deps_.time.now()})) {
+    if (!events_.try_push(arrival_event{caller, call.take_message(), deps_.time.now()})) {
         log::write("overloaded", {{"active", active_.load()}});
         metrics_.count("refusals_total", "reason=\"overloaded\"");
         caller->respond(dispatch::to_response(
@@ -357,7 +403,9 @@
 }
 
 void gateway_daemon::check_connections() {
-    callers_.close_overdue();
+    for (auto *it : {&callers_, &peers_server_, &metrics_server_, &readiness_}) {
+        it->close_overdue();
+    }
     const auto closed = callers_.closed();
     const auto count = [this](const char *reason, std::uint64_t now, std::uint64_t &before) {
         if (now > before) {
@@ -367,9 +415,12 @@
     };
     count("idle", closed.idle, closed_.idle);
     count("slow_head", closed.slow, closed_.slow);
+    count("slow_body", closed.slow_body, closed_.slow_body);
+    count("slow_reader", closed.slow_reader, closed_.slow_reader);
     count("for_room", closed.for_room, closed_.for_room);
     metrics_.set("caller_connections", "", static_cast<double>(callers_.connections()));
-    metrics_.set("message_bytes", "", static_cast<double>(message_bytes_.used()));
+    metrics_.set("message_bytes", "side=\"callers\"", static_cast<double>(caller_bytes_.used()));
+    metrics_.set("message_bytes", "side=\"servers\"", static_cast<double>(server_bytes_.used()));
     if (const bool room = callers_.has_room(); room != std::exchange(callers_have_room_, room)) {
         log::write(room ? log::event{"callers_have_room"} : log::event{"callers_without_room"},
                    {{"connections", callers_.connections()}});
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -91,7 +91,12 @@
     dependencies deps_;
     const std::string incarnation_;
     metrics::registry metrics_;
-    base::byte_budget message_bytes_; /**< Of large messages in progress. */
+    // Of messages in progress; before the servers and transfers that use them.
+    base::byte_budget caller_bytes_;
+    base::byte_budget server_bytes_;
+    base::byte_budget peers_bytes_;
+    base::byte_budget metrics_bytes_;
+    base::byte_budget readiness_bytes_;
     event_ring events_;
     jump_filter_clock time_of_day_;
     windowed_start_counter starts_;
--- a/src/http/connection_ages.cpp
+++ b/src/http/connection_ages.cpp
@@ -3,10 +3,8 @@
 namespace dotterelstack::http {
 
 std::list<int> *connection_ages::list_of(connection_phase phase) noexcept {
-    if (phase == connection_phase::idle) {
-        return &idle_;
-    }
-    return phase == connection_phase::reading_head ? &reading_head_ : nullptr;
+    const auto n = static_cast<std::size_t>(phase);
+    return n < lists_.size() ? &lists_.at(n) : nullptr;
 }
 
 void connection_ages::enter(int id, connection_phase phase) {
@@ -14,14 +12,17 @@
     if (it.phase == connection_phase::closing) {
         return;
     }
-    if (auto *list = list_of(it.phase)) {
-        list->erase(it.position);
+    auto *from = list_of(it.phase);
+    auto *to = list_of(phase);
+    if (from != nullptr && to != nullptr) {
+        to->splice(to->end(), *from, it.position);
+    } else if (from != nullptr) {
+        from->erase(it.position);
+    } else if (to != nullptr) {
+        it.position = to->insert(to->end(), id);
     }
     it.phase = phase;
     it.since = time_.now();
-    if (auto *list = list_of(phase)) {
-        it.position = list->insert(list->end(), id);
-    }
 }
 
 void connection_ages::remove(int id) {
@@ -40,14 +41,23 @@
     return found == entries_.end() ? connection_phase::closing : found->second.phase;
 }
 
-std::optional<int> connection_ages::overdue_in(const std::list<int> &all, base::duration limit) const {
-    const bool due = limit > base::duration{0} && !all.empty() && time_.now() - entries_.at(all.front()).since > limit;
+std::optional<int> connection_ages::stalled(connection_phase phase, base::duration limit) const {
+    const auto &all = in(phase);
+    const bool due = !all.empty() && time_.now() - entries_.at(all.front()).since > limit;
     return due ? std::optional{all.front()} : std::nullopt;
 }
 
 std::optional<int> connection_ages::overdue(const phase_limits &limits) const {
-    const auto idle = overdue_in(idle_, limits.idle);
-    return idle ? idle : overdue_in(reading_head_, limits.reading_head);
+    const std::array<base::duration, timed_phases> all{limits.idle, limits.reading_head, limits.reading_body,
+                                                       limits.answering};
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        const auto found =
+            all.at(n) > base::duration{0} ? stalled(static_cast<connection_phase>(n), all.at(n)) : std::nullopt;
+        if (found) {
+            return found;
+        }
+    }
+    return std::nullopt;
 }
 
 } // namespace dotterelstack::http
--- a/src/http/connection_ages.hpp
+++ b/src/http/connection_ages.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <list>
 #include <optional>
 #include <unordered_map>
@@ -12,7 +13,9 @@
 enum class connection_phase {
     idle,         /**< The next request. */
     reading_head, /**< The rest of a head that has begun. */
-    busy,         /**< A request is read, worked on or answered. */
+    reading_body, /**< The rest of a body. */
+    answering,    /**< The caller, who has to read an answer. */
+    busy,         /**< The answer to a request, or its next part. */
     closing       /**< Its end; what still arrives is not handled. */
 };
 
@@ -20,10 +23,12 @@
 struct phase_limits {
     base::duration idle{0};
     base::duration reading_head{0};
+    base::duration reading_body{0}; /**< Without progress. */
+    base::duration answering{0};    /**< Without progress. */
 };
 
 /**
- * @brief Keeps since when each connection is idle or has a head that is not complete. Not thread-safe.
+ * @brief Keeps since when each connection has been in its phase, or has made no progress there. Not thread-safe.
  *
  * Each operation takes constant time, so that thousands of idle connections cost nothing until they are due.
  */
@@ -32,7 +37,8 @@
     /** @param time Clock; must outlive this object. */
     explicit connection_ages(const base::clock &time) : time_{time} {}
 
-    /** @brief Begins a phase of a connection, which may be new. A connection that is closing stays so. */
+    /** @brief Begins a phase of a connection, which may be new, or notes progress if it is in this phase. A connection
+     * that is closing stays so. */
     void enter(int id, connection_phase phase);
 
     void remove(int id);
@@ -44,7 +50,15 @@
     [[nodiscard]] std::optional<int> overdue(const phase_limits &limits) const;
 
     /** @return The connections that are idle, the longest one first. */
-    [[nodiscard]] const std::list<int> &idle() const noexcept { return idle_; }
+    [[nodiscard]] const std::list<int> &idle() const noexcept { return in(connection_phase::idle); }
+
+    /** @return The connections in a phase other than busy and closing, the one with the oldest progress first. */
+    [[nodiscard]] const std::list<int> &in(connection_phase phase) const noexcept {
+        return lists_.at(static_cast<std::size_t>(phase));
+    }
+
+    /** @return The connection that has made no progress in a phase for longest, if that is longer than `limit`. */
+    [[nodiscard]] std::optional<int> stalled(connection_phase phase, base::duration limit) const;
 
     [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
 
@@ -56,12 +70,12 @@
     };
 
     [[nodiscard]] std::list<int> *list_of(connection_phase phase) noexcept;
-    [[nodiscard]] std::optional<int> overdue_in(const std::list<int> &all, base::duration limit) const;
+
+    static constexpr std::size_t timed_phases = 4;
 
     const base::clock &time_;
     std::unordered_map<int, entry> entries_;
-    std::list<int> idle_;
-    std::list<int> reading_head_;
+    std::array<std::list<int>, timed_phases> lists_;
 };
 
 } // namespace dotterelstack::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -12,8 +12,10 @@
 #include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 #include "http/connection_ages.hpp"
+#include "http/connection_room.hpp"
 
 namespace dotterelstack::http {
 
@@ -24,11 +26,31 @@
 // Unit in which libmicrohttpd asks for streamed bodies.
 constexpr std::size_t stream_block_bytes = 16384;
 
+// What the process holds for a request beside its fields and its body.
+constexpr std::size_t request_bytes = 2048;
+// What it holds for a field beside its bytes: two strings, with room for more fields in the list.
+constexpr std::size_t field_bytes = 128;
+// A body makes progress whenever this much more of it has come.
+constexpr std::size_t body_step_bytes = 4096;
+// Bodies beyond this size leave a part of the budget to the others, one by this divisor.
+constexpr std::size_t usual_body_bytes = 16384;
+constexpr std::size_t usual_share_divisor = 8;
+// Without progress for this long, a head or a body may be ended to make room. Callers send without pauses.
+constexpr auto sender_patience = std::chrono::seconds{1};
+// The same for a caller who reads an answer. Callers may read slowly.
+constexpr auto reader_patience = std::chrono::seconds{5};
+// Answers may exceed the budget by its part by this divisor, until those who read them slowly are ended.
+constexpr std::size_t excess_divisor = 4;
+// Bytes that the kernel may keep of a connection that is not read. Without a limit it is raised to megabytes.
+constexpr int receive_buffer_bytes = 65536;
+
 // Idle connections that are looked at to make room, if callers have just written to those that were idle for longest.
 constexpr int room_candidates = 16;
 // Part of the connections that is kept free by closing idle ones: at its limit libmicrohttpd accepts none.
 constexpr std::size_t spare_divisor = 64;
 
+struct exchange_state;
+
 bool has_unread_bytes(int fd) noexcept {
     pollfd socket{fd, POLLIN, 0};
     return ::poll(&socket, 1, 0) > 0;
@@ -39,12 +61,16 @@
     request_handler handler;
     std::size_t most_connections{0};
     base::byte_budget *budget{nullptr};
+    std::size_t request_bytes{0};
+    std::size_t body_copies{1};
     std::atomic<std::size_t> active{0};
     base::boottime_clock time;
 
     mutable std::mutex mutex;
     // Descriptors stay valid while they are in here: libmicrohttpd reports the end of a connection before it closes it.
     connection_ages ages{time};
+    // By descriptor; used by the server's thread only.
+    std::vector<exchange_state *> bodies;
     caller_limits limits{.header_bytes = 0, .header_timeout = base::duration{0}, .idle_timeout = base::duration{0}};
     bool limits_set{false};
     closed_connections closed;
@@ -71,10 +97,33 @@
         ++count;
     }
 
-    /** Closes the connection that has been idle for longest if there is no room for more. @param more Connections. */
+    /** @return A connection whose caller keeps it waiting and may be ended to make room, if there is one. */
+    [[nodiscard]] std::optional<int> evictable_locked() const {
+        const auto body = ages.stalled(connection_phase::reading_body, sender_patience);
+        const auto head = body ? body : ages.stalled(connection_phase::reading_head, sender_patience);
+        return head ? head : ages.stalled(connection_phase::answering, reader_patience);
+    }
+
+    /** Ends the connection that has made no progress for longest in a phase. @return It, or nothing if there is none.
+     */
+    std::optional<int> evict_locked(connection_phase phase, base::duration patience) {
+        while (const auto fd = ages.stalled(phase, patience)) {
+            if (phase == connection_phase::answering || !has_unread_bytes(*fd)) {
+                close_locked(*fd, closed.for_room);
+                return fd;
+            }
+            // The caller was in time; this process is slow.
+            ages.enter(*fd, phase);
+        }
+        return std::nullopt;
+    }
+
+    /** Closes the connection with the least progress if there is no room for more. @param more Connections. */
     void make_room_locked(std::size_t more) {
         const auto spare = std::max<std::size_t>(1, most_connections / spare_divisor);
-        if (ages.size() + more + spare <= most_connections) {
+        if (ages.size() + more + spare <= most_connections ||
+            evict_locked(connection_phase::reading_body, sender_patience) ||
+            evict_locked(connection_phase::reading_head, sender_patience)) {
             return;
         }
         int looked_at = 0;
@@ -83,11 +132,38 @@
                 return close_locked(fd, closed.for_room);
             }
             if (++looked_at == room_candidates) {
-                return;
+                break;
+            }
+        }
+        (void)evict_locked(connection_phase::answering, reader_patience);
+    }
+
+    /** Ends callers who do not read their answers, if these take more than the budget. Their memory follows later. */
+    void relieve_answers() {
+        if (budget == nullptr || budget->used() <= budget->limit()) {
+            return;
+        }
+        const std::scoped_lock lock{mutex};
+        // Well beyond the budget the slowest one goes, however short its pause is.
+        const bool urgent = budget->used() - budget->limit() > budget->limit() / excess_divisor;
+        (void)evict_locked(connection_phase::answering, urgent ? base::duration{0} : base::duration{sender_patience});
+    }
+
+    /** Takes bytes, if need be from bodies without progress. For the server's thread only. @return False for no room.
+     */
+    bool hold(base::byte_holding &by, std::size_t size) {
+        while (!by.try_resize(size)) {
+            if (!drop_stalled_body()) {
+                relieve_answers();
+                return false;
             }
         }
+        return true;
     }
 
+    /** Ends a body without progress and drops what it holds. For the server's thread only. @return False for none. */
+    bool drop_stalled_body();
+
     void on_open(int fd) {
         const std::scoped_lock lock{mutex};
         make_room_locked(1);
@@ -113,15 +189,18 @@
 
 /** State of one request; `connection` is null once libmicrohttpd has forgotten it. */
 struct exchange_state {
-    explicit exchange_state(base::byte_budget *budget) : body_held{budget}, buffer_held{budget} {}
+    explicit exchange_state(base::byte_budget *budget) : head_held{budget}, body_held{budget}, buffer_held{budget} {}
 
     std::mutex mutex;
     server_state *owner{nullptr};
     MHD_Connection *connection{nullptr};
     request message;
     std::size_t body_limit{0};
+    std::size_t body_received{0};
+    std::size_t body_marked{0}; /**< Received at the last step of progress. */
     bool body_too_large{false};
     bool no_room_for_body{false};
+    base::byte_holding head_held;
     base::byte_holding body_held;
     base::byte_holding buffer_held;
     bool dispatched{false};
@@ -135,6 +214,11 @@
     field_list fields;
     std::string buffer;
 
+    void drop_body() {
+        message.body = {};
+        body_held.reset();
+    }
+
     void resume_locked() {
         if (suspended && connection != nullptr) {
             suspended = false;
@@ -145,6 +229,80 @@
 
 using state_ptr = std::shared_ptr<exchange_state>;
 
+bool server_state::drop_stalled_body() {
+    const std::scoped_lock lock{mutex};
+    const auto fd = evict_locked(connection_phase::reading_body, sender_patience);
+    if (!fd) {
+        return false;
+    }
+    if (const auto n = static_cast<std::size_t>(*fd); n < bodies.size() && bodies[n] != nullptr) {
+        bodies[n]->no_room_for_body = true;
+        bodies[n]->drop_body();
+    }
+    return true;
+}
+
+/** @return False if the budget does not allow the next bytes of a body, also without the bodies that make no progress.
+ */
+bool hold_body(server_state &owner, exchange_state &it, std::size_t size) {
+    if (owner.budget == nullptr) {
+        return true;
+    }
+    const auto limit = owner.budget->limit();
+    const auto spare = size > usual_body_bytes ? limit / usual_share_divisor : 0;
+    const auto more = size - std::min(size, it.body_held.taken());
+    do {
+        if (owner.budget->used() + more + spare <= limit && it.body_held.try_resize(size)) {
+            return true;
+        }
+    } while (owner.drop_stalled_body());
+    return false;
+}
+
+/** Keeps the next bytes of a body, or drops what there is of it. */
+void take_body(server_state &owner, exchange_state &it, std::string_view part) {
+    auto &body = it.message.body;
+    it.body_received += part.size();
+    if (it.body_received > it.body_limit) {
+        it.body_too_large = true;
+    } else if (!it.no_room_for_body) {
+        const auto size = body.size() + part.size();
+        // The string grows by doubling, unless the size of the body is known.
+        const auto capacity = size <= body.capacity() ? size : std::max(size, body.capacity() * 2);
+        it.no_room_for_body = !hold_body(owner, it, std::max(capacity, it.body_held.taken()));
+        if (!it.no_room_for_body) {
+            body.append(part);
+            return;
+        }
+    }
+    it.drop_body();
+}
+
+/** Notes the progress of a body. */
+void mark_body(server_state &owner, exchange_state &it, int fd) {
+    if (it.body_received - it.body_marked >= body_step_bytes) {
+        it.body_marked = it.body_received;
+        owner.enter(fd, connection_phase::reading_body);
+    }
+}
+
+int descriptor_of(const exchange_state &it) noexcept {
+    return it.connection == nullptr ? -1 : descriptor_of(it.connection);
+}
+
+/** Part of a whole answer, which stays in place until all of it has been taken. */
+ssize_t read_whole(void *user, std::uint64_t position, char *buf, std::size_t limit) {
+    auto &it = **static_cast<state_ptr *>(user);
+    const std::scoped_lock lock{it.mutex};
+    const auto n = std::min(limit, it.buffer.size() - std::min<std::size_t>(position, it.buffer.size()));
+    if (n == 0) {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    it.buffer.copy(buf, n, position);
+    it.owner->enter(descriptor_of(it), connection_phase::answering);
+    return static_cast<ssize_t>(n);
+}
+
 ssize_t read_stream(void *user, std::uint64_t /*position*/, char *buf, std::size_t limit) {
     auto &it = **static_cast<state_ptr *>(user);
     const std::scoped_lock lock{it.mutex};
@@ -152,7 +310,8 @@
         const std::size_t n = std::min(limit, it.buffer.size());
         it.buffer.copy(buf, n);
         it.buffer.erase(0, n);
-        (void)it.buffer_held.resize(it.buffer.size());
+        it.buffer_held.hold(it.buffer.size());
+        it.owner->enter(descriptor_of(it), connection_phase::answering);
         return static_cast<ssize_t>(n);
     }
     if (it.aborted) {
@@ -162,6 +321,7 @@
         return MHD_CONTENT_READER_END_OF_STREAM;
     }
     it.suspended = true;
+    it.owner->enter(descriptor_of(it), connection_phase::busy);
     MHD_suspend_connection(it.connection);
     return 0;
 }
@@ -176,12 +336,16 @@
     if (it.streaming) {
         answer = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, stream_block_bytes, &read_stream,
                                                    new state_ptr{state}, &free_stream);
+    } else if (it.buffer.size() > stream_block_bytes) {
+        answer = MHD_create_response_from_callback(it.buffer.size(), stream_block_bytes, &read_whole,
+                                                   new state_ptr{state}, &free_stream);
     } else {
         answer = MHD_create_response_from_buffer(it.buffer.size(), it.buffer.data(), MHD_RESPMEM_MUST_COPY);
     }
     for (const auto &field : it.fields) {
         MHD_add_response_header(answer, field.name.c_str(), field.value.c_str());
     }
+    it.owner->enter(descriptor_of(connection), connection_phase::answering);
     const MHD_Result ok = MHD_queue_response(connection, static_cast<unsigned int>(it.status), answer);
     MHD_destroy_response(answer);
     return ok;
@@ -205,6 +369,13 @@
     return ok;
 }
 
+MHD_Result reject_full(MHD_Connection *connection) {
+    return reject(connection, MHD_HTTP_SERVICE_UNAVAILABLE,
+                  R"({"error":{"code":"overloaded","message":"the requests in progress leave no room for )"
+                  R"(another one; retry later","ran":"no"}})",
+                  "1");
+}
+
 MHD_Result reject_body(MHD_Connection *connection) {
     return reject(connection, MHD_HTTP_CONTENT_TOO_LARGE,
                   R"({"error":{"code":"body_too_large","message":"the body is over the limit of this )"
@@ -232,6 +403,15 @@
     return std::ranges::any_of(target, [](unsigned char it) { return it <= ' ' || it > '~'; });
 }
 
+/** @return What the head says of the size of the body; 0 if nothing. */
+std::size_t declared_length(const field_list &fields) {
+    const auto text = find_field(fields, MHD_HTTP_HEADER_CONTENT_LENGTH).value_or("");
+    std::size_t out = 0;
+    // libmicrohttpd has refused other texts.
+    (void)std::from_chars(text.data(), text.data() + text.size(), out);
+    return out;
+}
+
 std::size_t size_of(const field_list &fields) {
     constexpr std::size_t separators = 4;
     std::size_t out = 0;
@@ -258,53 +438,70 @@
                       R"({"error":{"code":"headers_too_large","message":"the header fields are over the limit of )"
                       R"(this server; send fewer","ran":"no"}})");
     }
+    if (declared_length(message.fields) > limits.body_bytes) {
+        return reject_body(connection);
+    }
     return std::nullopt;
 }
 
+MHD_Result on_request(server_state &owner, MHD_Connection *connection, const char *method, exchange_state &it) {
+    it.owner = &owner;
+    it.connection = connection;
+    it.message.method = method;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &add_field, &it.message.fields);
+    ++owner.active;
+    const auto fd = descriptor_of(connection);
+    if (owner.closing(fd)) {
+        return MHD_NO;
+    }
+    owner.enter(fd, connection_phase::reading_body);
+    const auto limits = owner.current_limits();
+    it.body_limit = limits.body_bytes;
+    if (auto rejected = reject_head(connection, it.message, limits)) {
+        return *rejected;
+    }
+    const auto head = request_bytes + size_of(it.message.fields) + it.message.fields.size() * field_bytes;
+    if (!owner.hold(it.head_held, head)) {
+        return reject_full(connection);
+    }
+    it.message.body.reserve(declared_length(it.message.fields));
+    if (const auto n = static_cast<std::size_t>(fd); n >= owner.bodies.size()) {
+        owner.bodies.resize(n + 1);
+    }
+    owner.bodies[static_cast<std::size_t>(fd)] = &it;
+    return MHD_YES;
+}
+
 MHD_Result on_access(void *user, MHD_Connection *connection, const char * /*url*/, const char *method,
                      const char * /*version*/, const char *data, std::size_t *size, void **slot) {
     auto &owner = *static_cast<server_state *>(user);
     auto *held = static_cast<state_ptr *>(*slot);
-    if (!(*held)->connection) {
-        (*held)->owner = &owner;
-        (*held)->connection = connection;
-        (*held)->message.method = method;
-        MHD_get_connection_values(connection, MHD_HEADER_KIND, &add_field, &(*held)->message.fields);
-        ++owner.active;
-        const auto fd = descriptor_of(connection);
-        if (owner.closing(fd)) {
-            return MHD_NO;
-        }
-        owner.enter(fd, connection_phase::busy);
-        const auto limits = owner.current_limits();
-        (*held)->body_limit = limits.body_bytes;
-        return reject_head(connection, (*held)->message, limits).value_or(MHD_YES);
-    }
     auto &it = **held;
+    if (it.connection == nullptr) {
+        return on_request(owner, connection, method, it);
+    }
+    const auto fd = descriptor_of(connection);
     if (*size > 0) {
-        if (it.message.body.size() + *size > it.body_limit) {
-            it.body_too_large = true;
-        } else if (it.no_room_for_body || !it.body_held.resize(it.message.body.size() + *size)) {
-            it.no_room_for_body = true;
-            it.message.body = {};
-            it.body_held.reset();
-        } else {
-            it.message.body.append(data, *size);
-        }
+        take_body(owner, it, {data, *size});
+        mark_body(owner, it, fd);
         *size = 0;
-        return MHD_YES;
+        // What is dropped is read on, so that the caller gets the answer, but not without end.
+        return it.body_received / 2 > it.body_limit ? MHD_NO : MHD_YES;
     }
     if (it.body_too_large) {
         return reject_body(connection);
     }
     if (it.no_room_for_body) {
-        return reject(connection, MHD_HTTP_SERVICE_UNAVAILABLE,
-                      R"({"error":{"code":"overloaded","message":"the large bodies in progress leave no room for )"
-                      R"(another one; retry later","ran":"no"}})",
-                      "1");
+        return reject_full(connection);
     }
     if (!it.dispatched) {
+        if (!owner.hold(it.head_held, it.head_held.taken() + owner.request_bytes) ||
+            !owner.hold(it.body_held, it.body_held.taken() * owner.body_copies)) {
+            return reject_full(connection);
+        }
         it.dispatched = true;
+        owner.bodies[static_cast<std::size_t>(fd)] = nullptr;
+        owner.enter(fd, connection_phase::busy);
         {
             const std::scoped_lock lock{it.mutex};
             it.suspended = true;
@@ -343,7 +540,12 @@
 }
 
 void on_completed(void *user, MHD_Connection *connection, void **slot, MHD_RequestTerminationCode /*code*/) {
-    static_cast<server_state *>(user)->on_idle(descriptor_of(connection));
+    const auto fd = descriptor_of(connection);
+    auto &owner = *static_cast<server_state *>(user);
+    owner.on_idle(fd);
+    if (const auto n = static_cast<std::size_t>(fd); n < owner.bodies.size()) {
+        owner.bodies[n] = nullptr;
+    }
     auto *held = static_cast<state_ptr *>(*slot);
     if (held == nullptr) {
         return;
@@ -351,7 +553,7 @@
     {
         const std::scoped_lock lock{(*held)->mutex};
         if ((*held)->connection != nullptr) {
-            --static_cast<server_state *>(user)->active;
+            --owner.active;
         }
         (*held)->connection = nullptr;
         (*held)->gone = true;
@@ -360,6 +562,20 @@
     *slot = nullptr;
 }
 
+/** @return Where the connections are counted that are closed in a phase for taking too long. */
+std::uint64_t closed_connections::*count_of(connection_phase phase) noexcept {
+    switch (phase) {
+    case connection_phase::idle:
+        return &closed_connections::idle;
+    case connection_phase::reading_body:
+        return &closed_connections::slow_body;
+    case connection_phase::answering:
+        return &closed_connections::slow_reader;
+    default:
+        return &closed_connections::slow;
+    }
+}
+
 base::result<sockaddr_in> parse_address(std::string_view address) {
     sockaddr_in out{};
     out.sin_family = AF_INET;
@@ -396,6 +612,10 @@
     return state_->message;
 }
 
+request exchange::take_message() const {
+    return std::move(state_->message);
+}
+
 void exchange::respond(const response &answer) const {
     const std::scoped_lock lock{state_->mutex};
     if (state_->answered) {
@@ -405,9 +625,12 @@
     state_->finished = true;
     state_->status = answer.status;
     state_->fields = answer.fields;
-    state_->buffer = answer.body;
-    // An answer that is ready is delivered, whatever the budget.
-    (void)state_->buffer_held.resize(answer.body.size());
+    if (!state_->gone) {
+        state_->buffer = answer.body;
+        // An answer that is ready is delivered, whatever the budget.
+        state_->buffer_held.hold(answer.body.size());
+        state_->owner->relieve_answers();
+    }
     state_->resume_locked();
 }
 
@@ -430,6 +653,7 @@
         return false;
     }
     state_->buffer.append(part);
+    state_->owner->relieve_answers();
     state_->resume_locked();
     return true;
 }
@@ -469,6 +693,8 @@
     BOOST_OUTCOME_TRY(where, internal::parse_address(address));
     state_->handler = std::move(handler);
     state_->budget = limits.budget;
+    state_->request_bytes = limits.request_bytes;
+    state_->body_copies = limits.body_copies;
     {
         const std::scoped_lock lock{state_->mutex};
         state_->most_connections = limits.connections;
@@ -477,17 +703,21 @@
         }
     }
     constexpr unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
-    state_->daemon =
-        MHD_start_daemon(flags, 0, nullptr, nullptr, &internal::on_access, state_.get(), MHD_OPTION_SOCK_ADDR, &where,
-                         MHD_OPTION_URI_LOG_CALLBACK, &internal::on_uri, state_.get(), MHD_OPTION_NOTIFY_COMPLETED,
-                         &internal::on_completed, state_.get(), MHD_OPTION_NOTIFY_CONNECTION, &internal::on_connection,
-                         state_.get(), MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned int>(limits.connections),
-                         MHD_OPTION_CONNECTION_TIMEOUT, limits.idle_timeout_seconds, MHD_OPTION_LISTENING_ADDRESS_REUSE,
-                         1U, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+    state_->daemon = MHD_start_daemon(
+        flags, 0, nullptr, nullptr, &internal::on_access, state_.get(), MHD_OPTION_SOCK_ADDR, &where,
+        MHD_OPTION_URI_LOG_CALLBACK, &internal::on_uri, state_.get(), MHD_OPTION_NOTIFY_COMPLETED,
+        &internal::on_completed, state_.get(), MHD_OPTION_NOTIFY_CONNECTION, &internal::on_connection, state_.get(),
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, library_room_bytes, MHD_OPTION_CONNECTION_LIMIT,
+        static_cast<unsigned int>(limits.connections), MHD_OPTION_CONNECTION_TIMEOUT, limits.idle_timeout_seconds,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
     if (state_->daemon == nullptr) {
         return base::fail(base::error_kind::unavailable, "cannot_listen",
                           "cannot listen on " + std::string{address} + "; choose a free port or stop its user");
     }
+    // Connections inherit it. Where it cannot be set, the kernel's own limit holds.
+    const auto *listener = MHD_get_daemon_info(state_->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    (void)::setsockopt(listener->listen_fd, SOL_SOCKET, SO_RCVBUF, &internal::receive_buffer_bytes,
+                       sizeof internal::receive_buffer_bytes);
     const auto *info = MHD_get_daemon_info(state_->daemon, MHD_DAEMON_INFO_BIND_PORT);
     return std::string{address.substr(0, address.rfind(':') + 1)} + std::to_string(info->port);
 }
@@ -501,21 +731,28 @@
 void server::close_overdue() {
     auto &it = *state_;
     const std::scoped_lock lock{it.mutex};
-    const phase_limits limits{it.limits.idle_timeout, it.limits.header_timeout};
+    const phase_limits limits{it.limits.idle_timeout, it.limits.header_timeout, it.limits.body_pause,
+                              it.limits.answer_pause};
     while (const auto fd = it.ages.overdue(limits)) {
-        if (internal::has_unread_bytes(*fd)) {
+        const auto phase = it.ages.phase(*fd);
+        if (phase != connection_phase::answering && internal::has_unread_bytes(*fd)) {
             // The caller was in time; this process is slow.
-            it.ages.enter(*fd, it.ages.phase(*fd));
+            it.ages.enter(*fd, phase);
             continue;
         }
-        it.close_locked(*fd, it.ages.phase(*fd) == connection_phase::idle ? it.closed.idle : it.closed.slow);
+        it.close_locked(*fd, it.closed.*internal::count_of(phase));
+    }
+    // At the limit of connections no new one is accepted, which would make room otherwise.
+    if (it.most_connections > 0) {
+        it.make_room_locked(0);
     }
 }
 
 bool server::has_room() const {
     const std::scoped_lock lock{state_->mutex};
     const bool started = state_->most_connections > 0;
-    return !started || state_->ages.size() < state_->most_connections || !state_->ages.idle().empty();
+    return !started || state_->ages.size() < state_->most_connections || !state_->ages.idle().empty() ||
+           state_->evictable_locked().has_value();
 }
 
 closed_connections server::closed() const {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -31,6 +31,9 @@
     /** @return The request, complete with body. */
     [[nodiscard]] const request &message() const noexcept;
 
+    /** @return The request, which is no longer kept here. Call it once. */
+    [[nodiscard]] request take_message() const;
+
     /** @brief Sends a complete response. */
     void respond(const response &answer) const;
 
@@ -61,14 +64,19 @@
     std::size_t body_bytes{std::size_t{4} << 20U};
     std::size_t connections{2000};
     unsigned int idle_timeout_seconds{120};
-    base::byte_budget *budget{nullptr}; /**< Of the bytes of bodies and answers; outlives the server; null for none. */
+    /** Of the bytes of heads, bodies and answers; outlives the server; null for none. */
+    base::byte_budget *budget{nullptr};
+    std::size_t request_bytes{0}; /**< What the handler holds for each request, beside its body. */
+    std::size_t body_copies{1};   /**< How many copies of a body there are while its request is handled. */
 };
 
 /** @brief Connections that a server has closed by itself. */
 struct closed_connections {
-    std::uint64_t idle{0};     /**< Idle for longer than the limit. */
-    std::uint64_t slow{0};     /**< With a head that took longer than the limit. */
-    std::uint64_t for_room{0}; /**< Idle ones, to make room for a new connection. */
+    std::uint64_t idle{0};        /**< Idle for longer than the limit. */
+    std::uint64_t slow{0};        /**< With a head that took longer than the limit. */
+    std::uint64_t slow_body{0};   /**< Without progress in a body for longer than the limit. */
+    std::uint64_t slow_reader{0}; /**< Whose caller has not read an answer for longer than the limit. */
+    std::uint64_t for_room{0};    /**< Idle ones and those with the least progress, to make room. */
 };
 
 /** @brief HTTP/1.1 server on libmicrohttpd, one thread. */
@@ -92,10 +100,11 @@
     /** @brief Sets the limits on callers, also for connections that are open. Thread-safe. */
     void set_limits(const caller_limits &limits);
 
-    /** @brief Closes connections that have been idle, or in a head, for too long. Call it periodically. Thread-safe. */
+    /** @brief Closes connections that have been idle, or without progress, for too long, and makes room if there is
+     * none. Call it periodically. Thread-safe. */
     void close_overdue();
 
-    /** @return False while all connections are in use and none is idle, so that new callers have to wait. */
+    /** @return False while all connections are in use and none can be closed, so that new callers have to wait. */
     [[nodiscard]] bool has_room() const;
 
     [[nodiscard]] closed_connections closed() const;
