--- a/test/limits/quota.cpp
+++ b/test/limits/quota.cpp
@@ -112,17 +112,17 @@
 
     void lose(double part) { loss_ = part; }
     node &at(std::size_t n) { return *nodes_[n]; }
-    std::int64_t most_in_window() const { return most_; }
-    std::int64_t total() const { return total_; }
+    [[nodiscard]] std::int64_t most_in_window() const { return most_; }
+    [[nodiscard]] std::int64_t total() const { return total_; }
     /** Part of what an exact bucket would admit that was admitted. */
-    double served() const { return owed_ == 0 ? 1 : static_cast<double>(served_) / static_cast<double>(owed_); }
-    double bound(std::int64_t largest) const {
+    [[nodiscard]] double served() const { return owed_ == 0 ? 1 : static_cast<double>(served_) / static_cast<double>(owed_); }
+    [[nodiscard]] double bound(std::int64_t largest) const {
         const double seconds = std::chrono::duration<double>(window).count();
         return (limit_.rate * seconds + limit_.burst) * tolerance +
                static_cast<double>(largest) * static_cast<double>(nodes_.size());
     }
-    std::mt19937 &random() { return random_; }
-    const manual_clock &clock() const { return clock_; }
+    [[nodiscard]] std::mt19937 &random() { return random_; }
+    [[nodiscard]] const manual_clock &clock() const { return clock_; }
 
 private:
     bool lost() { return std::uniform_real_distribution<double>{0, 1}(random_) < loss_; }
