--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -214,7 +214,7 @@
         return;
     }
     config_ = std::move(config);
-    quotas_.set_quotas(quotas_of(*config_));
+    quotas_.set_quotas(quotas_of(*config_, settings_.extra_burst));
 }
 
 void forwarder::on_backends(const std::vector<backend_server> &all) {
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -36,6 +36,7 @@
     placement_settings places{};
     quarantine_settings quarantine{};
     health_settings health{};
+    double extra_burst{0}; /**< Units that are added to the burst of each quota. */
 };
 
 /**
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -55,6 +55,12 @@
     return {from.retry_window, from.retry_ratio, from.retry_allowance};
 }
 
+/** The other half of the tolerance covers requests that gateways admit before they have reported the last ones. */
+double extra_burst(const settings::gateway_settings &from) {
+    constexpr double tolerance_divisor = 2;
+    return from.bounds.quota_tolerance / tolerance_divisor;
+}
+
 lease::lease_settings lease_of(const settings::gateway_settings &from, const std::string &incarnation) {
     lease::lease_settings out{.name = "usage", .holder = incarnation};
     out.term = from.bounds.lease_term;
@@ -100,9 +106,12 @@
                                                                   internal::event_ring_bytes},
       time_of_day_{deps_.time, &system_wall_clock}, starts_{[this] { return time_of_day_.now(); },
                                                             settings_.bounds.usage_window, internal::kept_windows},
-      link_{transfers_, events_, settings_.timings.connect_timeout, message_bytes_}, quota_bank_{deps_.time, metrics_},
+      link_{transfers_, events_, settings_.timings.connect_timeout, message_bytes_},
+      quota_bank_{deps_.time, metrics_, internal::extra_burst(settings_)},
       quota_link_{transfers_, events_, [this](const auto &it) { return quota_bank_.answer(it); }},
-      forwarder_{{.failure_domain = settings_.failure_domain, .retries = internal::retries_of(settings_.bounds)},
+      forwarder_{{.failure_domain = settings_.failure_domain,
+                  .retries = internal::retries_of(settings_.bounds),
+                  .extra_burst = internal::extra_burst(settings_)},
                  {deps_.time, metrics_, link_, deps_.protocol, starts_, internal::uniform_source(),
                   [this](crash_report it) { crash_reports_.offer(std::move(it)); },
                   [this] { return config_.confirmed_within(internal::confirmation_limit(settings_)); }, &message_bytes_,
--- a/src/gateway/quota_bank_service.cpp
+++ b/src/gateway/quota_bank_service.cpp
@@ -4,12 +4,13 @@
 
 namespace dotterelstack::gateway {
 
-limits::quota_list quotas_of(const traffic_config &config) {
+limits::quota_list quotas_of(const traffic_config &config, double extra_burst) {
     limits::quota_list out;
     if (config.values().organisations) {
         for (const auto &it : *config.values().organisations) {
             if (it.quota) {
                 out.emplace_back(it.name, *it.quota);
+                out.back().second.burst += extra_burst;
             }
         }
     }
@@ -17,7 +18,7 @@
 }
 
 void quota_bank_service::on_config(const traffic_config &config) {
-    const auto all = quotas_of(config);
+    const auto all = quotas_of(config, extra_burst_);
     const std::scoped_lock lock{mutex_};
     bank_.set_quotas(all);
 }
--- a/src/settings/gateway_settings.cpp
+++ b/src/settings/gateway_settings.cpp
@@ -52,6 +52,7 @@
 constexpr base::duration min_watch_wait = std::chrono::milliseconds{200};
 constexpr range<double> retry_ratio_range{0, 10};
 constexpr range<double> retry_allowance_range{0, 1'000'000};
+constexpr range<double> quota_tolerance_range{0, 1e12};
 constexpr range<std::uint64_t> descriptor_range{64, 10'000'000};
 constexpr range<double> memory_range{32, 1'048'576};
 
@@ -65,6 +66,7 @@
         out.*it.member = base::from_seconds(seconds);
     }
     in.optional("retry_ratio", out.retry_ratio, retry_ratio_range);
+    in.optional("quota_tolerance", out.quota_tolerance, quota_tolerance_range);
     in.optional("retry_allowance", out.retry_allowance, retry_allowance_range);
 }
 
--- a/test/settings/gateway_settings.cpp
+++ b/test/settings/gateway_settings.cpp
@@ -12,7 +12,7 @@
     "name": "front-1", "failure_domain": "east",
     "listen": {"callers": "127.0.0.1:0", "readiness": "127.0.0.1:0", "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0"},
     "store": "127.0.0.1:4000",
-    "bounds": {"stop_grace_s": 8, "usage_window_s": 2.5, "retry_ratio": 0.2, "retry_allowance": 58}
+    "bounds": {"stop_grace_s": 8, "usage_window_s": 2.5, "retry_ratio": 0.2, "retry_allowance": 58, "quota_tolerance": 190000}
 })";
 
 } // namespace
@@ -24,6 +24,7 @@
     CHECK(it.value().bounds.stop_grace == 8s);
     CHECK(it.value().bounds.usage_window == 2500ms);
     CHECK(it.value().bounds.retry_allowance == 58);
+    CHECK(it.value().bounds.quota_tolerance == 190000);
     CHECK(it.value().duties.empty());
 }
 
