--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -205,7 +205,7 @@
             out.plan.run = it;
             out.plan.expected = internal::to_duration(expected_ms);
             out.plan.typical = out.plan.expected;
-            out.plan.queued = internal::to_duration(wait_ms(*it) * table_.slowness(*it));
+            out.plan.queued = internal::to_duration(wait_ms(*it, slowness));
             out.rejection = placement_rejection::none;
         }
     }
