--- a/src/speed/home_weight.cpp
+++ b/src/speed/home_weight.cpp
@@ -15,8 +15,8 @@
 const double leave_log = std::log(1.15);
 // Fewer measurements do not move prefixes. A server that is told of by fewer than the latter number is usual again, or
 // has little work: gateways that start then know nothing about it, and all must agree.
-constexpr double enter_samples = 15;
-constexpr double leave_samples = 5;
+constexpr double enter_samples = 40;
+constexpr double leave_samples = 10;
 
 } // namespace internal
 
--- a/src/speed/speed_record.cpp
+++ b/src/speed/speed_record.cpp
@@ -9,7 +9,7 @@
 namespace internal {
 
 // Servers with fewer measurements or a smaller deviation are left out: a tenth is within what measurements vary.
-constexpr double min_recorded_samples = 0.5;
+constexpr double min_recorded_samples = 2;
 const double min_recorded_log = std::log(1.1);
 
 } // namespace internal
--- a/test/speed/home_weight.cpp
+++ b/test/speed/home_weight.cpp
@@ -25,8 +25,8 @@
     CHECK(weight_at(0.8) == 1.6);
     CHECK(weight_at(1.67) == 1);
     CHECK(weight_at(1.67) == 0.6);
-    CHECK(weight_at(1.67, 8) == 0.6);
-    CHECK(weight_at(1.67, 4) == 1);
+    CHECK(weight_at(1.67, 20) == 0.6);
+    CHECK(weight_at(1.67, 5) == 1);
 }
 
 // Thirty gateways that each have few measurements. Guards against records that grow with the servers without bound, and
