Refuse and bring back callers in order of urgency, and say why

Urgent callers were refused because less urgent requests filled the queue, and were told to return after callers who could wait longer; the log and the metrics said `busy` for everything.

The wait limiter counts only requests that are at least as urgent as the new one; Retry-After is at least the expected wait behind these, and a less urgent caller returns after the more urgent ones that were refused before. Refusals of requests that would be late (`too_late`) and of those that leave room to more urgent ones (`reserved`) have reasons of their own in refusals_total, request_refused and explain; request_refused shows service, organisation, urgency, estimate and queue; gauge waiting_requests{urgency}.

--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -157,6 +157,10 @@
         next_second_ = now + internal::second;
         placement_.expire();
         shares_.expire();
+        for (const auto &[urgency, n] : waits_.waiting_by_urgency()) {
+            deps_.metrics.set("waiting_requests", "urgency=\"" + std::to_string(urgency) + "\"",
+                              static_cast<double>(n));
+        }
         deps_.metrics.set("active_requests", "", static_cast<double>(engine_.size()));
         deps_.metrics.set("held_prompt_parts", "",
                           static_cast<double>(quarantine_.held_count(trait_kind::prompt_part)));
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -94,12 +94,17 @@
 }
 
 void refuse_caller(const exchange_context &context, http::caller_port &caller, std::string_view request,
-                   std::uint64_t config_version, const dispatch::refusal &why) {
+                   std::uint64_t config_version, const dispatch::refusal &why, const refusal_facts &about) {
     context.metrics.count("refusals_total", "reason=\"" + why.code + "\"");
     log::write("request_refused", {{"request", request},
                                    {"status", why.status},
                                    {"reason", why.code},
                                    {"config_version", config_version},
+                                   {"service", about.service},
+                                   {"organisation", about.organisation},
+                                   {"urgency", about.urgency},
+                                   {"expected_ms", base::to_milliseconds(about.expected)},
+                                   {"queue_ms", base::to_milliseconds(about.queue)},
                                    {"retry_after_ms", why.retry_after ? base::to_milliseconds(*why.retry_after) : 0}});
     auto answer = dispatch::to_response(why, dispatch::seconds_form::fractional);
     answer.fields = internal::with_close(context, std::move(answer.fields));
@@ -111,11 +116,11 @@
       traits_{traits_of(request_.content, identity().organisation)}, work_{internal::work_of(request_.content.facts)},
       virtual_start_{context.shares.arrive(identity().service, identity().organisation, work_)}, body_held_{
                                                                                                      context.budget} {
-    context_.reserve.ask(identity().service, request_.priority.value_or(0), request_.route->latency_objective);
+    context_.reserve.ask(identity().service, urgency(), request_.route->latency_objective);
 }
 
 dispatch::exchange_rank opaque_exchange::rank() const noexcept {
-    return {request_.priority.value_or(0), virtual_start_, identity().deadline};
+    return {urgency(), virtual_start_, identity().deadline};
 }
 
 std::string_view opaque_exchange::line() const noexcept {
@@ -125,7 +130,7 @@
 
 dispatch::place_result opaque_exchange::wait_in_line() {
     return wait_or_refuse({{}, placement_rejection::full, context_.places.slot_time(identity().service)},
-                          line_effect::blocks);
+                          delay_reason::full);
 }
 
 dispatch::place_result opaque_exchange::place() {
@@ -149,23 +154,42 @@
                                                 .is_new = stage() == dispatch::exchange_stage::held});
     if (placed.rejection != placement_rejection::none) {
         return wait_or_refuse(placed,
-                              placed.rejection == placement_rejection::full ? line_effect::blocks : line_effect::none);
+                              placed.rejection == placement_rejection::full ? delay_reason::full : delay_reason::tried);
     }
     // Admission must not depend on the request's size, or the largest requests would never be served under load.
-    const auto typical = context_.times.corrected(work_class(), placed.plan.typical);
-    if (first && !fits(placed.plan, typical)) {
-        return wait_or_refuse({{}, placement_rejection::full, typical}, line_effect::none);
+    corrected_ = context_.times.corrected(work_class(), placed.plan.typical);
+    const auto why = first ? delay_of(placed.plan, corrected_) : delay_reason::none;
+    if (why != delay_reason::none) {
+        return wait_or_refuse({{}, placement_rejection::full, corrected_}, why);
     }
     return start(placed.plan);
 }
 
-bool opaque_exchange::fits(const placement_plan &plan, base::duration typical) const {
+opaque_exchange::delay_reason opaque_exchange::delay_of(const placement_plan &plan, base::duration typical) const {
     const bool in_time = context_.time.now() + typical < admission_limit();
     const bool spare = typical < request_.route->latency_objective * internal::spare_percent / 100;
-    const auto urgent = context_.reserve.above(identity().service, request_.priority.value_or(0));
+    if (!in_time && !spare) {
+        return delay_reason::too_late;
+    }
+    const auto urgent = context_.reserve.above(identity().service, urgency());
     const bool leaves_room = !urgent || context_.times.corrected({identity().service, urgent->urgency}, plan.queued) <
                                             urgent->objective * internal::reserve_percent / 100;
-    return leaves_room && (in_time || spare);
+    return leaves_room ? delay_reason::none : delay_reason::reserved;
+}
+
+std::string_view opaque_exchange::code_of(delay_reason why) noexcept {
+    switch (why) {
+    case delay_reason::full:
+        return "busy";
+    case delay_reason::too_late:
+        return "too_late";
+    case delay_reason::reserved:
+        return "reserved";
+    case delay_reason::none:
+    case delay_reason::tried:
+        break;
+    }
+    return "no_backend";
 }
 
 void opaque_exchange::record_answer_time() {
@@ -213,7 +237,7 @@
 
 void opaque_exchange::end_wait(bool placed) {
     if (std::exchange(waiting_, false)) {
-        context_.waits.end(identity().service, placed);
+        context_.waits.end(identity().service, placed, urgency());
     }
 }
 
@@ -223,36 +247,37 @@
     return late && history().attempt() == 1 ? std::string_view{request_.route->name} : std::string_view{};
 }
 
-dispatch::place_result opaque_exchange::wait_or_refuse(const placement_result &placed, line_effect effect) {
+dispatch::place_result opaque_exchange::wait_or_refuse(const placement_result &placed, delay_reason why) {
     const auto now = context_.time.now();
+    const auto &service = identity().service;
     const bool may_wait = placed.rejection != placement_rejection::excluded && now < request_.wait_until &&
                           now + placed.free_in < identity().deadline;
-    if (may_wait && (waiting_ || context_.waits.may_wait(identity().service, request_.wait_until - now))) {
+    if (may_wait && (waiting_ || context_.waits.may_wait(service, request_.wait_until - now, urgency()))) {
         if (!std::exchange(waiting_, true)) {
-            context_.waits.begin(identity().service);
+            context_.waits.begin(service, urgency());
         }
-        return dispatch::wait_for_capacity{request_.wait_until, effect == line_effect::blocks};
+        return dispatch::wait_for_capacity{request_.wait_until, why == delay_reason::full};
     }
     if (started_ || history().may_have_run()) {
         return refusal_with("no_backend", ran_claim::unknown);
     }
-    const bool full = placed.rejection == placement_rejection::full;
-    const bool known = full || placed.free_in > base::duration{0};
+    const bool known = why != delay_reason::tried || placed.free_in > base::duration{0};
     const auto wait = known ? placed.free_in : base::duration{internal::default_retry_after};
-    return dispatch::refusal{503, full ? "busy" : "no_backend",
-                             "the backend servers of the service are busy; retry later", ran_claim::no,
-                             retry_after(wait)};
+    return dispatch::refusal{503, std::string{code_of(why)}, "the backend servers of the service are busy; retry later",
+                             ran_claim::no,
+                             retry_after(std::max(wait, context_.waits.expected_wait(service, urgency())))};
 }
 
 base::duration opaque_exchange::retry_after(base::duration free_in) const {
     const auto left = std::max<base::duration>(identity().deadline - context_.time.now(), base::duration{0});
-    return context_.retry_schedule.next_retry_after(identity().service, free_in, left / internal::retry_after_divisor);
+    return context_.retry_schedule.next_retry_after(identity().service, free_in, left / internal::retry_after_divisor,
+                                                    urgency());
 }
 
 dispatch::outgoing_call opaque_exchange::start(const placement_plan &plan) {
     end_wait(true);
     if (!std::exchange(was_placed_, true)) {
-        context_.reserve.place(identity().service, request_.priority.value_or(0));
+        context_.reserve.place(identity().service, urgency());
         context_.shares.place(identity().service, virtual_start_);
     }
     if (history().attempt() == 1) {
@@ -617,7 +642,12 @@
     } else if (server_answer_) {
         return forward_server_answer();
     } else {
-        refuse_caller(context_, caller, identity().id, request_.config->version(), why);
+        refuse_caller(context_, caller, identity().id, request_.config->version(), why,
+                      {.service = identity().service,
+                       .organisation = identity().organisation,
+                       .urgency = urgency(),
+                       .expected = corrected_,
+                       .queue = context_.waits.expected_wait(identity().service, urgency())});
     }
     finish(why.status, why.code);
 }
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -65,9 +65,18 @@
 /** @return Retry properties of the route's requests. */
 [[nodiscard]] retry::work_facts work_of(const traffic_route &route) noexcept;
 
+/** @brief What a refusal was decided on, for the log. */
+struct refusal_facts {
+    std::string_view service{};
+    std::string_view organisation{};
+    unsigned int urgency{0};    /**< 0 is the most urgent. */
+    base::duration expected{0}; /**< Time to the answer if it had been placed; 0 if there was no place. */
+    base::duration queue{0};    /**< Expected wait for those that are at least as urgent. */
+};
+
 /** @brief Sends a refusal to a caller and logs the reason. */
 void refuse_caller(const exchange_context &context, http::caller_port &caller, std::string_view request,
-                   std::uint64_t config_version, const dispatch::refusal &why);
+                   std::uint64_t config_version, const dispatch::refusal &why, const refusal_facts &about = {});
 
 /**
  * @brief A request that is forwarded to a backend server without interpreting its body.
@@ -97,18 +106,21 @@
     [[nodiscard]] std::string_view wait_group() const noexcept override;
 
 private:
-    /** Whether requests that rank after a waiting one find no capacity either. */
-    enum class line_effect : std::uint8_t {
+    /** Why a request is not placed now. */
+    enum class delay_reason : std::uint8_t {
         none,
-        blocks
+        full,     /**< No place is free for requests of its line. */
+        tried,    /**< No server that it has not tried accepts requests. */
+        too_late, /**< Its answer would miss the latency objective. */
+        reserved  /**< The room is needed for more urgent requests. */
     };
 
-    [[nodiscard]] bool fits(const placement_plan &plan, base::duration typical) const;
+    [[nodiscard]] static std::string_view code_of(delay_reason why) noexcept;
+    [[nodiscard]] delay_reason delay_of(const placement_plan &plan, base::duration typical) const;
     void record_answer_time();
-    [[nodiscard]] admission::work_class work_class() const noexcept {
-        return {identity().service, request_.priority.value_or(0)};
-    }
-    [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed, line_effect effect);
+    [[nodiscard]] unsigned int urgency() const noexcept { return request_.priority.value_or(0); }
+    [[nodiscard]] admission::work_class work_class() const noexcept { return {identity().service, urgency()}; }
+    [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed, delay_reason why);
     void end_wait(bool placed);
     [[nodiscard]] std::optional<dispatch::refusal> refusal_for_traits();
     void record_progress();
@@ -141,6 +153,7 @@
     const double work_;          /**< For the shares of organisations. */
     const double virtual_start_; /**< See `admission::fair_shares`. */
     bool was_placed_{false};
+    base::duration corrected_{0}; /**< Estimate of the latest decision on a place. */
 
     bool waiting_{false};  /**< Counted by the wait limiter. */
     bool is_trial_{false}; /**< Runs although traits of it are held; see `crash_quarantine::begin_trial`. */
