Take a server that rejects a request without a reason as full

Callers of plain services waited for one rejection after another: a gateway without a report from a server counts only its own requests there, and a rejection changed nothing for the next request. It now counts as a report of full slots and as many requests waiting, unless the answer itself states its load, a pause, a limit or that the server leaves. As any report, it ends after report_max_age, and is corrected by own requests that end.

--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -580,6 +580,7 @@
         return call_failed{unknown_outcome(), attempt_outcome::broken};
     }
     if (head_.not_run) {
+        assume_full();
         return internal::rejected(head_);
     }
     const bool success = head_.status >= 200 && head_.status < 300;
@@ -598,6 +599,17 @@
     return dispatch::call_complete{};
 }
 
+void opaque_exchange::assume_full() {
+    const auto *server = context_.table.find(backend_);
+    const auto &notice = head_.notice;
+    const bool says_why = head_.load || head_.other_server || notice.leaving || notice.pause || notice.limit;
+    if (server == nullptr || says_why) {
+        return;
+    }
+    const auto slots = std::max(1U, server->facts.slots);
+    context_.table.reported(backend_, {.running = slots, .waiting = slots, .slots = slots});
+}
+
 bool opaque_exchange::complete() {
     const auto &of = identity();
     if (server_answer_) {
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -118,6 +118,9 @@
     [[nodiscard]] static std::string_view code_of(delay_reason why) noexcept;
     [[nodiscard]] delay_reason delay_of(const placement_plan &plan, base::duration typical) const;
     void record_answer_time();
+
+    /** @brief A server has rejected a request without saying why: its slots and queue are taken as full. */
+    void assume_full();
     [[nodiscard]] unsigned int urgency() const noexcept { return request_.priority.value_or(0); }
     [[nodiscard]] admission::work_class work_class() const noexcept { return {identity().service, urgency()}; }
     [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed, delay_reason why);
--- a/test/gateway/admission_room.cpp
+++ b/test/gateway/admission_room.cpp
@@ -91,3 +91,24 @@
     CHECK(waiting->answers[0].body.find(R"("ran":"no")") != std::string::npos);
     CHECK(std::stod(waiting->field("Retry-After")) > 0);
 }
+
+// A plain service sheds what exceeds its queue. Guards against a gateway that knows only its own requests, and goes on
+// to send each request to every server in turn.
+TEST_CASE("a server that has rejected a request gets none while its queue lasts") {
+    test::forwarder_fixture it;
+    it.configure();
+    it.populate();
+    const auto first = it.send("/read/1");
+    const auto server = it.last().address;
+    it.answer(503, test::not_executed);
+    REQUIRE(it.last().address != server);
+    it.answer(200, test::signed_answer);
+    CHECK(first->status() == 200);
+    for (int n = 0; n < 4; ++n) {
+        (void)it.send("/read/2");
+        CHECK(it.last().address != server);
+    }
+    it.clock.advance(1100ms);
+    (void)it.send("/read/3");
+    CHECK(it.last().address == server);
+}
