--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -279,6 +279,10 @@
             deps_.on_speeds(table_.measured_speeds());
         }
         shares_.expire();
+        for (const auto &[urgency, n] : waits_.waiting_by_urgency()) {
+            deps_.metrics.set("waiting_requests", "urgency=\"" + std::to_string(urgency) + "\"",
+                              static_cast<double>(n));
+        }
         deps_.metrics.set("active_requests", "", static_cast<double>(engine_.size()));
         deps_.metrics.set("paced_servers", "", static_cast<double>(table_.paced()));
         deps_.metrics.set("held_prompt_parts", "",
