Keep connections to backend servers

Callers paid for a new connection to a server with each attempt: a handshake at the server, a slot held for a moment, and processor time at the gateway.

Cause: libcurl sends a request once more by itself when a reused connection ends before the first byte of an answer, and passes over bytes that follow the last chunk, so every call used a fresh connection.

Change: http/pooled_client owns its sockets, writes each request once and reads answers with http/answer_reader. http/connection_pool keeps a connection only after an answer that was whole, framed, named its request and was followed by nothing, up to three quarters of the servers' stated connections divided by the gateways. Services without a stated number are served as before. On a kept connection, answers that name another request are skipped and unnamed ones end the call as unknown. Rest is at most 2 s and gets shorter after losses. Metrics and event E1614 show the use.

--- a/src/gateway/backend_port.hpp
+++ b/src/gateway/backend_port.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <span>
 #include <string_view>
 
 #include "dispatch/call_port.hpp"
+#include "http/connection_pool.hpp"
 #include "http/message.hpp"
 
 namespace dotterelstack::gateway {
@@ -18,6 +20,9 @@
 public:
     /** @brief Sends a message and ignores its answer. */
     virtual void post(std::string_view address, http::request message) = 0;
+
+    /** @brief Replaces the servers to which connections may be kept. */
+    virtual void set_servers(std::span<const http::pooled_server> all) = 0;
 };
 
 } // namespace dotterelstack::gateway
--- a/src/gateway/backend_protocol.hpp
+++ b/src/gateway/backend_protocol.hpp
@@ -5,6 +5,7 @@
 
 #include "base/error.hpp"
 #include "gateway/request_facts.hpp"
+#include "http/answer_owner.hpp"
 #include "http/message.hpp"
 
 namespace dotterelstack::gateway {
@@ -28,6 +29,10 @@
     [[nodiscard]] virtual answer_head decode_head(int status, const http::field_list &fields,
                                                   std::string_view sent) const = 0;
 
+    /** @return To which request an answer belongs, given the message that was sent. */
+    [[nodiscard]] virtual http::answer_owner owner_of(const http::request &sent,
+                                                      const http::field_list &answer) const = 0;
+
     /** @return Handle of the prefilled KV state, from the body of a prefill answer. */
     [[nodiscard]] virtual base::result<std::string> decode_handle(std::string_view body) const = 0;
 
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -123,10 +123,14 @@
         return;
     }
     config_ = std::move(config);
+    connections_.set_config(config_);
+    deps_.backends.set_servers(connections_.current());
 }
 
 void forwarder::on_backends(const std::vector<backend_server> &all) {
     table_.update(all);
+    connections_.set_servers(all);
+    deps_.backends.set_servers(connections_.current());
     engine_.place_waiting();
 }
 
@@ -145,6 +149,8 @@
     table_.set_limit_sharers(all);
     quarantine_.set_gateways(all);
     placement_.set_gateways(n);
+    connections_.set_gateways(all);
+    deps_.backends.set_servers(connections_.current());
 }
 
 void forwarder::tick() {
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -13,6 +13,7 @@
 #include "gateway/backend_port.hpp"
 #include "gateway/backend_protocol.hpp"
 #include "gateway/backend_table.hpp"
+#include "gateway/connection_limits.hpp"
 #include "gateway/crash_quarantine.hpp"
 #include "gateway/opaque_exchange.hpp"
 #include "gateway/placement.hpp"
@@ -122,6 +123,7 @@
     shutdown_phase stop_{shutdown_phase::none};
     const exchange_context context_;
     traffic_config_ptr config_;
+    connection_limits connections_;
     base::instant next_second_{};
     dispatch::engine engine_;
 };
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -99,7 +99,8 @@
                                                                   internal::event_ring_bytes},
       time_of_day_{deps_.time, &system_wall_clock}, starts_{[this] { return time_of_day_.now(); },
                                                             settings_.bounds.usage_window, internal::kept_windows},
-      link_{transfers_, events_, settings_.timings.connect_timeout, message_bytes_},
+      kept_transfers_{deps_.time},
+      link_{transfers_, kept_transfers_, deps_.protocol, events_, settings_.timings.connect_timeout, message_bytes_},
       forwarder_{{.failure_domain = settings_.failure_domain, .retries = internal::retries_of(settings_.bounds)},
                  {deps_.time, metrics_, link_, deps_.protocol, starts_, internal::uniform_source(),
                   [this](crash_report it) { crash_reports_.offer(std::move(it)); },
@@ -368,6 +369,7 @@
     count("idle", closed.idle, closed_.idle);
     count("slow_head", closed.slow, closed_.slow);
     count("for_room", closed.for_room, closed_.for_room);
+    server_connections_.update(kept_transfers_.counts());
     metrics_.set("caller_connections", "", static_cast<double>(callers_.connections()));
     metrics_.set("message_bytes", "", static_cast<double>(message_bytes_.used()));
     if (const bool room = callers_.has_room(); room != std::exchange(callers_have_room_, room)) {
@@ -444,6 +446,7 @@
         forward_thread_.join();
     }
     transfers_.stop();
+    kept_transfers_.stop();
     callers_.stop();
     readiness_.stop();
     peers_server_.stop();
--- a/src/gateway/gateway_daemon.hpp
+++ b/src/gateway/gateway_daemon.hpp
@@ -9,6 +9,7 @@
 #include "base/id.hpp"
 #include "gateway/config_peer_task.hpp"
 #include "gateway/config_source.hpp"
+#include "gateway/connection_metrics.hpp"
 #include "gateway/crash_report_task.hpp"
 #include "gateway/events.hpp"
 #include "gateway/forwarder.hpp"
@@ -23,6 +24,7 @@
 #include "gateway/windowed_start_counter.hpp"
 #include "http/async_client.hpp"
 #include "http/client.hpp"
+#include "http/pooled_client.hpp"
 #include "http/server.hpp"
 #include "lease/lease_thread.hpp"
 #include "metrics/registry.hpp"
@@ -96,6 +98,7 @@
     jump_filter_clock time_of_day_;
     windowed_start_counter starts_;
     http::async_client transfers_;
+    http::pooled_client kept_transfers_;
     http_backend_port link_;
     forwarder forwarder_;
     config_source config_;
@@ -121,6 +124,7 @@
     std::atomic<bool> ready_{false};
     base::instant connections_due_{}; /**< Of the next look at the connections of callers. */
     http::closed_connections closed_; /**< As reported last. */
+    connection_metrics server_connections_{metrics_};
     bool callers_have_room_{true};
     base::instant stop_limit_{}; /**< Store writes are repeated until then during a shutdown. */
     bool stopped_{false};
--- a/src/gateway/http_backend_port.cpp
+++ b/src/gateway/http_backend_port.cpp
@@ -16,18 +16,13 @@
 
 } // namespace internal
 
-http_backend_port::http_backend_port(http::async_client &client, event_ring &events, base::duration connect_timeout,
-                                     base::byte_budget &budget)
-    : client_{client}, events_{events}, connect_timeout_{connect_timeout}, budget_{budget} {}
+http_backend_port::http_backend_port(http::async_client &client, http::pooled_client &kept,
+                                     const backend_protocol &protocol, event_ring &events,
+                                     base::duration connect_timeout, base::byte_budget &budget)
+    : client_{client}, kept_{kept}, protocol_{protocol}, events_{events},
+      connect_timeout_{connect_timeout}, budget_{budget} {}
 
-void http_backend_port::send(call_id call, std::string_view address, http::request message, base::duration timeout) {
-    http::call_options options;
-    options.connect_timeout = connect_timeout_;
-    options.timeout = timeout;
-    // A reused connection may be closed by the peer while the request is written, or still hold bytes of an earlier
-    // answer. Both cost more than opening a new connection.
-    options.fresh_connection = true;
-    options.budget = &budget_;
+http::async_handlers http_backend_port::handlers_of(call_id call) {
     http::async_handlers handlers;
     handlers.on_head = [this, call](int status, const http::field_list &fields) {
         events_.push(head_event{call, status, fields});
@@ -47,14 +42,45 @@
             events_.push(end_event{call, internal::to_call_end(answer.error()), {}});
         }
     };
+    return handlers;
+}
+
+void http_backend_port::send(call_id call, std::string_view address, http::request message, base::duration timeout) {
+    http::call_options options;
+    options.connect_timeout = connect_timeout_;
+    options.timeout = timeout;
+    options.fresh_connection = true;
+    options.budget = &budget_;
     const std::scoped_lock lock{mutex_};
-    transfers_[call] = client_.send(address, std::move(message), options, std::move(handlers));
+    if (kept_addresses_.contains(address)) {
+        transfers_[call] = {true, kept_.send(address, std::move(message), options, handlers_of(call),
+                                             [this](const http::request &sent, const http::field_list &answer) {
+                                                 return protocol_.owner_of(sent, answer);
+                                             })};
+    } else {
+        transfers_[call] = {false, client_.send(address, std::move(message), options, handlers_of(call))};
+    }
 }
 
 void http_backend_port::cancel(call_id call) {
     const std::scoped_lock lock{mutex_};
-    if (const auto it = transfers_.find(call); it != transfers_.end()) {
-        client_.cancel(it->second);
+    const auto it = transfers_.find(call);
+    if (it == transfers_.end()) {
+        return;
+    }
+    if (it->second.kept) {
+        kept_.cancel(it->second.id);
+    } else {
+        client_.cancel(it->second.id);
+    }
+}
+
+void http_backend_port::set_servers(std::span<const http::pooled_server> all) {
+    kept_.set_servers(all);
+    const std::scoped_lock lock{mutex_};
+    kept_addresses_.clear();
+    for (const auto &it : all) {
+        kept_addresses_.insert(it.address);
     }
 }
 
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -130,6 +130,8 @@
     {1609, "no_backend", severity::warning, "No backend server can take a request.",
      "Start backend servers of the service or check their health."},
     // Usage
+    {1614, "kept_connection_failed", severity::info, "Calls failed on kept connections before any byte of an answer.",
+     "none; frequent occurrences mean that servers drop idle connections early, and they are used for a shorter time."},
     {1701, "usage_batch_written", severity::info, "A usage batch was written to the store.", "none"},
     {1702, "usage_window_sealed", severity::info, "The figures of a usage window are final.", "none"},
     {1703, "usage_reported", severity::info, "A usage window was accepted by the platform.", "none"},
--- a/test/gateway/fixture.hpp
+++ b/test/gateway/fixture.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,11 +32,13 @@
     std::vector<sent_call> calls;
     std::vector<gateway::call_id> cancelled;
     std::vector<sent_call> posts;
+    std::vector<http::pooled_server> servers;
 
     void send(gateway::call_id call, std::string_view address, http::request message, base::duration) override {
         calls.push_back({call, std::string{address}, std::move(message)});
     }
     void cancel(gateway::call_id call) override { cancelled.push_back(call); }
+    void set_servers(std::span<const http::pooled_server> all) override { servers.assign(all.begin(), all.end()); }
     void post(std::string_view address, http::request message) override {
         posts.push_back({0, std::string{address}, std::move(message)});
     }
