--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -216,10 +216,14 @@
     }
     config_ = std::move(config);
     quotas_.set_quotas(quotas_of(*config_, settings_.extra_burst));
+    connections_.set_config(config_);
+    deps_.backends.set_servers(connections_.current());
 }
 
 void forwarder::on_backends(const std::vector<backend_server> &all) {
     table_.update(all);
+    connections_.set_servers(all);
+    deps_.backends.set_servers(connections_.current());
     engine_.place_waiting();
 }
 
@@ -239,6 +243,8 @@
     quarantine_.set_gateways(all);
     placement_.set_gateways(n);
     quota_client_.set_group(all);
+    connections_.set_gateways(all);
+    deps_.backends.set_servers(connections_.current());
 }
 
 void forwarder::show_speeds() {
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -17,6 +17,7 @@
 #include "gateway/backend_port.hpp"
 #include "gateway/backend_protocol.hpp"
 #include "gateway/backend_table.hpp"
+#include "gateway/connection_limits.hpp"
 #include "gateway/crash_quarantine.hpp"
 #include "gateway/opaque_exchange.hpp"
 #include "gateway/placement.hpp"
@@ -160,6 +161,7 @@
     shutdown_phase stop_{shutdown_phase::none};
     const exchange_context context_;
     traffic_config_ptr config_;
+    connection_limits connections_;
     base::instant next_second_{};
     std::set<std::string> shown_speeds_; /**< Labels of servers whose speed is among the metrics. */
     dispatch::engine engine_;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -148,7 +148,8 @@
       readiness_bytes_{internal::other_bytes}, events_{internal::event_ring_limit, internal::event_bytes(settings_)},
       time_of_day_{deps_.time, &system_wall_clock}, starts_{[this] { return time_of_day_.now(); },
                                                             settings_.bounds.usage_window, internal::kept_windows},
-      link_{transfers_, events_, settings_.timings.connect_timeout, server_bytes_},
+      kept_transfers_{deps_.time},
+      link_{transfers_, kept_transfers_, deps_.protocol, events_, settings_.timings.connect_timeout, server_bytes_},
       quota_bank_{deps_.time, metrics_, internal::extra_burst(settings_)},
       quota_link_{transfers_, events_, [this](const auto &it) { return quota_bank_.answer(it); }},
       forwarder_{{.failure_domain = settings_.failure_domain,
@@ -461,6 +462,7 @@
         caller_bytes_were_full_ = false;
         base::return_free_memory();
     }
+    server_connections_.update(kept_transfers_.counts());
     metrics_.set("caller_connections", "", static_cast<double>(callers_.connections()));
     metrics_.set("message_bytes", "side=\"callers\"", static_cast<double>(caller_bytes_.used()));
     metrics_.set("message_bytes", "side=\"servers\"", static_cast<double>(server_bytes_.used()));
@@ -538,6 +540,7 @@
         forward_thread_.join();
     }
     transfers_.stop();
+    kept_transfers_.stop();
     callers_.stop();
     readiness_.stop();
     peers_server_.stop();
--- a/src/gateway/wait_limiter.hpp
+++ b/src/gateway/wait_limiter.hpp
@@ -41,7 +41,7 @@
 private:
     struct queue {
         std::map<unsigned int, std::size_t> waiting{}; /**< By urgency. */
-        double placed{0};                            /**< Placements from the queue, with exponential decay. */
+        double placed{0};                              /**< Placements from the queue, with exponential decay. */
         base::instant decayed_at{};
     };
 
