--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,7 +11,6 @@
 
 #include "agent/agent_daemon.hpp"
 #include "agent/order_dispatcher.hpp"
-#include "base/allocator.hpp"
 #include "base/clock.hpp"
 #include "base/heap.hpp"
 #include "base/id.hpp"
@@ -121,7 +120,6 @@
     const platform::object_codec codec;
     platform::http_duties duties{client, process_settings.duties, process_settings.name,
                                  process_settings.timings.store_timeout};
-    base::return_large_buffers();
     gateway::gateway_daemon daemon{
         process_settings,
         {clock, ids, client, store, protocol, codec, process_settings.duties.empty() ? nullptr : &duties}};
