--- a/src/base/byte_budget.hpp
+++ b/src/base/byte_budget.hpp
@@ -45,7 +45,7 @@
  */
 class byte_holding {
 public:
-    static constexpr std::size_t granted_bytes = std::size_t{16} << 10U;
+    static constexpr std::size_t granted_bytes = std::size_t{8} << 10U;
 
     /** @param from Budget, which must outlive this object; null for none. */
     explicit byte_holding(byte_budget *from = nullptr) noexcept : budget_{from} {}
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -20,9 +20,9 @@
 // Shares of the process's memory, as divisors. What they leave is for the process itself and for buffers that are
 // larger than their content.
 constexpr std::size_t caller_bytes_divisor = 6;
-constexpr std::size_t server_bytes_divisor = 10;
+constexpr std::size_t server_bytes_divisor = 12;
 constexpr std::size_t event_bytes_divisor = 32;
-constexpr std::size_t caller_connections_divisor = 4;
+constexpr std::size_t caller_connections_divisor = 5;
 constexpr std::size_t peer_connections_divisor = 32;
 // A body of the largest legal size always has room, with its copy for the server and beside other requests.
 constexpr std::size_t least_caller_bytes = std::size_t{9} << 20U;
