End requests that wait for the bank when the process stops

They would have kept their connections suspended, and the listener must not be stopped then. No test brings this about.

--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/clock.hpp"
@@ -102,6 +103,9 @@
 
     /** @brief Aborts all requests in progress, at the end of the process. */
     void abandon() {
+        for (const auto &it : std::exchange(asking_, {})) {
+            it.of.caller->abort();
+        }
         engine_.end_all(
             {.status = 502, .code = "stopped", .message = "this gateway has stopped", .abort_connection = true});
     }
