--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "admission/fair_shares.hpp"
@@ -111,6 +112,9 @@
 
     /** @brief Aborts all requests in progress, at the end of the process. */
     void abandon() {
+        for (const auto &it : std::exchange(asking_, {})) {
+            it.of.caller->abort();
+        }
         engine_.end_all(
             {.status = 502, .code = "stopped", .message = "this gateway has stopped", .abort_connection = true});
     }
