--- a/test/admission/fair_shares.cpp
+++ b/test/admission/fair_shares.cpp
@@ -14,6 +14,7 @@
 TEST_CASE("an organisation that asks for little does not wait behind one that asks for much") {
     admission::fair_shares subject;
     std::vector<std::pair<double, std::string>> order;
+    order.reserve(55);
     for (int n = 0; n < 50; ++n) {
         order.emplace_back(subject.arrive("llm", "large", 400), "large");
     }
