--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -14,9 +14,6 @@
 
 // Checking whether a caller has gone takes a system call. Work for a caller that has gone ends within this time.
 constexpr auto caller_check_interval = std::chrono::milliseconds{200};
-// Waiting requests of a line that are tried in vain when a call ends; the rest is tried periodically. An attempt costs
-// a comparison of servers, and small gateways have no time for many of them with each answer.
-constexpr std::size_t vain_tries_per_event = 4;
 
 end_reason to_end_reason(retry::give_up_reason why) noexcept {
     switch (why) {
@@ -216,7 +213,7 @@
         auto &it = *exchanges_.at(number);
         handle_result(number, it, it.on_end(how, answer), false);
     }
-    place_lines(internal::vain_tries_per_event);
+    place_waiting();
 }
 
 void engine::handle_result(exchange_number number, exchange &it, call_event_result result, bool still_open) {
@@ -348,10 +345,6 @@
 }
 
 void engine::place_waiting() {
-    place_lines(exchanges_.size());
-}
-
-void engine::place_lines(std::size_t vain_tries) {
     std::vector<std::string> names;
     names.reserve(lines_.size());
     for (const auto &[name, line] : lines_) {
@@ -360,11 +353,11 @@
         }
     }
     for (const auto &name : names) {
-        place_line(name, vain_tries);
+        place_line(name);
     }
 }
 
-void engine::place_line(const std::string &name, std::size_t vain_tries) {
+void engine::place_line(const std::string &name) {
     auto &line = lines_.at(name);
     const std::vector<std::pair<exchange_rank, exchange_number>> waiting{line.requests.begin(), line.requests.end()};
     line.blocked.reset();
@@ -382,16 +375,9 @@
         }
         attempt(number, *it);
         const auto *left = find(number);
-        if (left == nullptr || left->stage_ != exchange_stage::waiting) {
-            continue;
-        }
-        if (!group.empty()) {
+        if (left != nullptr && left->stage_ == exchange_stage::waiting && !group.empty()) {
             full.insert(group);
         }
-        if (vain_tries <= 1) {
-            return;
-        }
-        --vain_tries;
     }
 }
 
--- a/src/dispatch/engine.hpp
+++ b/src/dispatch/engine.hpp
@@ -91,8 +91,7 @@
     void enter_line(exchange_number number, exchange &it, const wait_for_capacity &wait);
     void leave_line(exchange_number number, exchange &it);
     void erase(exchange_number number);
-    void place_lines(std::size_t vain_tries);
-    void place_line(const std::string &name, std::size_t vain_tries);
+    void place_line(const std::string &name);
     void take(exchange_number number, exchange &it, place_result found);
     void attempt(exchange_number number, exchange &it);
     void open_call(exchange_number number, exchange &it, outgoing_call what);
--- a/src/explain/explanation.cpp
+++ b/src/explain/explanation.cpp
@@ -17,16 +17,10 @@
 constexpr auto outcomes = std::to_array<outcome_explanation>({
     {"served", "The backend server's whole answer was passed on.", "none"},
     {"passed_on", "The backend server answered with this status itself.", "Look for the id in its records."},
-    {"busy", "No place was free in time: all slots and queue places were taken. It has not run.",
+    {"busy",
+     "No place was free in time: all slots were taken, or the answer was expected after the latency objective. It has "
+     "not run.",
      "Compare `expected_ms` and `outstanding` of other requests to the service at that time; add backend servers."},
-    {"too_late",
-     "Its answer was expected after the latency objective, by the estimate and the recent answers of its urgency. It "
-     "has not run.",
-     "Compare `expected_ms` of its refusal with `first_event_ms` of other requests; add backend servers."},
-    {"reserved",
-     "The room was kept for more urgent requests of the service, whose answers took over half of their objective. It "
-     "has not run.",
-     "Compare the urgencies of the routes and organisations; add backend servers."},
     {"no_backend", "No backend server of the service took requests.",
      "Look at `servers_changed` and `server_removed` before it, and at the attempts above."},
     {"retry_budget", "An attempt failed, and the retries of the service were used up.",
--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -32,10 +32,11 @@
     : settings_{std::move(settings)}, deps_{std::move(deps)}, table_{deps_.time, settings_.health},
       placement_{deps_.time, table_, deps_.random, settings_.places}, retry_schedule_{deps_.time}, waits_{deps_.time},
       budget_{deps_.time, settings_.retries}, retries_{deps_.time, budget_, deps_.random, internal::retry_options},
-      reserve_{deps_.time}, times_{deps_.time}, quarantine_{deps_.time, settings_.quarantine},
-      context_{deps_.time, deps_.metrics, deps_.backends, deps_.protocol,  deps_.starts, settings_.failure_domain,
-               stop_,      table_,        placement_,     retry_schedule_, waits_,       shares_,
-               reserve_,   times_,        budget_,        quarantine_,     deps_.budget},
+      quarantine_{deps_.time, settings_.quarantine}, context_{deps_.time,      deps_.metrics, deps_.backends,
+                                                              deps_.protocol,  deps_.starts,  settings_.failure_domain,
+                                                              stop_,           table_,        placement_,
+                                                              retry_schedule_, waits_,        shares_,
+                                                              budget_,         quarantine_,   deps_.budget},
       engine_{{deps_.time, deps_.metrics, deps_.backends, retries_}} {}
 
 void forwarder::refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const {
@@ -157,10 +158,6 @@
         next_second_ = now + internal::second;
         placement_.expire();
         shares_.expire();
-        for (const auto &[urgency, n] : waits_.waiting_by_urgency()) {
-            deps_.metrics.set("waiting_requests", "urgency=\"" + std::to_string(urgency) + "\"",
-                              static_cast<double>(n));
-        }
         deps_.metrics.set("active_requests", "", static_cast<double>(engine_.size()));
         deps_.metrics.set("held_prompt_parts", "",
                           static_cast<double>(quarantine_.held_count(trait_kind::prompt_part)));
--- a/src/gateway/forwarder.hpp
+++ b/src/gateway/forwarder.hpp
@@ -9,8 +9,6 @@
 #include <vector>
 
 #include "admission/fair_shares.hpp"
-#include "admission/recent_times.hpp"
-#include "admission/urgent_reserve.hpp"
 #include "base/clock.hpp"
 #include "dispatch/engine.hpp"
 #include "gateway/backend_port.hpp"
@@ -122,8 +120,6 @@
     admission::fair_shares shares_;
     retry::retry_window budget_;
     retry::retry_policy retries_;
-    admission::urgent_reserve reserve_;
-    admission::recent_times times_;
     crash_quarantine quarantine_;
     shutdown_phase stop_{shutdown_phase::none};
     const exchange_context context_;
--- a/src/gateway/opaque_exchange.cpp
+++ b/src/gateway/opaque_exchange.cpp
@@ -26,9 +26,6 @@
 // Percentage of the latency objective below which the expected time shows that there is capacity to spare. Requests
 // that will be late anyway are placed only then, so that they make no others late.
 constexpr int spare_percent = 35;
-// Percentage of the objective of more urgent requests that these may take before others get no room. They need the
-// rest for what arrives at the servers before an answer shows it.
-constexpr int reserve_percent = 50;
 // Callers of the platform wait no longer than their remaining time divided by this.
 constexpr int retry_after_divisor = 3;
 constexpr int first_server_error = 500;
@@ -94,17 +91,12 @@
 }
 
 void refuse_caller(const exchange_context &context, http::caller_port &caller, std::string_view request,
-                   std::uint64_t config_version, const dispatch::refusal &why, const refusal_facts &about) {
+                   std::uint64_t config_version, const dispatch::refusal &why) {
     context.metrics.count("refusals_total", "reason=\"" + why.code + "\"");
     log::write("request_refused", {{"request", request},
                                    {"status", why.status},
                                    {"reason", why.code},
                                    {"config_version", config_version},
-                                   {"service", about.service},
-                                   {"organisation", about.organisation},
-                                   {"urgency", about.urgency},
-                                   {"expected_ms", base::to_milliseconds(about.expected)},
-                                   {"queue_ms", base::to_milliseconds(about.queue)},
                                    {"retry_after_ms", why.retry_after ? base::to_milliseconds(*why.retry_after) : 0}});
     auto answer = dispatch::to_response(why, dispatch::seconds_form::fractional);
     answer.fields = internal::with_close(context, std::move(answer.fields));
@@ -115,12 +107,10 @@
     : exchange{std::move(of)}, context_{context}, request_{std::move(request)},
       traits_{traits_of(request_.content, identity().organisation)}, work_{internal::work_of(request_.content.facts)},
       virtual_start_{context.shares.arrive(identity().service, identity().organisation, work_)}, body_held_{
-                                                                                                     context.budget} {
-    context_.reserve.ask(identity().service, urgency(), request_.route->latency_objective);
-}
+                                                                                                     context.budget} {}
 
 dispatch::exchange_rank opaque_exchange::rank() const noexcept {
-    return {urgency(), virtual_start_, identity().deadline};
+    return {request_.priority.value_or(0), virtual_start_, identity().deadline};
 }
 
 std::string_view opaque_exchange::line() const noexcept {
@@ -130,7 +120,7 @@
 
 dispatch::place_result opaque_exchange::wait_in_line() {
     return wait_or_refuse({{}, placement_rejection::full, context_.places.slot_time(identity().service)},
-                          delay_reason::full);
+                          line_effect::blocks);
 }
 
 dispatch::place_result opaque_exchange::place() {
@@ -154,50 +144,17 @@
                                                 .is_new = stage() == dispatch::exchange_stage::held});
     if (placed.rejection != placement_rejection::none) {
         return wait_or_refuse(placed,
-                              placed.rejection == placement_rejection::full ? delay_reason::full : delay_reason::tried);
+                              placed.rejection == placement_rejection::full ? line_effect::blocks : line_effect::none);
     }
     // Admission must not depend on the request's size, or the largest requests would never be served under load.
-    corrected_ = context_.times.corrected(work_class(), placed.plan.typical);
-    const auto why = first ? delay_of(placed.plan, corrected_) : delay_reason::none;
-    if (why != delay_reason::none) {
-        return wait_or_refuse({{}, placement_rejection::full, corrected_}, why);
+    const bool in_time = context_.time.now() + placed.plan.typical < admission_limit();
+    const bool spare = placed.plan.typical < request_.route->latency_objective * internal::spare_percent / 100;
+    if (first && !in_time && !spare) {
+        return wait_or_refuse({{}, placement_rejection::full, placed.plan.typical}, line_effect::none);
     }
     return start(placed.plan);
 }
 
-opaque_exchange::delay_reason opaque_exchange::delay_of(const placement_plan &plan, base::duration typical) const {
-    const bool in_time = context_.time.now() + typical < admission_limit();
-    const bool spare = typical < request_.route->latency_objective * internal::spare_percent / 100;
-    if (!in_time && !spare) {
-        return delay_reason::too_late;
-    }
-    const auto urgent = context_.reserve.above(identity().service, urgency());
-    const bool leaves_room = !urgent || context_.times.corrected({identity().service, urgent->urgency}, plan.queued) <
-                                            urgent->objective * internal::reserve_percent / 100;
-    return leaves_room ? delay_reason::none : delay_reason::reserved;
-}
-
-std::string_view opaque_exchange::code_of(delay_reason why) noexcept {
-    switch (why) {
-    case delay_reason::full:
-        return "busy";
-    case delay_reason::too_late:
-        return "too_late";
-    case delay_reason::reserved:
-        return "reserved";
-    case delay_reason::none:
-    case delay_reason::tried:
-        break;
-    }
-    return "no_backend";
-}
-
-void opaque_exchange::record_answer_time() {
-    if (history().attempt() == 1) {
-        context_.times.record(work_class(), context_.time.now() - identity().received - placed_after_);
-    }
-}
-
 std::optional<dispatch::refusal> opaque_exchange::refusal_for_traits() {
     const auto ran = dispatch::ran_claim_of(*this);
     const bool may_have_run = history().may_have_run();
@@ -237,7 +194,7 @@
 
 void opaque_exchange::end_wait(bool placed) {
     if (std::exchange(waiting_, false)) {
-        context_.waits.end(identity().service, placed, urgency());
+        context_.waits.end(identity().service, placed);
     }
 }
 
@@ -247,37 +204,35 @@
     return late && history().attempt() == 1 ? std::string_view{request_.route->name} : std::string_view{};
 }
 
-dispatch::place_result opaque_exchange::wait_or_refuse(const placement_result &placed, delay_reason why) {
+dispatch::place_result opaque_exchange::wait_or_refuse(const placement_result &placed, line_effect effect) {
     const auto now = context_.time.now();
-    const auto &service = identity().service;
     const bool may_wait = placed.rejection != placement_rejection::excluded && now < request_.wait_until &&
                           now + placed.free_in < identity().deadline;
-    if (may_wait && (waiting_ || context_.waits.may_wait(service, request_.wait_until - now, urgency()))) {
+    if (may_wait && (waiting_ || context_.waits.may_wait(identity().service, request_.wait_until - now))) {
         if (!std::exchange(waiting_, true)) {
-            context_.waits.begin(service, urgency());
+            context_.waits.begin(identity().service);
         }
-        return dispatch::wait_for_capacity{request_.wait_until, why == delay_reason::full};
+        return dispatch::wait_for_capacity{request_.wait_until, effect == line_effect::blocks};
     }
     if (started_ || history().may_have_run()) {
         return refusal_with("no_backend", ran_claim::unknown);
     }
-    const bool known = why != delay_reason::tried || placed.free_in > base::duration{0};
+    const bool full = placed.rejection == placement_rejection::full;
+    const bool known = full || placed.free_in > base::duration{0};
     const auto wait = known ? placed.free_in : base::duration{internal::default_retry_after};
-    return dispatch::refusal{503, std::string{code_of(why)}, "the backend servers of the service are busy; retry later",
-                             ran_claim::no,
-                             retry_after(std::max(wait, context_.waits.expected_wait(service, urgency())))};
+    return dispatch::refusal{503, full ? "busy" : "no_backend",
+                             "the backend servers of the service are busy; retry later", ran_claim::no,
+                             retry_after(wait)};
 }
 
 base::duration opaque_exchange::retry_after(base::duration free_in) const {
     const auto left = std::max<base::duration>(identity().deadline - context_.time.now(), base::duration{0});
-    return context_.retry_schedule.next_retry_after(identity().service, free_in, left / internal::retry_after_divisor,
-                                                    urgency());
+    return context_.retry_schedule.next_retry_after(identity().service, free_in, left / internal::retry_after_divisor);
 }
 
 dispatch::outgoing_call opaque_exchange::start(const placement_plan &plan) {
     end_wait(true);
     if (!std::exchange(was_placed_, true)) {
-        context_.reserve.place(identity().service, urgency());
         context_.shares.place(identity().service, virtual_start_);
     }
     if (history().attempt() == 1) {
@@ -495,7 +450,6 @@
     } else {
         first_event_after_ = now - of.received;
         record_call_time();
-        record_answer_time();
         context_.metrics.observe(metrics::timing::first_token, of.organisation, of.service, first_event_after_);
     }
     last_event_at_ = now;
@@ -580,7 +534,6 @@
         return call_failed{unknown_outcome(), attempt_outcome::broken};
     }
     if (head_.not_run) {
-        assume_full();
         return internal::rejected(head_);
     }
     const bool success = head_.status >= 200 && head_.status < 300;
@@ -599,17 +552,6 @@
     return dispatch::call_complete{};
 }
 
-void opaque_exchange::assume_full() {
-    const auto *server = context_.table.find(backend_);
-    const auto &notice = head_.notice;
-    const bool says_why = head_.load || head_.other_server || notice.leaving || notice.pause || notice.limit;
-    if (server == nullptr || says_why) {
-        return;
-    }
-    const auto slots = std::max(1U, server->facts.slots);
-    context_.table.reported(backend_, {.running = slots, .waiting = slots, .slots = slots});
-}
-
 bool opaque_exchange::complete() {
     const auto &of = identity();
     if (server_answer_) {
@@ -624,7 +566,6 @@
         of.caller->finish();
     } else {
         count_start();
-        record_answer_time();
         of.caller->respond({head_.status, internal::with_close(context_, head_.fields), body_});
     }
     finish(head_.status, "served");
@@ -654,12 +595,7 @@
     } else if (server_answer_) {
         return forward_server_answer();
     } else {
-        refuse_caller(context_, caller, identity().id, request_.config->version(), why,
-                      {.service = identity().service,
-                       .organisation = identity().organisation,
-                       .urgency = urgency(),
-                       .expected = corrected_,
-                       .queue = context_.waits.expected_wait(identity().service, urgency())});
+        refuse_caller(context_, caller, identity().id, request_.config->version(), why);
     }
     finish(why.status, why.code);
 }
--- a/src/gateway/opaque_exchange.hpp
+++ b/src/gateway/opaque_exchange.hpp
@@ -8,8 +8,6 @@
 #include <vector>
 
 #include "admission/fair_shares.hpp"
-#include "admission/recent_times.hpp"
-#include "admission/urgent_reserve.hpp"
 #include "base/byte_budget.hpp"
 #include "base/clock.hpp"
 #include "dispatch/exchange.hpp"
@@ -46,8 +44,6 @@
     retry_after_scheduler &retry_schedule;
     wait_limiter &waits;
     admission::fair_shares &shares;
-    admission::urgent_reserve &reserve;
-    admission::recent_times &times;
     retry::retry_window &retry_budget;
     crash_quarantine &quarantine;
     base::byte_budget *budget; /**< Of the bytes of answers that are collected whole; null for none. */
@@ -65,18 +61,9 @@
 /** @return Retry properties of the route's requests. */
 [[nodiscard]] retry::work_facts work_of(const traffic_route &route) noexcept;
 
-/** @brief What a refusal was decided on, for the log. */
-struct refusal_facts {
-    std::string_view service{};
-    std::string_view organisation{};
-    unsigned int urgency{0};    /**< 0 is the most urgent. */
-    base::duration expected{0}; /**< Time to the answer if it had been placed; 0 if there was no place. */
-    base::duration queue{0};    /**< Expected wait for those that are at least as urgent. */
-};
-
 /** @brief Sends a refusal to a caller and logs the reason. */
 void refuse_caller(const exchange_context &context, http::caller_port &caller, std::string_view request,
-                   std::uint64_t config_version, const dispatch::refusal &why, const refusal_facts &about = {});
+                   std::uint64_t config_version, const dispatch::refusal &why);
 
 /**
  * @brief A request that is forwarded to a backend server without interpreting its body.
@@ -106,24 +93,13 @@
     [[nodiscard]] std::string_view wait_group() const noexcept override;
 
 private:
-    /** Why a request is not placed now. */
-    enum class delay_reason : std::uint8_t {
+    /** Whether requests that rank after a waiting one find no capacity either. */
+    enum class line_effect : std::uint8_t {
         none,
-        full,     /**< No place is free for requests of its line. */
-        tried,    /**< No server that it has not tried accepts requests. */
-        too_late, /**< Its answer would miss the latency objective. */
-        reserved  /**< The room is needed for more urgent requests. */
+        blocks
     };
 
-    [[nodiscard]] static std::string_view code_of(delay_reason why) noexcept;
-    [[nodiscard]] delay_reason delay_of(const placement_plan &plan, base::duration typical) const;
-    void record_answer_time();
-
-    /** @brief A server has rejected a request without saying why: its slots and queue are taken as full. */
-    void assume_full();
-    [[nodiscard]] unsigned int urgency() const noexcept { return request_.priority.value_or(0); }
-    [[nodiscard]] admission::work_class work_class() const noexcept { return {identity().service, urgency()}; }
-    [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed, delay_reason why);
+    [[nodiscard]] dispatch::place_result wait_or_refuse(const placement_result &placed, line_effect effect);
     void end_wait(bool placed);
     [[nodiscard]] std::optional<dispatch::refusal> refusal_for_traits();
     void record_progress();
@@ -156,7 +132,6 @@
     const double work_;          /**< For the shares of organisations. */
     const double virtual_start_; /**< See `admission::fair_shares`. */
     bool was_placed_{false};
-    base::duration corrected_{0}; /**< Estimate of the latest decision on a place. */
 
     bool waiting_{false};  /**< Counted by the wait limiter. */
     bool is_trial_{false}; /**< Runs although traits of it are held; see `crash_quarantine::begin_trial`. */
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -165,7 +165,6 @@
             out.plan.run = it;
             out.plan.expected = internal::to_duration(expected_ms);
             out.plan.typical = out.plan.expected;
-            out.plan.queued = internal::to_duration(wait_ms(*it) * table_.slowness(*it));
             out.rejection = placement_rejection::none;
         }
     }
@@ -247,7 +246,6 @@
                            .prefill_tokens = tokens,
                            .first = {call_kind::direct, ahead + tokens, other_ms, table_.load_known(engine)}}};
     const double idle_ms = model.expected_ms(0);
-    out.idle_ms = slowness * idle_ms;
     out.own_ms = slowness * (model.expected_ms(tokens) - idle_ms) + work.fetch_ms;
     out.usual_ms = model.expected_ms(work.own) - idle_ms + work.fetch_ms;
     out.expected_ms = slowness * model.expected_ms(ahead + tokens) + other_ms;
@@ -277,7 +275,6 @@
                            .first = {call_kind::prefill, ahead + tokens, work.fetch_ms, table_.load_known(engine)},
                            .second = {move, moved, waiting_ms, table_.load_known(run)}}};
     const double idle_ms = model.expected_ms(0);
-    out.idle_ms = slowness * idle_ms;
     out.own_ms = slowness * (model.expected_ms(tokens) - idle_ms) + work.fetch_ms + move_ms;
     out.usual_ms = model.expected_ms(work.own) - idle_ms + work.fetch_ms + move_ms;
     out.expected_ms =
@@ -340,7 +337,6 @@
     }
     best->plan.expected = internal::to_duration(best->expected_ms);
     best->plan.typical = typical_time(request, *best);
-    best->plan.queued = internal::to_duration(std::max(0.0, best->expected_ms - best->own_ms - best->idle_ms));
     return {best->plan, placement_rejection::none, {}};
 }
 
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -87,7 +87,6 @@
     base::duration expected{0};               /**< Estimated time to the answer, or to its first event. */
     base::duration typical{0}; /**< For admission: as `expected`, but for a request of the route's mean size with a
                                   cached prefix, and less by up to a fifth for large ones. */
-    base::duration queued{0};  /**< Part of `expected` that the request spends behind others. */
     call_estimate first{};     /**< Of the first call. */
     call_estimate second{};    /**< Of the call after a prefill; unused without one. */
 };
@@ -160,7 +159,6 @@
         placement_plan plan;
         double cost{0};
         double expected_ms{0};
-        double idle_ms{0};  /**< Part of `expected_ms` that any request takes at an idle engine. */
         double own_ms{0};   /**< Part of `expected_ms` that depends on the request's size. */
         double usual_ms{0}; /**< As `own_ms`, with the shared prefix cached at its home. */
     };
--- a/src/gateway/retry_after_scheduler.cpp
+++ b/src/gateway/retry_after_scheduler.cpp
@@ -37,21 +37,16 @@
 }
 
 base::duration retry_after_scheduler::next_retry_after(std::string_view service, base::duration free_in,
-                                                       base::duration max_delay, unsigned int urgency) {
+                                                       base::duration max_delay) {
     const auto now = time_.now();
     auto &it = refreshed(service);
     const double rate =
         std::max(internal::min_rate, it.placed / internal::rate_window_s * internal::returning_fraction);
     const auto first = now + std::max<base::duration>(free_in, internal::min_delay);
     // Slots after the caller's limit are not assigned, so that the schedule does not grow beyond what callers accept.
-    auto next = first;
-    for (const auto &[its, last] : it.last) {
-        if (its <= urgency) {
-            next = std::max(next, last + base::from_seconds(1 / rate));
-        }
-    }
+    const auto next = it.last ? std::max(first, *it.last + base::from_seconds(1 / rate)) : first;
     const auto slot = std::min(next, std::max(first, now + max_delay));
-    it.last[urgency] = slot;
+    it.last = slot;
     return slot - now;
 }
 
--- a/src/gateway/retry_after_scheduler.hpp
+++ b/src/gateway/retry_after_scheduler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,17 +26,16 @@
     /**
      * @param free_in Estimated time until a place is free.
      * @param max_delay Upper limit of the delay.
-     * @param urgency 0 is the most urgent; less urgent callers return after more urgent ones.
      * @return Delay after which the caller should retry.
      */
     [[nodiscard]] base::duration next_retry_after(std::string_view service, base::duration free_in,
-                                                  base::duration max_delay, unsigned int urgency = 0);
+                                                  base::duration max_delay);
 
 private:
     struct turns {
         double placed{0}; /**< Placed requests, with exponential decay. */
         base::instant decayed_at{};
-        std::map<unsigned int, base::instant> last{}; /**< Latest slot assigned, by urgency. */
+        std::optional<base::instant> last{}; /**< Latest slot assigned. */
     };
 
     [[nodiscard]] turns &refreshed(std::string_view service);
--- a/src/gateway/wait_limiter.cpp
+++ b/src/gateway/wait_limiter.cpp
@@ -27,47 +27,20 @@
     return it->second;
 }
 
-double wait_limiter::ahead_of(const queue &it, unsigned int urgency) {
-    std::size_t out = 0;
-    for (const auto &[its, n] : it.waiting) {
-        out += its <= urgency ? n : 0;
-    }
-    return static_cast<double>(out);
-}
-
-double wait_limiter::rate_of(const queue &it) {
-    return std::max(internal::min_placement_rate, it.placed / internal::placement_window_s);
-}
-
-bool wait_limiter::may_wait(std::string_view service, base::duration time, unsigned int urgency) {
+bool wait_limiter::may_wait(std::string_view service, base::duration time) {
     const auto &it = refreshed(service);
-    return (ahead_of(it, urgency) + 1) / rate_of(it) <= base::to_seconds(time);
+    const double rate = std::max(internal::min_placement_rate, it.placed / internal::placement_window_s);
+    return static_cast<double>(it.waiting + 1) / rate <= base::to_seconds(time);
 }
 
-base::duration wait_limiter::expected_wait(std::string_view service, unsigned int urgency) {
-    const auto &it = refreshed(service);
-    return base::from_seconds(ahead_of(it, urgency) / rate_of(it));
+void wait_limiter::begin(std::string_view service) {
+    ++refreshed(service).waiting;
 }
 
-void wait_limiter::begin(std::string_view service, unsigned int urgency) {
-    ++refreshed(service).waiting[urgency];
-}
-
-void wait_limiter::end(std::string_view service, bool placed, unsigned int urgency) {
+void wait_limiter::end(std::string_view service, bool placed) {
     auto &it = refreshed(service);
-    auto &n = it.waiting[urgency];
-    n -= std::min<std::size_t>(n, 1);
+    it.waiting -= std::min<std::size_t>(it.waiting, 1);
     it.placed += placed ? 1 : 0;
 }
 
-std::map<unsigned int, std::size_t> wait_limiter::waiting_by_urgency() const {
-    std::map<unsigned int, std::size_t> out;
-    for (const auto &[service, it] : queues_) {
-        for (const auto &[urgency, n] : it.waiting) {
-            out[urgency] += n;
-        }
-    }
-    return out;
-}
-
 } // namespace dotterelstack::gateway
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -157,7 +157,7 @@
     {1901, "request_placed", severity::info, "A request is sent to a backend server; the inputs of the choice.",
      "none"},
     {1902, "request_refused", severity::info, "A request was answered by the gateway itself.",
-     "Look at the reason; `busy`, `too_late` and `no_backend` call for backend servers."},
+     "Look at the reason; `busy` and `no_backend` call for backend servers."},
     {1903, "attempt_failed", severity::info, "An attempt at a backend server failed.",
      "Check the backend server if it appears often."},
     {1904, "request_finished", severity::info, "A request has its final answer.", "none"},
