--- a/src/gateway/forwarder.cpp
+++ b/src/gateway/forwarder.cpp
@@ -47,11 +47,11 @@
     : settings_{std::move(settings)}, deps_{std::move(deps)}, table_{deps_.time, settings_.health},
       placement_{deps_.time, table_, deps_.random, settings_.places}, retry_schedule_{deps_.time}, waits_{deps_.time},
       budget_{deps_.time, settings_.retries}, retries_{deps_.time, budget_, deps_.random, internal::retry_options},
-      reserve_{deps_.time}, times_{deps_.time}, quarantine_{deps_.time, settings_.quarantine}, quotas_{deps_.time},
-      quota_client_{deps_.time, quotas_, deps_.quotas},
+      quarantine_{deps_.time, settings_.quarantine}, quotas_{deps_.time}, quota_client_{deps_.time, quotas_,
+                                                                                        deps_.quotas},
       context_{deps_.time, deps_.metrics, deps_.backends, deps_.protocol,  deps_.starts, settings_.failure_domain,
                stop_,      table_,        placement_,     retry_schedule_, waits_,       shares_,
-               reserve_,   times_,        budget_,        quarantine_,     quotas_,      deps_.budget},
+               budget_,    quarantine_,   quotas_,        deps_.budget},
       engine_{{deps_.time, deps_.metrics, deps_.backends, retries_}} {}
 
 void forwarder::refuse(http::caller_port &caller, std::string_view request, const dispatch::refusal &why) const {
@@ -284,10 +284,6 @@
             deps_.on_speeds(table_.measured_speeds());
         }
         shares_.expire();
-        for (const auto &[urgency, n] : waits_.waiting_by_urgency()) {
-            deps_.metrics.set("waiting_requests", "urgency=\"" + std::to_string(urgency) + "\"",
-                              static_cast<double>(n));
-        }
         deps_.metrics.set("active_requests", "", static_cast<double>(engine_.size()));
         deps_.metrics.set("paced_servers", "", static_cast<double>(table_.paced()));
         deps_.metrics.set("held_prompt_parts", "",
