--- a/src/settings/gateway_settings.hpp
+++ b/src/settings/gateway_settings.hpp
@@ -22,7 +22,7 @@
     base::duration usage_window{std::chrono::seconds{5}};
     base::duration usage_due{std::chrono::seconds{10}}; /**< Longest time from the end of a window to its report. */
     base::duration retry_window{std::chrono::seconds{10}};
-    double retry_ratio{0.2};    /**< Retries per request in a retry window, over all gateways. */
+    double retry_ratio{0.2}; /**< Retries per request in a retry window, over all gateways. */
     /** Units by which an organisation may exceed its quota, over all gateways; half of it is added to bursts. */
     double quota_tolerance{0};
     double retry_allowance{20}; /**< Retries in addition to the ratio, over all gateways. */
--- a/test/limits/quota.cpp
+++ b/test/limits/quota.cpp
@@ -115,7 +115,9 @@
     [[nodiscard]] std::int64_t most_in_window() const { return most_; }
     [[nodiscard]] std::int64_t total() const { return total_; }
     /** Part of what an exact bucket would admit that was admitted. */
-    [[nodiscard]] double served() const { return owed_ == 0 ? 1 : static_cast<double>(served_) / static_cast<double>(owed_); }
+    [[nodiscard]] double served() const {
+        return owed_ == 0 ? 1 : static_cast<double>(served_) / static_cast<double>(owed_);
+    }
     [[nodiscard]] double bound(std::int64_t largest) const {
         const double seconds = std::chrono::duration<double>(window).count();
         return (limit_.rate * seconds + limit_.burst) * tolerance +
