Estimate the speed of servers only where they report how long work takes

The speed estimate acted on all servers, also on those that report no time of work, whose times vary without any of them being faster: homes moved, queues were counted by noise, and choices were spread. Steady speed, weights of homes, records, queue places by speed and the spread of choices now need a server that reports the factor, here or to another gateway.

A test that wanted the speed of a server without reports counted now wants it left out, and counted from the first report on; the herding test reports the factor.

--- a/src/gateway/backend_table.cpp
+++ b/src/gateway/backend_table.cpp
@@ -319,7 +319,7 @@
 speed::speed_record backend_table::measured_speeds() const {
     speed::speed_record out;
     for (const auto &[id, it] : states_) {
-        if (const auto own = it.speed->own(); own.samples > 0) {
+        if (const auto own = it.speed->own(); it.speed->shares_host() && own.samples > 0) {
             out.emplace(to_string(incarnation_of(it.facts)), own);
         }
     }
--- a/src/gateway/placement.cpp
+++ b/src/gateway/placement.cpp
@@ -122,12 +122,16 @@
 double placement::wait_ms(const backend_state &it, double slowness) const {
     const double slots = std::max(1U, it.facts.slots);
     const double ahead = table_.outstanding(it) - slots + 1;
-    return ahead <= 0 ? 0 : ahead * slowness * slot_ms(it.facts.service) / slots;
+    return ahead <= 0 ? 0 : ahead * queue_factor(it, slowness) * slot_ms(it.facts.service) / slots;
+}
+
+double placement::queue_factor(const backend_state &it, double slowness) {
+    return it.speed && it.speed->shares_host() ? slowness : 1;
 }
 
 double placement::places(const backend_state &it, double slowness) const {
     // Queues of equal length in time: a server that works faster may have more requests in its queue.
-    return std::max(1U, it.facts.slots) * (1 + settings_.queue_per_slot / slowness);
+    return std::max(1U, it.facts.slots) * (1 + settings_.queue_per_slot / queue_factor(it, slowness));
 }
 
 bool placement::has_room(const backend_state &it, double slowness) const {
@@ -161,11 +165,11 @@
 /** @param added_ms Time that one more request at the server adds. */
 double placement::spread_cost(const backend_state &it, const placement_request &request, double expected_ms,
                               double added_ms) const {
-    const double n = unknown_requests(it);
-    const double spread = it.speed ? it.speed->factor_spread() : 0;
-    if (n == 0 && spread == 0) {
+    if (!it.speed || !it.speed->shares_host()) {
         return 0;
     }
+    const double n = unknown_requests(it);
+    const double spread = it.speed->factor_spread();
     const double later_ms = expected_ms * (1 + spread) + n * added_ms;
     const double lost = loss(request, later_ms) - loss(request, expected_ms);
     const double load = settings_.load_cost * n / std::max(1U, it.facts.slots);
@@ -183,7 +187,7 @@
         const double slowness = table_.slowness(*it);
         const double slots = std::max(1U, it->facts.slots);
         const double excess = table_.outstanding(*it) - places(*it, slowness) + 1;
-        best = std::min(best, std::max(1.0, excess) * slowness * slot_ms(it->facts.service) / slots);
+        best = std::min(best, std::max(1.0, excess) * queue_factor(*it, slowness) * slot_ms(it->facts.service) / slots);
     }
     return internal::to_duration(best);
 }
@@ -196,7 +200,8 @@
         if (!has_room(*it, slowness)) {
             continue;
         }
-        const double expected_ms = wait_ms(*it, slowness) + slowness * slot_ms(request.service);
+        const double waiting_ms = wait_ms(*it, slowness) / queue_factor(*it, slowness);
+        const double expected_ms = slowness * (waiting_ms + slot_ms(request.service));
         const double added_ms = slowness * slot_ms(request.service) / std::max(1U, it->facts.slots);
         const double cost =
             loss(request, expected_ms) + penalty(*it, request) + spread_cost(*it, request, expected_ms, added_ms);
--- a/src/gateway/placement.hpp
+++ b/src/gateway/placement.hpp
@@ -200,6 +200,8 @@
 
     [[nodiscard]] double slot_ms(std::string_view service) const;
     [[nodiscard]] double wait_ms(const backend_state &it, double slowness) const;
+    /** @return Factor of the time in a server's queue: its slowness if it shares its host, else 1. */
+    [[nodiscard]] static double queue_factor(const backend_state &it, double slowness);
     [[nodiscard]] double places(const backend_state &it, double slowness) const;
     [[nodiscard]] double loss(const placement_request &request, double expected_ms) const;
     [[nodiscard]] double penalty(const backend_state &it, const placement_request &request) const;
--- a/src/speed/server_speed.cpp
+++ b/src/speed/server_speed.cpp
@@ -112,7 +112,7 @@
 }
 
 void server_speed::settle(double mean_log) noexcept {
-    const double log_time = steady().log_time - mean_log;
+    const double log_time = shares_host() ? steady().log_time - mean_log : 0;
     const double bound =
         counted_ == 0 ? std::max(internal::clear_log, internal::clear_errors * steady_error()) : internal::unclear_log;
     const double before = std::exchange(counted_, std::abs(log_time) < bound ? 0 : log_time);
--- a/src/speed/server_speed.hpp
+++ b/src/speed/server_speed.hpp
@@ -61,6 +61,12 @@
     /** @return Standard error of `steady().log_time`. */
     [[nodiscard]] double steady_error() const noexcept;
 
+    /**
+     * @return True if the server reports how long work takes there, here or to other gateways. Others count as alike,
+     * apart from the latest slowness: without the factor, noise of the times cannot be told from the speed.
+     */
+    [[nodiscard]] bool shares_host() const noexcept { return reported_at_.has_value() || others_.samples > 0; }
+
     /** @return Expected factor of the time of work now, by the server's reports; 1 without any. */
     [[nodiscard]] double reported_factor() const noexcept;
 
--- a/test/speed/server_speed.cpp
+++ b/test/speed/server_speed.cpp
@@ -58,6 +58,10 @@
         it.subject.measured(n % 2 == 0 ? 0.45 : 0.8);
     }
     it.subject.settle(0);
+    CHECK(it.subject.time_factor() == 1);
+    // From its first report on, the same measurements count.
+    it.subject.reported(1);
+    it.subject.settle(0);
     CHECK(it.subject.time_factor() < 0.8);
 }
 
