Divide by what is left of a measurement only where something is left

For a server without a measurement, what is left of one since boot becomes 0 as a floating-point number once the host has run for that long.

The new test fails without the change and passes with it.

--- a/src/speed/server_speed.cpp
+++ b/src/speed/server_speed.cpp
@@ -116,9 +116,12 @@
     const double bound =
         counted_ == 0 ? std::max(internal::clear_log, internal::clear_errors * steady_error()) : internal::unclear_log;
     const double before = std::exchange(counted_, std::abs(log_time) < bound ? 0 : log_time);
-    // What counts as steady from now on was part of the latest slowness until now.
+    // What counts as steady from now on was part of the latest slowness until now. Nothing is left of that long after
+    // the last measurement, nor without one.
     const double left = kept(measured_at_, settings_.latest_half_life);
-    log_slowness_ = std::max(0.0, log_slowness_ - std::max(0.0, counted_ - before) / left);
+    if (const double grown = counted_ - before; grown > 0 && left > 0) {
+        log_slowness_ = std::max(0.0, log_slowness_ - grown / left);
+    }
 }
 
 double server_speed::time_factor() const noexcept {
--- a/test/speed/server_speed.cpp
+++ b/test/speed/server_speed.cpp
@@ -120,3 +120,15 @@
     it.subject.settle(0);
     CHECK(it.subject.time_factor() == doctest::Approx(1).epsilon(0.01));
 }
+
+// Hosts that run for days. Guards against a division by what is left of a measurement long ago, or of none.
+TEST_CASE("a server without a recent measurement is usual, however long the host runs") {
+    fixture it;
+    it.clock.advance(100h);
+    it.subject.settle(0);
+    CHECK(it.subject.time_factor() == 1);
+    it.work(60, 2, 1);
+    it.clock.advance(100h);
+    it.subject.settle(0);
+    CHECK(it.subject.time_factor() == doctest::Approx(1));
+}
