--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -442,8 +442,10 @@
     constexpr int gateways = 31;
     std::mt19937 random{5};
     std::map<std::string, int> chosen;
+    constexpr int servers = 10;
     std::vector<gateway::backend_server> all;
-    for (int n = 0; n < 10; ++n) {
+    all.reserve(servers);
+    for (int n = 0; n < servers; ++n) {
         all.push_back(test::server("desk-" + std::to_string(n), "desk"));
     }
     for (int n = 0; n < gateways; ++n) {
