--- a/test/limits/quota.cpp
+++ b/test/limits/quota.cpp
@@ -287,7 +287,7 @@
                 break;
             }
             play(it, kind > 5 ? 3s : 700ms, 6, std::max<std::int64_t>(cost, 40),
-                 [&] { return kind % 2 == 0 ? it.random()() % gateways : target; });
+                 [&, kind = kind] { return kind % 2 == 0 ? it.random()() % gateways : target; });
         }
         RC_ASSERT(static_cast<double>(it.most_in_window()) <= it.bound(cost));
     });
