--- a/test/process/quota.cpp
+++ b/test/process/quota.cpp
@@ -39,6 +39,7 @@
     std::atomic<int> unusual{0};
     {
         std::vector<std::jthread> clients;
+        clients.reserve(gateways.size());
         for (const auto n : gateways) {
             clients.emplace_back([&, n] {
                 const auto until = steady::now() + flood_time;
