Tell in the log how far a failed call has come, and what peers have answered

Callers: none are affected; the incident's log could not tell its hypotheses apart. A failed call now names its time and the bytes of the answer that have come, so a silent server differs from an answer that takes too long. A round of questions to peers names failed calls, the last failure, the version in force and the age of its confirmation; config_adopted names its size. The metric config_confirmation_age_seconds shows the age.

--- a/src/gateway/config_source.cpp
+++ b/src/gateway/config_source.cpp
@@ -50,7 +50,7 @@
         value_ = std::string{value};
         config = std::make_shared<const traffic_config>(std::move(decoded.value()));
     }
-    log::write("config_adopted", {{"version", version}, {"origin", origin}});
+    log::write("config_adopted", {{"version", version}, {"origin", origin}, {"bytes", value.size()}});
     deps_.on_config(std::move(config));
     return true;
 }
@@ -84,15 +84,22 @@
     }
 }
 
-bool config_source::confirmed_within(base::duration limit) const {
+std::optional<base::duration> config_source::confirmation_age() const {
     const std::scoped_lock lock{mutex_};
-    return confirmed_at_ && deps_.time.now() - *confirmed_at_ <= limit;
+    return confirmed_at_ ? std::optional{deps_.time.now() - *confirmed_at_} : std::nullopt;
+}
+
+bool config_source::confirmed_within(base::duration limit) const {
+    const auto age = confirmation_age();
+    return age && *age <= limit;
 }
 
 void config_source::ask_peers() {
     const auto peers = deps_.peers();
     const auto n = std::min(peers.size(), internal::peers_per_round);
     std::size_t newer = 0;
+    std::size_t failed = 0;
+    std::string failure;
     for (std::size_t it = 0; it < n; ++it) {
         const auto &address = peers[next_peer_++ % peers.size()];
         std::string target{traffic_config_path};
@@ -105,15 +112,24 @@
         const auto sent = deps_.time.now();
         const auto answer = query_peer(deps_.client, address, std::move(target));
         if (!answer) {
+            ++failed;
+            failure = answer.error().message;
             continue;
         }
-        newer += answer->status == 200 ? 1U : 0U;
-        const bool has_peers_version = answer->status == 204 || (answer->status == 200 && adopt(answer->body, address));
-        if (const auto age = internal::age_in(*answer); age && has_peers_version) {
+        const auto &message = answer.value();
+        newer += message.status == 200 ? 1U : 0U;
+        const bool has_peers_version = message.status == 204 || (message.status == 200 && adopt(message.body, address));
+        if (const auto age = internal::age_in(message); age && has_peers_version) {
             confirm(sent - *age);
         }
     }
-    log::write("config_peers_asked", {{"asked", n}, {"newer", newer}});
+    const auto age = confirmation_age();
+    log::write("config_peers_asked", {{"asked", n},
+                                      {"newer", newer},
+                                      {"failed", failed},
+                                      {"last_failure", failure},
+                                      {"version", version()},
+                                      {"confirmed_ms_ago", age ? base::to_milliseconds(*age) : -1}});
 }
 
 std::uint64_t config_source::version() const {
--- a/src/gateway/config_source.hpp
+++ b/src/gateway/config_source.hpp
@@ -45,6 +45,9 @@
      */
     void on_store_answer();
 
+    /** @return Time since the store, or a peer on behalf of it, has shown that; nothing before it has. */
+    [[nodiscard]] std::optional<base::duration> confirmation_age() const;
+
     /** @return True if the store, or a peer on behalf of it, has shown that lately. @param limit Greatest age. */
     [[nodiscard]] bool confirmed_within(base::duration limit) const;
 
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -488,6 +488,9 @@
         base::return_free_memory();
     }
     server_connections_.update(kept_transfers_.counts());
+    if (const auto age = config_.confirmation_age()) {
+        metrics_.set("config_confirmation_age_seconds", "", std::chrono::duration<double>{*age}.count());
+    }
     metrics_.set("caller_connections", "", static_cast<double>(callers_.connections()));
     metrics_.set("message_bytes", "side=\"callers\"", static_cast<double>(caller_bytes_.used()));
     metrics_.set("message_bytes", "side=\"servers\"", static_cast<double>(server_bytes_.used()));
--- a/src/gateway/peer_call.cpp
+++ b/src/gateway/peer_call.cpp
@@ -11,19 +11,18 @@
 
 } // namespace internal
 
-std::optional<http::response> query_peer(http::client &client, std::string_view address, std::string target) {
+base::result<http::response> query_peer(http::client &client, std::string_view address, std::string target) {
     http::call_options options;
     options.connect_timeout = internal::peer_timeout;
     options.timeout = internal::peer_timeout;
     // Peers are asked so rarely that a kept connection may have gone silent unnoticed.
     options.fresh_connection = true;
-    auto answer = client.call(address, {"GET", std::move(target), {}, ""}, options);
-    return answer ? std::optional{std::move(answer.value())} : std::nullopt;
+    return client.call(address, {"GET", std::move(target), {}, ""}, options);
 }
 
 std::optional<std::string> ask_peer(http::client &client, std::string_view address, std::string target) {
     auto answer = query_peer(client, address, std::move(target));
-    return answer && answer->status == 200 ? std::optional{std::move(answer->body)} : std::nullopt;
+    return answer && answer.value().status == 200 ? std::optional{std::move(answer.value().body)} : std::nullopt;
 }
 
 } // namespace dotterelstack::gateway
--- a/src/gateway/peer_call.hpp
+++ b/src/gateway/peer_call.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/error.hpp"
 #include "http/client.hpp"
 
 namespace dotterelstack::gateway {
@@ -17,9 +18,9 @@
 /** @brief Path at which a gateway serves its member record to peers. */
 inline constexpr std::string_view member_path = "/member";
 
-/** @brief Queries another gateway. Blocks for at most 300 ms. @return Its response, or nothing. */
-[[nodiscard]] std::optional<http::response> query_peer(http::client &client, std::string_view address,
-                                                       std::string target);
+/** @brief Queries another gateway. Blocks for at most 300 ms. @return Its response, whatever its status. */
+[[nodiscard]] base::result<http::response> query_peer(http::client &client, std::string_view address,
+                                                      std::string target);
 
 /** @brief As `query_peer`. @return Body of a response with status 200, or nothing. */
 [[nodiscard]] std::optional<std::string> ask_peer(http::client &client, std::string_view address, std::string target);
--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -143,12 +143,23 @@
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, message.method.c_str());
 }
 
+/** @return How much of the answer has come in which time; tells a silent server from an answer that takes too long. */
+std::string progress_of(const transfer &it) {
+    constexpr curl_off_t microseconds_per_millisecond = 1000;
+    curl_off_t bytes = 0;
+    curl_off_t time = 0;
+    curl_easy_getinfo(it.handle, CURLINFO_SIZE_DOWNLOAD_T, &bytes);
+    curl_easy_getinfo(it.handle, CURLINFO_TOTAL_TIME_T, &time);
+    return " after " + std::to_string(time / microseconds_per_millisecond) + " ms and " + std::to_string(bytes) +
+           " bytes of the answer";
+}
+
 base::error describe(CURLcode ec, const transfer &it, std::string_view address) {
     long connects = 0;
     curl_easy_getinfo(it.handle, CURLINFO_NUM_CONNECTS, &connects);
     const bool reached = !never_connected(ec);
     const std::string where = std::string{address} + ": " + curl_easy_strerror(ec) +
-                              (reached && connects == 0 ? " on a kept connection" : "");
+                              (reached && connects == 0 ? " on a kept connection" : "") + progress_of(it);
     if (it.check_failed) {
         return {base::error_kind::refused, "authority_lost", "the order was abandoned before its last byte; " + where};
     }
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -109,7 +109,7 @@
      "Check the network path if calls fail on new connections as well; a kept connection may have gone silent."},
     {1315, "config_peers_asked", severity::info,
      "Other gateways were asked for the configuration, because the store does not confirm it.",
-     "none; check the store if this repeats."},
+     "none; if this repeats, check the store, and the links of this host if calls fail with bytes received."},
     {1316, "object_unreadable", severity::warning,
      "An object in the store has no readable name or revision and is left out.", "Look for its writer."},
     {1317, "object_value_unreadable", severity::warning,
