--- a/src/store/memory_store.cpp
+++ b/src/store/memory_store.cpp
@@ -1,6 +1,7 @@
 #include "store/memory_store.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace dotterelstack::store {
 
@@ -44,6 +45,7 @@
     const std::scoped_lock lock{mutex_};
     slots_ = copied_slots_;
     revision_ = copied_revision_;
+    std::erase_if(history_, [this](const watch_event &it) { return it.item.version > revision_; });
     ++era_;
     changed_.notify_all();
 }
@@ -53,6 +55,12 @@
     return era_;
 }
 
+void memory_store::keep_history(std::size_t changes) {
+    const std::scoped_lock lock{mutex_};
+    most_changes_ = changes;
+    forgotten_ = revision_;
+}
+
 void memory_store::set_write_hook(write_hook hook) {
     const std::scoped_lock lock{mutex_};
     hook_ = std::move(hook);
@@ -128,6 +136,13 @@
     it->second.previous = present ? std::optional{it->second.item} : std::nullopt;
     it->second.item = {std::string{key}, ++revision_, std::string{value.value_or("")}};
     it->second.deleted = !value;
+    if (most_changes_ > 0) {
+        history_.push_back({it->second.item, !value});
+        if (history_.size() > most_changes_) {
+            forgotten_ = history_.front().item.version;
+            history_.pop_front();
+        }
+    }
     changed_.notify_all();
     if (faults.lose_answers) {
         return boost::outcome_v2::failure(internal::lost());
@@ -167,6 +182,12 @@
 watch_batch memory_store::changes(std::string_view prefix, std::uint64_t since) const {
     watch_batch out;
     out.revision = revision_;
+    if (most_changes_ > 0 && since > 0) {
+        std::ranges::copy_if(history_, std::back_inserter(out.events), [&](const watch_event &it) {
+            return it.item.version > since && it.item.key.starts_with(prefix);
+        });
+        return out;
+    }
     for (auto it = slots_.lower_bound(prefix); it != slots_.end() && it->first.starts_with(prefix); ++it) {
         const auto &found = it->second;
         if (found.item.version > since && !(since == 0 && found.deleted)) {
@@ -180,7 +201,7 @@
 base::result<watch_batch> memory_store::watch(std::string_view prefix, std::uint64_t since, base::duration wait) {
     std::unique_lock lock{mutex_};
     ++counters_.reads;
-    if (since > revision_) {
+    if (since > revision_ || (most_changes_ > 0 && since > 0 && since < forgotten_)) {
         return boost::outcome_v2::failure(internal::history_lost());
     }
     watch_batch out;
--- a/src/store/memory_store.hpp
+++ b/src/store/memory_store.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -45,6 +46,13 @@
      */
     void restore_copy();
 
+    /**
+     * @brief Lets watches report each of the latest changes, not only the last one of each object. A watch from before
+     * them fails with `history_lost`.
+     * @param changes Greatest number of changes kept.
+     */
+    void keep_history(std::size_t changes);
+
     /** @brief Installs a hook that stands for a pause of the writer between its check and its write. */
     void set_write_hook(write_hook hook);
 
@@ -60,7 +68,7 @@
     [[nodiscard]] base::result<void> erase(std::string_view key, std::uint64_t expected) override;
     [[nodiscard]] base::result<std::vector<object>> list(std::string_view prefix) override;
 
-    /** @brief Reports the last change of each object; intermediate versions are skipped. */
+    /** @brief Reports the last change of each object; intermediate versions are skipped unless a history is kept. */
     [[nodiscard]] base::result<watch_batch> watch(std::string_view prefix, std::uint64_t since,
                                                   base::duration wait) override;
 
@@ -83,6 +91,9 @@
     std::map<std::string, slot, std::less<>> copied_slots_;
     std::uint64_t copied_revision_{0};
     std::uint64_t era_{1};
+    std::size_t most_changes_{0};
+    std::deque<watch_event> history_; /**< The latest changes, where `most_changes_` is not 0. */
+    std::uint64_t forgotten_{0};      /**< Revision of the newest change that the history no longer has. */
     store_faults faults_;
     store_faults once_;
     std::size_t once_count_{0};
--- a/standin/objects/main.cpp
+++ b/standin/objects/main.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::string_view objects_path = "/objects/";
 constexpr std::string_view servers_prefix = "servers/";
+// A watch from before the latest changes gets 410.
+constexpr std::size_t kept_changes = 4096;
 
 http::response json_text(std::string body) {
     return {200, {{"Content-Type", "application/json"}}, std::move(body)};
@@ -25,6 +27,7 @@
 class object_service {
 public:
     explicit object_service(std::chrono::milliseconds entry_life) : entry_life_{entry_life} {
+        objects_.keep_history(kept_changes);
         std::thread{[this] { expire_entries(); }}.detach();
     }
 
--- a/test/support/forward_site.cpp
+++ b/test/support/forward_site.cpp
@@ -135,14 +135,18 @@
 json forward_site::next_config(const std::vector<std::string> &keys) {
     json organisation{{"Name", "sangh"}, {"ApiKeys", keys}};
     organisation.update(quota_);
-    const auto route = [this](const char *prefix, const char *kind, const char *service, int attempts,
+    const auto route = [this](const std::string &prefix, const char *kind, const char *service, int attempts,
                               bool resumable = false) {
         return internal::route(prefix, kind, service, attempts, resumable, objective_ms_);
     };
+    json routes{route("draft", "streaming", "llm", 3, true), route("query", "streaming", "llm", 1),
+                route("book", "unsafe", "desk", 2), route("read", "safe", "desk", 3)};
+    for (int n = 0; n < idle_routes_; ++n) {
+        const auto prefix = "idle-" + std::to_string(n);
+        routes.push_back(route(prefix, "safe", "desk", 3));
+    }
     return {{"Version", ++version_},
-            {"Routes",
-             {route("draft", "streaming", "llm", 3, true), route("query", "streaming", "llm", 1),
-              route("book", "unsafe", "desk", 2), route("read", "safe", "desk", 3)}},
+            {"Routes", std::move(routes)},
             {"Services", {{{"Name", "llm"}, {"Engine", {{"Slots", 6}}}}, {{"Name", "desk"}}}},
             {"Tenants", {std::move(organisation)}}};
 }
--- a/test/support/forward_site.hpp
+++ b/test/support/forward_site.hpp
@@ -75,6 +75,9 @@
     /** @brief Sets the latency objective of all routes in later configurations. */
     void set_objective_ms(int objective_ms) noexcept { objective_ms_ = objective_ms; }
 
+    /** @brief Sets how many routes without traffic later configurations have. */
+    void set_idle_routes(int idle_routes) noexcept { idle_routes_ = idle_routes; }
+
     /** @brief Lets each request come on a connection of its own, as from a new caller. */
     void set_fresh_connections() noexcept { fresh_connections_ = true; }
 
@@ -157,6 +160,7 @@
     nlohmann::json quota_ = nlohmann::json::object();
     std::uint64_t version_{1};
     int objective_ms_{2000};
+    int idle_routes_{0};
     int memory_mb_{256};
     int descriptors_{4096};
     bool fresh_connections_{false};
--- a/test/support/tcp_relay.cpp
+++ b/test/support/tcp_relay.cpp
@@ -6,8 +6,10 @@
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Connector.h>
 #include <ace/SOCK_Stream.h>
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <limits>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <vector>
@@ -66,11 +68,17 @@
     return errno == EWOULDBLOCK || errno == EAGAIN || errno == EINTR;
 }
 
-void receive(relay_link &link, relay_half &it, const ACE_SOCK_Stream &from) {
+// Period in which a limited relay carries bytes.
+constexpr std::chrono::milliseconds rate_period{5};
+constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
+
+/** @param allowance Bytes that may be received; what is received is subtracted. */
+void receive(relay_link &link, relay_half &it, const ACE_SOCK_Stream &from, std::size_t &allowance) {
     std::array<char, 65536> buf{};
-    const auto n = from.recv(buf.data(), buf.size());
+    const auto n = from.recv(buf.data(), std::min(buf.size(), allowance));
     if (n > 0) {
         it.kept.assign(buf.data(), static_cast<std::size_t>(n));
+        allowance -= static_cast<std::size_t>(n);
     } else if (n == 0) {
         it.ended = true;
     } else if (!would_block()) {
@@ -102,14 +110,16 @@
     return {events == 0 ? -1 : socket.get_handle(), events, 0};
 }
 
-void handle(relay_link &it, short caller_events, short target_events) {
+/** @param allowance Bytes that may be carried to the caller. */
+void handle(relay_link &it, short caller_events, short target_events, std::size_t &allowance) {
     constexpr short readable = POLLIN | POLLHUP | POLLERR;
     constexpr short writable = POLLOUT | POLLERR;
     if ((caller_events & readable) != 0 && it.up.reads()) {
-        receive(it, it.up, it.caller);
+        auto all = unlimited;
+        receive(it, it.up, it.caller, all);
     }
-    if ((target_events & readable) != 0 && it.down.reads()) {
-        receive(it, it.down, it.target);
+    if ((target_events & readable) != 0 && it.down.reads() && allowance > 0) {
+        receive(it, it.down, it.target, allowance);
     }
     if (it.up.writes() && ((target_events & writable) != 0 || caller_events != 0)) {
         send(it, it.up, it.target);
@@ -190,6 +200,31 @@
     cut();
 }
 
+void tcp_relay::limit_rate(std::size_t bytes_per_second) {
+    const std::scoped_lock lock{mutex_};
+    rate_ = bytes_per_second;
+    allowance_ = 0;
+    refilled_at_ = std::chrono::steady_clock::now();
+    wake();
+}
+
+void tcp_relay::refill() {
+    if (rate_ == 0) {
+        allowance_ = internal::unlimited;
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const auto fresh = static_cast<std::size_t>(std::chrono::duration<double>{now - refilled_at_}.count() *
+                                                static_cast<double>(rate_));
+    if (fresh > 0) {
+        // What is not used within two periods is lost, as on a link.
+        const auto most = std::max<std::size_t>(1, 2 * rate_ * static_cast<std::size_t>(internal::rate_period.count()) /
+                                                       std::milli::den);
+        allowance_ = std::min(most, allowance_ + fresh);
+        refilled_at_ = now;
+    }
+}
+
 std::size_t tcp_relay::open() const {
     const std::scoped_lock lock{mutex_};
     return links_.size();
@@ -213,9 +248,14 @@
             files.push_back(internal::entry_of(it.target, internal::wanted(it.down, it.up)));
         }
         const auto changes = changes_;
+        const bool limited = rate_ > 0;
         lock.unlock();
+        if (limited) {
+            std::this_thread::sleep_for(internal::rate_period);
+        }
         ACE_OS::poll(files.data(), files.size());
         lock.lock();
+        refill();
         if (files[1].revents != 0) {
             std::array<char, 64> buf{};
             [[maybe_unused]] const auto n = ACE_OS::read(sockets_->waker.read_handle(), buf.data(), buf.size());
@@ -225,7 +265,7 @@
             continue;
         }
         for (std::size_t it = 0; it < order.size(); ++it) {
-            internal::handle(*order[it], files[2 + 2 * it].revents, files[3 + 2 * it].revents);
+            internal::handle(*order[it], files[2 + 2 * it].revents, files[3 + 2 * it].revents, allowance_);
         }
         if (files[0].revents != 0) {
             accept();
--- a/test/support/tcp_relay.hpp
+++ b/test/support/tcp_relay.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <list>
 #include <memory>
@@ -55,6 +56,9 @@
     /** @brief Resets all open connections, and new ones as soon as they are made, until `pass_new` or `release`. */
     void refuse_all();
 
+    /** @brief Limits what all connections together carry to callers, in bytes a second; 0 lifts the limit. */
+    void limit_rate(std::size_t bytes_per_second);
+
     /** @return Number of open connections from callers. */
     [[nodiscard]] std::size_t open() const;
 
@@ -67,6 +71,7 @@
     void accept();
     void connect(internal::relay_link &it) const;
     void silence_locked(direction way);
+    void refill();
 
     std::string target_;
     std::string address_;
@@ -77,6 +82,9 @@
     bool silent_down_{false};
     bool refusing_{false};
     bool stopping_{false};
+    std::size_t rate_{0};
+    std::size_t allowance_{0}; /**< Bytes that may be carried to callers now, where there is a rate. */
+    std::chrono::steady_clock::time_point refilled_at_{};
     std::size_t accepted_{0};
     std::size_t changes_{0};
     std::thread thread_;
