Let large answers take as long as they keep coming

A gateway behind a slow link threw a configuration away when the time-out of the call ended, and began again. The time-out guards against a silent server, but it was a limit on the size of an answer: 1.1 s at 10 Mbit/s, and 300 ms for a peer.

What has been received now extends the limit by its time at a lowest rate (http::time_limit): an answer that keeps coming arrives, one that stops ends after what is left, and one below the rate is given up. The blocking client runs its transfers on libcurl's multi interface, since a limit of the easy interface cannot be changed during a transfer.

Ruled out: a longer time-out, which would find a silent connection later.

An error also no longer calls a connection that was never made a kept one.

--- a/src/entry/fleet_feed.cpp
+++ b/src/entry/fleet_feed.cpp
@@ -17,6 +17,8 @@
 
 // An agent that has not answered for this long counts as failed: two missed rounds and a ping deadline.
 constexpr auto agent_timeout = std::chrono::milliseconds{2500};
+// Lowest rate at which the list of hosts, which grows with the site, is waited for, in bytes a second.
+constexpr std::size_t host_list_rate = std::size_t{64} << 10U;
 constexpr auto status_timeout = std::chrono::milliseconds{800};
 // Block size of the engines in tokens, see section 1.2 of the design.
 constexpr std::uint32_t block_tokens = 1024;
@@ -138,6 +140,7 @@
 void fleet_feed::read_hosts() {
     http::call_options limits;
     limits.timeout = std::chrono::seconds{1};
+    limits.min_receive_rate = internal::host_list_rate;
     const auto answer = client_.call(options_.platform, {"GET", "/v1/hosts", {}, ""}, limits);
     const auto body = answer && answer.value().status == 200 ? base::parse_message(answer.value().body) : json{};
     if (!body.is_object() || !body.contains("hosts")) {
--- a/src/gateway/peer_call.hpp
+++ b/src/gateway/peer_call.hpp
@@ -18,7 +18,10 @@
 /** @brief Path at which a gateway serves its member record to peers. */
 inline constexpr std::string_view member_path = "/member";
 
-/** @brief Queries another gateway. Blocks for at most 300 ms. @return Its response, whatever its status. */
+/**
+ * @brief Queries another gateway. Blocks for 300 ms, and longer only while enough of a response keeps coming.
+ * @return The response, whatever its status.
+ */
 [[nodiscard]] base::result<http::response> query_peer(http::client &client, std::string_view address,
                                                       std::string target);
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -19,16 +19,20 @@
 // The resolution of libcurl's limits, where zero would mean none.
 constexpr base::duration shortest_call = std::chrono::milliseconds{1};
 
-/** A handle that keeps one open connection. */
+/** A handle, and the one connection that is kept for it. */
+struct connected_handle {
+    multi_ptr connections{curl_multi_init(), &curl_multi_cleanup};
+    easy_ptr handle{curl_easy_init(), &curl_easy_cleanup};
+
+    // A new connection replaces the one that has been kept.
+    connected_handle() { curl_multi_setopt(connections.get(), CURLMOPT_MAXCONNECTS, 1L); }
+};
+
 struct idle_handle {
     std::string address;
-    easy_ptr handle;
+    connected_handle handle;
 };
 
-easy_ptr new_handle() {
-    return {curl_easy_init(), &curl_easy_cleanup};
-}
-
 } // namespace internal
 
 struct curl_client::pool {
@@ -37,18 +41,18 @@
     std::mutex mutex;
     std::vector<internal::idle_handle> idle; /**< In the order in which they were given back. */
 
-    internal::easy_ptr take(std::string_view address) {
+    internal::connected_handle take(std::string_view address) {
         const std::scoped_lock lock{mutex};
         const auto newest = std::ranges::find(idle.rbegin(), idle.rend(), address, &internal::idle_handle::address);
         if (newest == idle.rend()) {
-            return internal::new_handle();
+            return {};
         }
         auto handle = std::move(newest->handle);
         idle.erase(std::next(newest).base());
         return handle;
     }
 
-    void give_back(std::string_view address, internal::easy_ptr handle) {
+    void give_back(std::string_view address, internal::connected_handle handle) {
         std::optional<internal::idle_handle> closed;
         const std::scoped_lock lock{mutex};
         if (idle.size() == internal::max_idle_connections) {
@@ -69,23 +73,23 @@
     }
 
     base::result<response> run(internal::transfer &it, std::string_view address, call_options options) {
+        auto longest = base::duration::max();
         if (const auto last = end.load(); last != base::instant::max()) {
-            const auto left = last - time.now();
-            if (left < internal::shortest_call) {
+            longest = last - time.now();
+            if (longest < internal::shortest_call) {
                 return base::fail(base::error_kind::unavailable, "stopping",
                                   std::string{address} + ": this process is about to end and calls nobody");
             }
-            options.timeout = options.timeout > base::duration{0} ? std::min(options.timeout, left) : left;
+            options.timeout = options.timeout > base::duration{0} ? std::min(options.timeout, longest) : longest;
         }
-        auto handle = options.fresh_connection ? internal::new_handle() : take(address);
-        internal::prepare(handle.get(), it, address, options);
-        // A new connection replaces the one that the handle has kept.
-        curl_easy_setopt(handle.get(), CURLOPT_MAXCONNECTS, 1L);
-        auto answer = internal::conclude(curl_easy_perform(handle.get()), it, address);
+        auto taken = options.fresh_connection ? internal::connected_handle{} : take(address);
+        internal::prepare(taken.handle.get(), it, address, options);
+        const auto ended = internal::perform(taken.connections.get(), it, options, longest);
+        auto answer = internal::conclude(ended, it, address);
         if (!answer) {
             close_idle(address);
         } else if (!options.fresh_connection) {
-            give_back(address, std::move(handle));
+            give_back(address, std::move(taken));
         }
         return answer;
     }
--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -1,13 +1,18 @@
 #include "http/curl_transfer.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <cstring>
 #include <string>
 
+#include "http/time_limit.hpp"
+
 namespace dotterelstack::http::internal {
 
 namespace {
 
+// Longest wait for events of a transfer; only the limits of the call end it earlier.
+constexpr base::duration longest_poll = std::chrono::seconds{1};
 // Smaller statuses announce an answer that is yet to come.
 constexpr long first_final_status = 200;
 
@@ -21,6 +26,7 @@
 std::size_t on_body(char *data, std::size_t size, std::size_t count, void *user) {
     auto &it = *static_cast<transfer *>(user);
     const std::string_view part{data, size * count};
+    it.received += part.size();
     if (it.sink != nullptr) {
         long status = 0;
         curl_easy_getinfo(it.handle, CURLINFO_RESPONSE_CODE, &status);
@@ -100,7 +106,8 @@
 void set_timeouts(CURL *handle, const call_options &options) {
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, to_milliseconds(options.connect_timeout));
-    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, to_milliseconds(options.timeout));
+    // libcurl's own limit could not be extended.
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, options.min_receive_rate > 0 ? 0L : to_milliseconds(options.timeout));
     if (options.idle_timeout.count() > 0) {
         const auto seconds = static_cast<long>(std::chrono::ceil<std::chrono::seconds>(options.idle_timeout).count());
         curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
@@ -156,10 +163,15 @@
 
 base::error describe(CURLcode ec, const transfer &it, std::string_view address) {
     long connects = 0;
+    long request_bytes = 0;
+    curl_off_t sent_bytes = 0;
     curl_easy_getinfo(it.handle, CURLINFO_NUM_CONNECTS, &connects);
+    curl_easy_getinfo(it.handle, CURLINFO_REQUEST_SIZE, &request_bytes);
+    curl_easy_getinfo(it.handle, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
     const bool reached = !never_connected(ec);
-    const std::string where = std::string{address} + ": " + curl_easy_strerror(ec) +
-                              (reached && connects == 0 ? " on a kept connection" : "") + progress_of(it);
+    const bool kept = reached && connects == 0 && request_bytes > 0;
+    const std::string where =
+        std::string{address} + ": " + curl_easy_strerror(ec) + (kept ? " on a kept connection" : "") + progress_of(it);
     if (it.check_failed) {
         return {base::error_kind::refused, "authority_lost", "the order was abandoned before its last byte; " + where};
     }
@@ -170,10 +182,6 @@
     if (!reached) {
         return {base::error_kind::unavailable, "not_reached", where + "; check that the server is running"};
     }
-    long request_bytes = 0;
-    curl_off_t sent_bytes = 0;
-    curl_easy_getinfo(it.handle, CURLINFO_REQUEST_SIZE, &request_bytes);
-    curl_easy_getinfo(it.handle, CURLINFO_SIZE_UPLOAD_T, &sent_bytes);
     if (ec == CURLE_OPERATION_TIMEDOUT && request_bytes == 0 && sent_bytes == 0) {
         return {base::error_kind::unavailable, "connect_timeout", where + "; check that the server is reachable"};
     }
@@ -218,6 +226,35 @@
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &it);
 }
 
+CURLcode perform(CURLM *connections, transfer &it, const call_options &options, base::duration longest) {
+    using steady = std::chrono::steady_clock;
+    const auto begun = steady::now();
+    curl_multi_add_handle(connections, it.handle);
+    CURLcode out = CURLE_OK;
+    for (int running = 1; true;) {
+        if (curl_multi_perform(connections, &running) != CURLM_OK) {
+            out = CURLE_FAILED_INIT;
+            break;
+        }
+        int left_messages = 0;
+        if (const auto *ended = curl_multi_info_read(connections, &left_messages); ended != nullptr) {
+            out = ended->data.result;
+            break;
+        }
+        const auto limit = std::min(longest, time_limit(options.timeout, it.received, options.min_receive_rate));
+        const base::duration left = limit - (steady::now() - begun);
+        if (left <= base::duration{0}) {
+            out = CURLE_OPERATION_TIMEDOUT;
+            break;
+        }
+        curl_multi_poll(connections, nullptr, 0, static_cast<int>(to_milliseconds(std::min(left, longest_poll))),
+                        nullptr);
+    }
+    // Closes the connection of a transfer that has not ended.
+    curl_multi_remove_handle(connections, it.handle);
+    return out;
+}
+
 base::result<response> conclude(CURLcode ec, transfer &it, std::string_view address) {
     long status = 0;
     curl_easy_getinfo(it.handle, CURLINFO_RESPONSE_CODE, &status);
--- a/src/http/curl_transfer.hpp
+++ b/src/http/curl_transfer.hpp
@@ -12,6 +12,8 @@
 using easy_ptr = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
 using list_ptr = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
+using multi_ptr = std::unique_ptr<CURLM, decltype(&curl_multi_cleanup)>;
+
 /** @brief State of one libcurl transfer; must stay in place while the transfer runs. */
 struct transfer {
     const request &message;
@@ -27,6 +29,7 @@
     std::size_t head_left{0}; /**< Bytes of heads that are still accepted. */
     std::size_t body_left{0}; /**< Bytes of a body that is not streamed that are still accepted. */
     bool too_long{false};
+    std::size_t received{0};                    /**< Bytes of the body. */
     std::unique_ptr<base::byte_holding> held{}; /**< What the body has taken of the budget, if there is one. */
     list_ptr headers{nullptr, &curl_slist_free_all};
 };
@@ -37,6 +40,13 @@
 /** @brief Prepares an easy handle for a transfer. */
 void prepare(CURL *handle, transfer &it, std::string_view address, const call_options &options);
 
+/**
+ * @brief Runs a prepared transfer until it ends or its limit has passed. Blocks.
+ * @param connections Keeps the connection afterwards.
+ * @param longest Limit on the time, whatever is received meanwhile.
+ */
+[[nodiscard]] CURLcode perform(CURLM *connections, transfer &it, const call_options &options, base::duration longest);
+
 /** @brief Turns the end of a transfer into a response or an error. */
 [[nodiscard]] base::result<response> conclude(CURLcode ec, transfer &it, std::string_view address);
 
--- a/src/transport/h2_client.cpp
+++ b/src/transport/h2_client.cpp
@@ -4,16 +4,22 @@
 #include <ace/SOCK_Connector.h>
 #include <atomic>
 #include <cerrno>
+#include <chrono>
 #include <condition_variable>
 #include <map>
 #include <mutex>
 #include <set>
 #include <vector>
 
+#include "http/time_limit.hpp"
+
 namespace dotterelstack::transport {
 
 namespace internal {
 
+// Lowest rate at which the response of a blocking call is waited for, in bytes a second.
+constexpr std::size_t min_receive_rate = std::size_t{64} << 10U;
+
 struct pending_call {
     std::uint64_t id{0};
     http::request message;
@@ -359,9 +365,19 @@
         it->outcome = outcome;
         it->signal.notify_one();
     };
+    const auto begun = std::chrono::steady_clock::now();
     const auto id = send(address, std::move(message), std::move(handlers));
     std::unique_lock lock{it->mutex};
-    if (!it->signal.wait_for(lock, timeout, [&it] { return it->outcome.has_value(); })) {
+    const auto ended = [&it] { return it->outcome.has_value(); };
+    auto limit = timeout;
+    while (!it->signal.wait_until(lock, begun + limit, ended)) {
+        const auto extended = http::time_limit(timeout, it->answer.body.size(), internal::min_receive_rate);
+        if (extended <= limit) {
+            break;
+        }
+        limit = extended;
+    }
+    if (!it->outcome) {
         lock.unlock();
         cancel(id);
         return base::fail(base::error_kind::unknown_outcome, "no_answer",
--- a/src/transport/h2_client.hpp
+++ b/src/transport/h2_client.hpp
@@ -50,7 +50,10 @@
     /** @brief Resets the call; its `on_end` gets `cancelled`. Does nothing when the call is over. */
     void cancel(std::uint64_t call);
 
-    /** @brief Sends and waits for the whole response; not for use on the loop's thread. */
+    /**
+     * @brief Sends and waits for the whole response; not for use on the loop's thread.
+     * @param timeout Limit for a response that does not come; one that keeps coming extends it, see `http::time_limit`.
+     */
     [[nodiscard]] base::result<http::response> call(std::string_view address, http::request message,
                                                     base::duration timeout);
 
