Bound what a feed reads after a gap by the size of its objects

Callers were served as an older configuration says, by a withdrawn key as well: a gateway that had been out of touch with the store while a large configuration changed never caught up. Its watch from the old position brought every version since, whole; what did not fit was thrown away and asked for again, larger with each further change. What it got from peers did not move the position.

A watch has a limit in bytes now. A gateway answers peers with the version of the store up to which it has read, and a feed goes on from what has come with a peer's configuration.

Ruled out, by the added logs: a store that does not answer (failed calls had received 0.74 to 1.11 MB), and peers without anything newer (they timed out).

--- a/src/entry/config_feed.cpp
+++ b/src/entry/config_feed.cpp
@@ -67,7 +67,7 @@
 
 bool config_feed::watch_store() {
     const auto started = clock_.now();
-    const auto batch = store_.watch(config::head_key, revision_, internal::store_watch_wait);
+    const auto batch = store_.watch(config::head_key, revision_, {internal::store_watch_wait});
     if (!batch) {
         return false;
     }
--- a/src/gateway/config_source.cpp
+++ b/src/gateway/config_source.cpp
@@ -15,17 +15,25 @@
 constexpr std::size_t peers_per_round = 3;
 constexpr const char *version_parameter = "since";
 constexpr const char *age_field = "Confirmed-Ms-Ago";
+constexpr const char *store_version_field = "Store-Version";
 // Greater ages confirm nothing.
 constexpr std::chrono::milliseconds greatest_age = std::chrono::hours{24};
 
+/** @return The number in a field, if the field is there and holds nothing else. */
+template<typename Number>
+std::optional<Number> number_in(const http::response &answer, std::string_view field) noexcept {
+    const auto text = http::find_field(answer.fields, field).value_or("");
+    Number out{};
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
+    return !text.empty() && ec == std::errc{} && end == text.data() + text.size() ? std::optional{out} : std::nullopt;
+}
+
 /** @return Time since the peer's configuration was confirmed, if it says so. */
 std::optional<base::duration> age_in(const http::response &answer) noexcept {
-    const auto text = http::find_field(answer.fields, age_field).value_or("");
-    std::int64_t ms = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), ms);
-    const bool whole = !text.empty() && ec == std::errc{} && end == text.data() + text.size() && ms >= 0 &&
-                       std::chrono::milliseconds{ms} <= greatest_age;
-    return whole ? std::optional<base::duration>{std::chrono::milliseconds{ms}} : std::nullopt;
+    const auto ms = number_in<std::int64_t>(answer, age_field);
+    return ms && *ms >= 0 && std::chrono::milliseconds{*ms} <= greatest_age
+               ? std::optional<base::duration>{std::chrono::milliseconds{*ms}}
+               : std::nullopt;
 }
 
 } // namespace internal
@@ -60,6 +68,9 @@
         return false;
     }
     const bool readable = adopt(item.value, "store");
+    if (readable) {
+        cover(item.version);
+    }
     const std::scoped_lock lock{mutex_};
     if (item.version >= newest_object_) {
         newest_object_ = item.version;
@@ -73,6 +84,16 @@
     confirmed_at_ = std::max(confirmed_at_.value_or(as_of), as_of);
 }
 
+void config_source::cover(std::uint64_t store_version) {
+    const std::scoped_lock lock{mutex_};
+    covered_ = std::max(covered_, store_version);
+}
+
+std::uint64_t config_source::store_version() const {
+    const std::scoped_lock lock{mutex_};
+    return covered_;
+}
+
 void config_source::on_store_answer() {
     bool readable = false;
     {
@@ -119,9 +140,13 @@
         const auto &message = answer.value();
         newer += message.status == 200 ? 1U : 0U;
         const bool has_peers_version = message.status == 204 || (message.status == 200 && adopt(message.body, address));
-        if (const auto age = internal::age_in(message); age && has_peers_version) {
+        if (!has_peers_version) {
+            continue;
+        }
+        if (const auto age = internal::age_in(message)) {
             confirm(sent - *age);
         }
+        cover(internal::number_in<std::uint64_t>(message, internal::store_version_field).value_or(0));
     }
     const auto age = confirmation_age();
     log::write("config_peers_asked", {{"asked", n},
@@ -149,6 +174,9 @@
         fields.push_back(
             {internal::age_field, std::to_string(base::to_milliseconds(deps_.time.now() - *confirmed_at_))});
     }
+    if (covered_ > 0) {
+        fields.push_back({internal::store_version_field, std::to_string(covered_)});
+    }
     if (!known_ || (since && version >= version_)) {
         return {204, std::move(fields), ""};
     }
--- a/src/gateway/config_source.hpp
+++ b/src/gateway/config_source.hpp
@@ -57,6 +57,12 @@
     /** @return Current version; 0 before the first configuration. */
     [[nodiscard]] std::uint64_t version() const;
 
+    /**
+     * @return Version of the store up to which no change is newer than the configuration in force, as far as this
+     * gateway or a peer has read them; 0 if unknown.
+     */
+    [[nodiscard]] std::uint64_t store_version() const;
+
     /** @return Response to a query of another gateway. */
     [[nodiscard]] http::response answer_peer(const http::request &message) const;
 
@@ -64,6 +70,7 @@
     /** @return True if this version or a newer one is in force now. */
     bool adopt(std::string_view value, std::string_view origin);
     void confirm(base::instant as_of);
+    void cover(std::uint64_t store_version);
 
     dependencies deps_;
     mutable std::mutex mutex_;
@@ -72,6 +79,7 @@
     bool known_{false};
     std::uint64_t newest_object_{0}; /**< Store version of the newest configuration, whether it can be read or not. */
     bool newest_readable_{true};
+    std::uint64_t covered_{0}; /**< See `store_version`. */
     std::optional<base::instant> confirmed_at_;
     std::size_t next_peer_{0};
 };
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -214,7 +214,8 @@
             [this] { record_store_answer(true); },
             [this](const auto &) { record_store_answer(false); },
             {},
-            [this] { config_.on_store_answer(); }});
+            [this] { config_.on_store_answer(); },
+            [this] { return config_.store_version(); }});
     server_feed_ = std::make_unique<store_feed>(
         deps_.store, std::string{deps_.codec.servers_prefix()}, feed,
         feed_handlers{[this](const auto &all) { servers_.on_list(all); },
--- a/src/gateway/store_feed.hpp
+++ b/src/gateway/store_feed.hpp
@@ -27,11 +27,15 @@
     std::function<void(const base::error &why)> on_failed; /**< After each failed call; delays the next one. */
     std::function<base::duration()> longest_wait{};        /**< Upper limit of the next watch; optional. */
     std::function<void()> on_current{}; /**< All objects of the store have been handed over; optional. */
+    /** Version of the store up to which its changes are known from elsewhere, 0 if none are; optional. */
+    std::function<std::uint64_t()> known_version{};
 };
 
 /**
- * @brief Watches the objects under one prefix. Lists them first, and again when the store no longer has the history.
+ * @brief Watches the objects under one prefix. Lists them first, and again when the store no longer has the history or
+ * the changes since the last answer are larger than the objects themselves.
  *
+ * What has to be read after a gap thus depends on the size of the objects, not on how often they have changed.
  * A failed call is repeated at once and without a wait at the store, since the cause may be the connection alone.
  */
 class store_feed {
@@ -58,8 +62,9 @@
     const std::string prefix_;
     const feed_settings settings_;
     const feed_handlers handlers_;
-    std::uint64_t since_{0}; /**< Revision to watch from; 0 requests a list. */
-    bool failed_{false};     /**< The last call failed. */
+    std::uint64_t since_{0};      /**< Revision to watch from; 0 requests a list. */
+    std::size_t listed_bytes_{0}; /**< Size of the last list. */
+    bool failed_{false};          /**< The last call failed. */
     std::jthread thread_;
 };
 
--- a/src/log/catalogue.hpp
+++ b/src/log/catalogue.hpp
@@ -114,6 +114,9 @@
      "An object in the store has no readable name or revision and is left out.", "Look for its writer."},
     {1317, "object_value_unreadable", severity::warning,
      "The value of an object in the store is not readable JSON and counts as empty.", "Look for its writer."},
+    {1318, "store_changes_too_long", severity::info,
+     "The changes since a feed's last answer are larger than the objects themselves; the feed lists.",
+     "none; after a gap in the contact with the store, or when a large object has replaced a small one."},
     // Keys
     {1401, "key_withdrawn", severity::info, "A key withdrawal is in force in this process.", "none"},
     {1402, "stream_ended_key_withdrawn", severity::info, "An open stream was ended because its key was withdrawn.",
--- a/src/store/http_calls.cpp
+++ b/src/store/http_calls.cpp
@@ -3,11 +3,13 @@
 namespace dotterelstack::store {
 
 base::result<http::response> call_read(http::client &client, std::string_view address, const std::string &target,
-                                       const http_store_options &options, base::duration extra) {
-    http::call_options limits;
-    limits.connect_timeout = options.connect_timeout;
-    limits.timeout = options.timeout + extra;
-    auto answer = client.call(address, {"GET", target, {}, ""}, limits);
+                                       const http_store_options &options, const watch_limits &limits) {
+    http::call_options call;
+    call.connect_timeout = options.connect_timeout;
+    call.timeout = options.timeout + limits.wait;
+    call.min_receive_rate = options.min_receive_rate;
+    call.body_limit = limits.bytes;
+    auto answer = client.call(address, {"GET", target, {}, ""}, call);
     if (answer) {
         return answer;
     }
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -78,8 +78,8 @@
     }
 }
 
-base::result<http::response> http_store::read(const std::string &target, base::duration extra) {
-    auto answer = call_read(client_, address_, target, options_, extra);
+base::result<http::response> http_store::read(const std::string &target, const watch_limits &limits) {
+    auto answer = call_read(client_, address_, target, options_, limits);
     if (!answer) {
         return answer;
     }
@@ -107,7 +107,7 @@
 }
 
 base::result<std::optional<object>> http_store::get(std::string_view key) {
-    BOOST_OUTCOME_TRY(answer, read("/v1/objects/" + internal::percent_encode(key), base::duration{0}));
+    BOOST_OUTCOME_TRY(answer, read("/v1/objects/" + internal::percent_encode(key)));
     if (answer.status == 404) {
         return std::optional<object>{};
     }
@@ -139,7 +139,7 @@
 }
 
 base::result<std::vector<object>> http_store::list(std::string_view prefix) {
-    BOOST_OUTCOME_TRY(answer, read("/v1/objects?prefix=" + internal::percent_encode(prefix), base::duration{0}));
+    BOOST_OUTCOME_TRY(answer, read("/v1/objects?prefix=" + internal::percent_encode(prefix)));
     try {
         const auto body = nlohmann::json::parse(answer.body);
         std::vector<object> out;
@@ -152,14 +152,15 @@
     }
 }
 
-base::result<watch_batch> http_store::watch(std::string_view prefix, std::uint64_t since, base::duration wait) {
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+base::result<watch_batch> http_store::watch(std::string_view prefix, std::uint64_t since, const watch_limits &limits) {
+    const auto milliseconds = base::to_milliseconds(limits.wait);
     const std::string target = "/v1/watch?prefix=" + internal::percent_encode(prefix) +
                                "&since=" + std::to_string(since) + "&wait_ms=" + std::to_string(milliseconds);
-    BOOST_OUTCOME_TRY(answer, read(target, wait));
+    BOOST_OUTCOME_TRY(answer, read(target, since == 0 ? watch_limits{.wait = limits.wait} : limits));
     try {
         const auto body = nlohmann::json::parse(answer.body);
         watch_batch out;
+        out.bytes = answer.body.size();
         out.revision = body.at("revision").get<std::uint64_t>();
         for (const auto &it : body.at("events")) {
             out.events.push_back({internal::parse_object(it), it.value("deleted", false)});
--- a/src/store/http_store.hpp
+++ b/src/store/http_store.hpp
@@ -29,10 +29,10 @@
     [[nodiscard]] base::result<void> erase(std::string_view key, std::uint64_t expected) override;
     [[nodiscard]] base::result<std::vector<object>> list(std::string_view prefix) override;
     [[nodiscard]] base::result<watch_batch> watch(std::string_view prefix, std::uint64_t since,
-                                                  base::duration wait) override;
+                                                  const watch_limits &limits) override;
 
 private:
-    [[nodiscard]] base::result<http::response> read(const std::string &target, base::duration extra);
+    [[nodiscard]] base::result<http::response> read(const std::string &target, const watch_limits &limits = {});
     [[nodiscard]] base::result<http::response> write(const http::request &message);
 
     http::client &client_;
--- a/src/store/memory_store.cpp
+++ b/src/store/memory_store.cpp
@@ -198,7 +198,8 @@
     return out;
 }
 
-base::result<watch_batch> memory_store::watch(std::string_view prefix, std::uint64_t since, base::duration wait) {
+base::result<watch_batch> memory_store::watch(std::string_view prefix, std::uint64_t since,
+                                              const watch_limits &limits) {
     std::unique_lock lock{mutex_};
     ++counters_.reads;
     if (since > revision_ || (most_changes_ > 0 && since > 0 && since < forgotten_)) {
@@ -206,7 +207,7 @@
     }
     watch_batch out;
     const auto begun_in = era_;
-    changed_.wait_for(lock, wait, [&] {
+    changed_.wait_for(lock, limits.wait, [&] {
         out = changes(prefix, since);
         return faults_.outage || era_ != begun_in || !out.events.empty();
     });
--- a/src/store/memory_store.hpp
+++ b/src/store/memory_store.hpp
@@ -70,7 +70,7 @@
 
     /** @brief Reports the last change of each object; intermediate versions are skipped unless a history is kept. */
     [[nodiscard]] base::result<watch_batch> watch(std::string_view prefix, std::uint64_t since,
-                                                  base::duration wait) override;
+                                                  const watch_limits &limits) override;
 
 private:
     struct slot {
--- a/src/store/object_store.hpp
+++ b/src/store/object_store.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -31,6 +32,13 @@
 struct watch_batch {
     std::vector<watch_event> events;
     std::uint64_t revision{0}; /**< Pass as `since` of the next call. */
+    std::size_t bytes{0};      /**< Size of what the store has sent; 0 if unknown. */
+};
+
+/** @brief Limits of a watch. */
+struct watch_limits {
+    base::duration wait{0};                    /**< Longest wait for a change; an empty batch is a normal answer. */
+    std::size_t bytes{std::size_t{16} << 20U}; /**< Longest answer; a longer one fails with `answer_too_long`. */
 };
 
 /**
@@ -66,10 +74,10 @@
     /**
      * @brief Waits for changes under a prefix.
      * @param since Revision already seen; 0 reports every present object.
-     * @param wait Longest wait; an empty batch is a normal answer.
+     * @param limits The limit on bytes holds for changes only, not for the objects that 0 reports.
      */
     [[nodiscard]] virtual base::result<watch_batch> watch(std::string_view prefix, std::uint64_t since,
-                                                          base::duration wait) = 0;
+                                                          const watch_limits &limits) = 0;
 
     /**
      * @return Number of the store's history, as of the newest answer. It rises when the store has returned from a copy
--- a/standin/objects/main.cpp
+++ b/standin/objects/main.cpp
@@ -116,7 +116,7 @@
                              std::to_string(revision) + "}");
         }
         const std::chrono::milliseconds wait{std::stoll(message.query_value("WaitMs").value_or("0"))};
-        const auto seen = objects_.watch(kind + "/", std::stoull(*since), wait);
+        const auto seen = objects_.watch(kind + "/", std::stoull(*since), {wait});
         if (down()) {
             return standin::error_response(503, "down", "the store is down");
         }
--- a/test/config/fake_store.hpp
+++ b/test/config/fake_store.hpp
@@ -87,7 +87,7 @@
         return out;
     }
 
-    base::result<store::watch_batch> watch(std::string_view, std::uint64_t, base::duration) override {
+    base::result<store::watch_batch> watch(std::string_view, std::uint64_t, const store::watch_limits &) override {
         return base::fail(base::error_kind::unavailable, "unused", "not part of the fake");
     }
 
--- a/test/gateway/tasks.cpp
+++ b/test/gateway/tasks.cpp
@@ -36,13 +36,14 @@
         return inner.erase(key, expected);
     }
     base::result<std::vector<store::object>> list(std::string_view prefix) override { return inner.list(prefix); }
-    base::result<store::watch_batch> watch(std::string_view prefix, std::uint64_t since, base::duration wait) override {
-        last_wait = wait;
+    base::result<store::watch_batch> watch(std::string_view prefix, std::uint64_t since,
+                                           const store::watch_limits &limits) override {
+        last_wait = limits.wait;
         if (history_lost && since != 0) {
             history_lost = false;
             return base::fail(base::error_kind::not_found, "history_lost", "list, then compare");
         }
-        return inner.watch(prefix, since, 0ms);
+        return inner.watch(prefix, since, {});
     }
 };
 
--- a/test/platform/object_store.cpp
+++ b/test/platform/object_store.cpp
@@ -1,5 +1,6 @@
 #include "platform/object_store.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <doctest/doctest.h>
 #include <functional>
@@ -9,6 +10,7 @@
 
 #include "http/server.hpp"
 #include "platform/http_duties.hpp"
+#include "support/scripted_server.hpp"
 
 using namespace dotterelstack;
 using namespace std::chrono_literals;
@@ -87,7 +89,7 @@
     CHECK(write(500) == base::error_kind::unknown_outcome);
     CHECK(write(200) == base::error_kind::unknown_outcome);
     status = 410;
-    CHECK(store.watch("k/", 5, 1ms).error().code == "history_lost");
+    CHECK(store.watch("k/", 5, {1ms}).error().code == "history_lost");
 }
 
 // Guards against lists that end after the first page, and against one invalid entry that hides the others.
@@ -101,7 +103,7 @@
                                           "\xff\xfe"
                                           R"("}],"Truncated":false,"StoreRevision":531})");
     };
-    const auto all = store.watch("k/", 0, 1ms);
+    const auto all = store.watch("k/", 0, {1ms});
     REQUIRE(all);
     CHECK(all.value().events.size() == 2);
     CHECK(all.value().revision == 530);
@@ -148,7 +150,7 @@
                                       R"(},{"Deleted":false,"Object":)" + half_pair + R"(},{"Object":)" + item +
                                       R"(}],"StoreRevision":533})");
     };
-    const auto seen = store.watch("k/", 530, 20ms);
+    const auto seen = store.watch("k/", 530, {20ms});
     REQUIRE(seen);
     CHECK(seen.value().events.size() == 2);
     CHECK(seen.value().revision == 533);
@@ -161,7 +163,7 @@
     it.answer = [](const auto &) {
         return fixture::json(200, R"({"events":[{"Deleted":true,"Object":)" + item + R"(}],"StoreRevision":533})");
     };
-    const auto seen = store.watch("k/", 530, 20ms);
+    const auto seen = store.watch("k/", 530, {20ms});
     REQUIRE(seen);
     CHECK(seen.value().revision == 533);
     REQUIRE(seen.value().events.size() == 1);
@@ -179,16 +181,16 @@
         return fixture::json_in_era(era, watch ? R"({"events":[],"StoreRevision":533})"
                                                : R"({"items":[],"Truncated":false,"StoreRevision":530})");
     };
-    const auto listed = store.watch("k/", 0, 1ms);
+    const auto listed = store.watch("k/", 0, {1ms});
     REQUIRE(listed);
-    REQUIRE(store.watch("k/", listed.value().revision, 1ms));
+    REQUIRE(store.watch("k/", listed.value().revision, {1ms}));
     CHECK(it.asked.back().target == "/objects/k?Watch=530&WaitMs=1");
     era = 2;
-    CHECK(store.watch("k/", listed.value().revision, 1ms).error().code == "history_lost");
-    const auto again = store.watch("k/", 0, 1ms);
+    CHECK(store.watch("k/", listed.value().revision, {1ms}).error().code == "history_lost");
+    const auto again = store.watch("k/", 0, {1ms});
     REQUIRE(again);
     CHECK(again.value().revision > listed.value().revision);
-    CHECK(store.watch("k/", again.value().revision, 1ms));
+    CHECK(store.watch("k/", again.value().revision, {1ms}));
 }
 
 // Guards against a write whose revision names another state of the object since the store is back from a copy.
@@ -334,7 +336,7 @@
                 return fixture::json(200, R"({"items":[)" + joined(with_foreign) +
                                               R"(],"Truncated":false,"StoreRevision":531})");
             };
-            const auto all = store.watch("k/", 0, 1ms);
+            const auto all = store.watch("k/", 0, {1ms});
             REQUIRE(all);
             CHECK(all.value().revision == 531);
             REQUIRE(all.value().events.size() == 4);
@@ -362,7 +364,7 @@
                                      event_text(object_text("p", 14, value), deleted)}) +
                              R"(],"StoreRevision":533})");
             };
-            const auto seen = store.watch("k/", 530, 20ms);
+            const auto seen = store.watch("k/", 530, {20ms});
             REQUIRE(seen);
             CHECK(seen.value().revision == 533);
             REQUIRE(seen.value().events.size() == 3);
@@ -412,3 +414,26 @@
         CHECK(store.put("k/p", "{}", 11).value() == 12);
     }
 }
+
+// Guards against reading all changes of a gap when the objects themselves are smaller.
+TEST_CASE("a watch whose answer is over its limit fails as too long, and a list is not limited") {
+    fixture it;
+    auto store = it.store();
+    const std::string text(4096, 'x');
+    it.answer = [&text](const http::request &message) {
+        const std::string object = R"({"Metadata":{"Name":"a","Revision":12},"Spec":")" + text + "\"}";
+        return fixture::json(200,
+                             message.query_value("Watch")
+                                 ? R"({"events":[{"Deleted":false,"Object":)" + object + R"(}],"StoreRevision":13})"
+                                 : R"({"items":[)" + object + R"(],"Truncated":false,"StoreRevision":13})");
+    };
+    const auto cut = store.watch("k/", 5, {1ms, 1024});
+    REQUIRE_FALSE(cut);
+    CHECK(cut.error().code == "answer_too_long");
+    const auto listed = store.watch("k/", 0, {1ms, 1024});
+    REQUIRE(listed);
+    CHECK(listed.value().bytes > text.size());
+    const auto seen = store.watch("k/", 5, {1ms});
+    REQUIRE(seen);
+    CHECK(seen.value().bytes > text.size());
+}
--- a/test/store/http_store.cpp
+++ b/test/store/http_store.cpp
@@ -83,7 +83,7 @@
 TEST_CASE("http_store bounds every call, watches by their wait plus the call timeout") {
     fixture it;
     it.client.answer = {200, {}, R"({"events":[{"key":"a","version":3,"value":"x"}],"revision":4})"};
-    const auto batch = it.store.watch("a", 2, std::chrono::seconds{10});
+    const auto batch = it.store.watch("a", 2, {std::chrono::seconds{10}});
     REQUIRE(batch);
     CHECK(batch.value().revision == 4);
     CHECK(batch.value().events.at(0).item.value == "x");
--- a/test/support/returning_store.hpp
+++ b/test/support/returning_store.hpp
@@ -47,11 +47,12 @@
         }
         return std::move(all);
     }
-    base::result<store::watch_batch> watch(std::string_view prefix, std::uint64_t since, base::duration wait) override {
+    base::result<store::watch_batch> watch(std::string_view prefix, std::uint64_t since,
+                                           const store::watch_limits &limits) override {
         if (outdated(since)) {
             return base::fail(base::error_kind::not_found, "history_lost", "of an earlier history");
         }
-        BOOST_OUTCOME_TRY(batch, inner.watch(prefix, since & revisions, wait));
+        BOOST_OUTCOME_TRY(batch, inner.watch(prefix, since & revisions, limits));
         batch.revision = outer(batch.revision);
         for (auto &it : batch.events) {
             it.item.version = outer(it.item.version);
