--- a/test/platform/object_store.cpp
+++ b/test/platform/object_store.cpp
@@ -437,3 +437,31 @@
     REQUIRE(seen);
     CHECK(seen.value().bytes > text.size());
 }
+
+// Guards against a long list that never ends because a lost page costs all pages before it.
+TEST_CASE("a page of a list that gets no answer is asked for again") {
+    int lost = 0;
+    std::vector<std::string> asked;
+    test::scripted_server server{[&](int, int, const std::string &text) {
+        const auto target = text.substr(0, text.find(" HTTP"));
+        asked.push_back(target);
+        const bool first = target == "GET /objects/k";
+        if (!first && lost-- > 0) {
+            return test::scripted_answer{"", test::scripted_answer::then::close};
+        }
+        const std::string body = R"({"items":[{"Metadata":{"Name":")" + std::string{first ? "a" : "b"} +
+                                 R"(","Revision":12},"Spec":1}],"Truncated":)" + (first ? "true" : "false") +
+                                 R"(,"StoreRevision":13})";
+        return test::scripted_answer{"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                                     body};
+    }};
+    http::curl_client client;
+    platform::object_store store{client, server.address()};
+    lost = 2;
+    const auto all = store.list("k/");
+    REQUIRE(all);
+    CHECK(all.value().size() == 2);
+    CHECK(std::ranges::count(asked, "GET /objects/k") == 1);
+    lost = 100;
+    CHECK_FALSE(store.list("k/"));
+}
