--- a/src/entry/config_feed.cpp
+++ b/src/entry/config_feed.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "base/interruptible_wait.hpp"
 #include "base/json_message.hpp"
@@ -163,8 +164,11 @@
 }
 
 void config_feed::fetch(const config::fetch_snapshot &wanted) {
-    std::vector<std::string> parts;
-    for (std::uint64_t n = 0; n < wanted.parts; ++n) {
+    if (fetched_version_ != wanted.version) {
+        fetched_version_ = wanted.version;
+        fetched_parts_.clear();
+    }
+    for (std::uint64_t n = fetched_parts_.size(); n < wanted.parts; ++n) {
         const auto part = store_.get(config::snapshot_key(wanted.version, n));
         if (!part || !part.value()) {
             const std::scoped_lock lock{mutex_};
@@ -173,12 +177,13 @@
             revision_ = 0;
             return;
         }
-        parts.push_back(part.value()->value);
+        fetched_parts_.push_back(part.value()->value);
     }
     config::tracker_actions actions;
     {
         const std::scoped_lock lock{mutex_};
-        actions = tracker_.on_snapshot(wanted.version, parts);
+        actions = tracker_.on_snapshot(wanted.version, std::exchange(fetched_parts_, {}));
+        fetched_version_ = 0;
     }
     handle(actions);
 }
--- a/src/entry/config_feed.hpp
+++ b/src/entry/config_feed.hpp
@@ -65,6 +65,9 @@
     mutable std::mutex mutex_;
     config::config_tracker tracker_;
     std::uint64_t revision_{0};
+    // Kept when a part cannot be read, so that the next attempt goes on from there.
+    std::uint64_t fetched_version_{0};
+    std::vector<std::string> fetched_parts_;
     std::set<std::string, std::less<>> withdrawn_; /**< Hashes of withdrawn keys that were already sent to peers. */
     std::atomic<bool> store_reachable_{false};
     std::jthread thread_;
