--- a/test/platform/object_reader.cpp
+++ b/test/platform/object_reader.cpp
@@ -180,3 +180,20 @@
     CHECK(readable > 0);
     CHECK(readable < 3 * cases);
 }
+
+// Guards against values that are read another way where brackets and quotes stand in strings.
+TEST_CASE("only brackets outside strings nest a value") {
+    const auto value_of = [](const std::string &spec) {
+        return platform::read_object("k", R"({"Metadata":{"Name":"a","Revision":1},"Spec":)" + spec + "}").value;
+    };
+    const auto nested = [](int depth, const std::string &inner) {
+        return std::string(static_cast<std::size_t>(depth), '[') + inner +
+               std::string(static_cast<std::size_t>(depth), ']');
+    };
+    const std::string brackets = '"' + std::string(200, '[') + R"(\"\\)" + std::string(200, '{') + '"';
+    CHECK(value_of(brackets) == brackets);
+    CHECK(value_of(nested(60, brackets)) == nested(60, brackets));
+    constexpr int too_deep = 80;
+    CHECK(value_of(nested(too_deep, "1")).size() < nested(too_deep, "1").size());
+    CHECK(value_of(nested(too_deep, brackets)).size() < nested(too_deep, "1").size());
+}
