Let every second run of the soak have a large configuration and slow links

Runs with an odd seed have 1,400 routes, 10 Mbit/s from the store to each gateway, and three versions to each withdrawal of a key. Nothing is drawn for it, so even seeds play as before.

--- a/test/process/soak.cpp
+++ b/test/process/soak.cpp
@@ -28,6 +28,11 @@
 // Of processes that are stopped and continued regularly: shorter than what makes a gateway or a runner count as gone.
 constexpr int run_ms = 60;
 constexpr int pause_ms = 240;
+// In every second run the configuration is large, and the gateways reach the store through 10 Mbit/s.
+constexpr int large_site_routes = 1400;
+constexpr std::size_t slow_link = 1'250'000;
+// Versions written by a change of such a configuration.
+constexpr int versions_per_change = 3;
 // A signal that comes before the program has been executed says nothing about it.
 constexpr int execution_ms = 20;
 
@@ -42,7 +47,8 @@
  */
 class soak {
 public:
-    explicit soak(unsigned int seed) : random_{seed}, seed_{seed} {
+    explicit soak(unsigned int seed) : random_{seed}, seed_{seed}, large_{seed % 2 == 1} {
+        site_.set_idle_routes(large_ ? large_site_routes : 0);
         site_.configure({"key-1", "key-2"});
         for (const auto *id : {"engine-0", "engine-1", "engine-2"}) {
             site_.start_runner(id, "decode");
@@ -56,6 +62,9 @@
         gateways_ = std::make_unique<test::soak_gateways>(site_, static_cast<std::size_t>(count),
                                                           [this](const std::string &text) { problem(text); });
         REQUIRE(eventually([this] { return all_serve(); }));
+        for (std::size_t n = 0; large_ && n < gateways_->size(); ++n) {
+            site_.store_path(n).limit_rate(slow_link);
+        }
     }
 
     void run(std::chrono::seconds length) {
@@ -313,7 +322,9 @@
     }
 
     void withdraw() {
-        site_.configure({"key-1"});
+        for (int n = 0; n < (large_ ? versions_per_change : 1); ++n) {
+            site_.configure({"key-1"});
+        }
         withdrawn_ = true;
         clients_->expect_withdrawal(steady::now() + withdrawal_limit);
     }
@@ -327,6 +338,7 @@
 
     std::mt19937 random_;
     const unsigned int seed_;
+    const bool large_; /**< The configuration is large, and the links to the store are slow. */
     std::vector<std::unique_ptr<test::endless_server>> endless_;
     test::forward_site site_;
     std::unique_ptr<test::soak_gateways> gateways_;
