End a slow answer after a silence, however much of it has come

No caller was seen to be affected; found while reading the change. An answer with a lowest rate now ends after a silence as long as the call's time-out, at the store, at peers, and in blocking calls of HTTP/2.

The new test of test/http/slow_answer.cpp sends 600 KiB at 1 KiB/s of credit and then nothing: ended by the silence of 200 ms, below the 5 s it allows.

--- a/src/entry/fleet_feed.cpp
+++ b/src/entry/fleet_feed.cpp
@@ -141,6 +141,7 @@
     http::call_options limits;
     limits.timeout = std::chrono::seconds{1};
     limits.min_receive_rate = internal::host_list_rate;
+    limits.idle_timeout = limits.timeout;
     const auto answer = client_.call(options_.platform, {"GET", "/v1/hosts", {}, ""}, limits);
     const auto body = answer && answer.value().status == 200 ? base::parse_message(answer.value().body) : json{};
     if (!body.is_object() || !body.contains("hosts")) {
--- a/src/gateway/peer_call.cpp
+++ b/src/gateway/peer_call.cpp
@@ -19,6 +19,7 @@
     options.connect_timeout = internal::peer_timeout;
     options.timeout = internal::peer_timeout;
     options.min_receive_rate = internal::peer_receive_rate;
+    options.idle_timeout = internal::peer_timeout;
     // Peers are asked so rarely that a kept connection may have gone silent unnoticed.
     options.fresh_connection = true;
     return client.call(address, {"GET", std::move(target), {}, ""}, options);
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -26,7 +26,8 @@
 struct call_options {
     base::duration connect_timeout{std::chrono::seconds{1}};
     base::duration timeout{std::chrono::seconds{5}}; /**< Whole call; zero means none. */
-    base::duration idle_timeout{0};                  /**< Longest silence inside a stream; zero means none. */
+    /** Longest silence inside a stream, or inside an answer that has a `min_receive_rate`; zero means none. */
+    base::duration idle_timeout{0};
     bool repeatable{false};       /**< A POST that may arrive twice, and so may use a kept connection. */
     bool fresh_connection{false}; /**< Uses a connection of its own, closed afterwards. */
     std::size_t head_limit{std::size_t{64} << 10U}; /**< Bytes of all heads and trailers of the response. */
--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstring>
 #include <string>
+#include <utility>
 
 #include "http/time_limit.hpp"
 
@@ -108,7 +109,7 @@
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, to_milliseconds(options.connect_timeout));
     // libcurl's own limit could not be extended.
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, options.min_receive_rate > 0 ? 0L : to_milliseconds(options.timeout));
-    if (options.idle_timeout.count() > 0) {
+    if (options.idle_timeout.count() > 0 && options.min_receive_rate == 0) {
         const auto seconds = static_cast<long>(std::chrono::ceil<std::chrono::seconds>(options.idle_timeout).count());
         curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
         curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME, seconds);
@@ -229,6 +230,8 @@
 CURLcode perform(CURLM *connections, transfer &it, const call_options &options, base::duration longest) {
     using steady = std::chrono::steady_clock;
     const auto begun = steady::now();
+    auto heard_at = begun;
+    std::size_t heard = 0;
     curl_multi_add_handle(connections, it.handle);
     CURLcode out = CURLE_OK;
     for (int running = 1; true;) {
@@ -241,8 +244,15 @@
             out = ended->data.result;
             break;
         }
+        const auto now = steady::now();
+        if (it.received > std::exchange(heard, it.received)) {
+            heard_at = now;
+        }
         const auto limit = std::min(longest, time_limit(options.timeout, it.received, options.min_receive_rate));
-        const base::duration left = limit - (steady::now() - begun);
+        base::duration left = limit - (now - begun);
+        if (heard > 0 && options.min_receive_rate > 0 && options.idle_timeout > base::duration{0}) {
+            left = std::min<base::duration>(left, options.idle_timeout - (now - heard_at));
+        }
         if (left <= base::duration{0}) {
             out = CURLE_OPERATION_TIMEDOUT;
             break;
--- a/src/store/http_calls.cpp
+++ b/src/store/http_calls.cpp
@@ -8,6 +8,7 @@
     call.connect_timeout = options.connect_timeout;
     call.timeout = options.timeout + limits.wait;
     call.min_receive_rate = options.min_receive_rate;
+    call.idle_timeout = options.timeout;
     call.body_limit = limits.bytes;
     auto answer = client.call(address, {"GET", target, {}, ""}, call);
     if (answer) {
--- a/src/transport/h2_client.cpp
+++ b/src/transport/h2_client.cpp
@@ -2,6 +2,7 @@
 
 #include <ace/INET_Addr.h>
 #include <ace/SOCK_Connector.h>
+#include <algorithm>
 #include <atomic>
 #include <cerrno>
 #include <chrono>
@@ -348,6 +349,7 @@
         std::condition_variable signal;
         http::response answer;
         std::optional<h2_outcome> outcome;
+        std::chrono::steady_clock::time_point heard_at{std::chrono::steady_clock::now()};
     };
     const auto it = std::make_shared<waiter>();
     h2_handlers handlers;
@@ -359,23 +361,22 @@
     handlers.on_data = [it](std::string_view part) {
         const std::scoped_lock lock{it->mutex};
         it->answer.body.append(part);
+        it->heard_at = std::chrono::steady_clock::now();
     };
     handlers.on_end = [it](h2_outcome outcome) {
         const std::scoped_lock lock{it->mutex};
         it->outcome = outcome;
         it->signal.notify_one();
     };
-    const auto begun = std::chrono::steady_clock::now();
+    const auto begun = it->heard_at;
     const auto id = send(address, std::move(message), std::move(handlers));
     std::unique_lock lock{it->mutex};
+    const auto limit = [&] {
+        const auto whole = http::time_limit(timeout, it->answer.body.size(), internal::min_receive_rate);
+        return std::min(begun + whole, it->heard_at + timeout);
+    };
     const auto ended = [&it] { return it->outcome.has_value(); };
-    auto limit = timeout;
-    while (!it->signal.wait_until(lock, begun + limit, ended)) {
-        const auto extended = http::time_limit(timeout, it->answer.body.size(), internal::min_receive_rate);
-        if (extended <= limit) {
-            break;
-        }
-        limit = extended;
+    while (!it->signal.wait_until(lock, limit(), ended) && std::chrono::steady_clock::now() < limit()) {
     }
     if (!it->outcome) {
         lock.unlock();
--- a/src/transport/h2_client.hpp
+++ b/src/transport/h2_client.hpp
@@ -52,7 +52,8 @@
 
     /**
      * @brief Sends and waits for the whole response; not for use on the loop's thread.
-     * @param timeout Limit for a response that does not come; one that keeps coming extends it, see `http::time_limit`.
+     * @param timeout Limit for a response that does not come; one that keeps coming extends it, see `http::time_limit`,
+     * and ends after a silence of this length.
      */
     [[nodiscard]] base::result<http::response> call(std::string_view address, http::request message,
                                                     base::duration timeout);
--- a/test/http/slow_answer.cpp
+++ b/test/http/slow_answer.cpp
@@ -83,6 +83,25 @@
     CHECK(answer.error().message.find(" 4 bytes of the answer") != std::string::npos);
 }
 
+// Guards against waiting for a server that has gone silent for as long as its answer had taken time until then.
+TEST_CASE("an answer that stops coming after much of it has come is given up after the longest silence") {
+    const std::string much(answer_bytes, 'x');
+    test::scripted_server server{[&much](int, int, const std::string &) {
+        return test::scripted_answer{"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n" + much,
+                                     test::scripted_answer::then::hold};
+    }};
+    http::curl_client client;
+    http::call_options options;
+    options.timeout = 200ms;
+    options.idle_timeout = 200ms;
+    options.min_receive_rate = kibibyte;
+    const auto begun = std::chrono::steady_clock::now();
+    const auto answer = client.call(server.address(), {"GET", "/", {}, ""}, options);
+    REQUIRE_FALSE(answer);
+    CHECK(answer.error().code == "no_answer");
+    CHECK(std::chrono::steady_clock::now() - begun < 5s);
+}
+
 // Guards against a process that outlives its grace because of an answer that keeps coming.
 TEST_CASE("calls end at the instant from which on none are made, whatever they have received") {
     fixture it{200 * kibibyte};
