--- a/test/entry/config_feed.cpp
+++ b/test/entry/config_feed.cpp
@@ -71,9 +71,10 @@
     base::boottime_clock clock;
     transport::event_loop loop;
     transport::h2_client client{loop, clock};
-    entry::event_ring events{64};
+    dotterelstack::entry::event_ring events{64};
     {
-        entry::config_feed feed{clock, store, client, events, [] { return std::vector<entry::peer_entry>{}; }};
+        dotterelstack::entry::config_feed feed{clock, store, client, events,
+                                               [] { return std::vector<dotterelstack::entry::peer_entry>{}; }};
         feed.start();
         REQUIRE(test::eventually([&feed] { return feed.version() == 1; }));
     }
