--- a/src/gateway/config_source.hpp
+++ b/src/gateway/config_source.hpp
@@ -70,6 +70,7 @@
     /** @return True if this version or a newer one is in force now. */
     bool adopt(std::string_view value, std::string_view origin);
     void confirm(base::instant as_of);
+    /** @brief No change up to this version of the store is newer than the configuration in force. */
     void cover(std::uint64_t store_version);
 
     dependencies deps_;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -33,8 +33,8 @@
     std::size_t head_limit{std::size_t{64} << 10U}; /**< Bytes of all heads and trailers of the response. */
     std::size_t body_limit{std::size_t{16} << 20U}; /**< Bytes of a body that is not streamed. */
     base::byte_budget *budget{nullptr};             /**< Shared by all such bodies; outlives the call. */
-    /** Bytes a second; what has been received extends `timeout` by its time at this rate. Only for `client`, 0 extends
-     * nothing. See `time_limit`. */
+    /** Bytes a second; what has been received extends `timeout` by its time at this rate, see `time_limit`. Zero
+     * extends nothing. Observed by `client` only. */
     std::size_t min_receive_rate{0};
 };
 
--- a/src/transport/h2_client.cpp
+++ b/src/transport/h2_client.cpp
@@ -377,6 +377,7 @@
     };
     const auto ended = [&it] { return it->outcome.has_value(); };
     while (!it->signal.wait_until(lock, limit(), ended) && std::chrono::steady_clock::now() < limit()) {
+        // What has come meanwhile has extended the limit.
     }
     if (!it->outcome) {
         lock.unlock();
