review: case 8, parts of prompts exceed the memory of the gateways

Every part of every answered prompt is remembered for ten minutes, without a limit on their number, so legal requests with many parts fill the process.

The case is a script that uses the stand-ins of case 6.

--- a/review/standin-2/drill.cpp
+++ b/review/standin-2/drill.cpp
@@ -27,7 +27,6 @@
 constexpr milliseconds event_gap{10};
 constexpr milliseconds heartbeat{1200};
 constexpr milliseconds restart_delay{1000};
-constexpr milliseconds trickle{500};
 // Connections that are idle for longer are not used again; the configuration allows 15 s.
 constexpr std::size_t most_idle = 64;
 
@@ -430,9 +429,9 @@
     }}.detach();
 }
 
-void runner::set_trouble(std::optional<std::string> head) {
+void runner::set_trouble(std::optional<endless_bytes> what) {
     const std::scoped_lock lock{mutex_};
-    trouble_ = std::move(head);
+    trouble_ = std::move(what);
 }
 
 bool runner::ran(const std::string &id) {
@@ -455,7 +454,7 @@
     if (request.field("Expect-Instance") != options_.id) {
         return from.write("HTTP/1.1 421 Misdirected\r\n" + own + "Content-Length: 0\r\n\r\n");
     }
-    std::optional<std::string> trouble;
+    std::optional<endless_bytes> trouble;
     {
         std::unique_lock lock{mutex_};
         trouble = trouble_;
@@ -473,10 +472,10 @@
     }
     if (trouble) {
         record_.write("runner " + options_.id + " answers " + id + " with bytes without end");
-        bool open = from.write(*trouble);
+        bool open = from.write(trouble->head);
         while (open) {
-            std::this_thread::sleep_for(trickle);
-            open = from.write("x");
+            std::this_thread::sleep_for(trouble->pause);
+            open = from.write(trouble->repeated);
         }
         return false;
     }
@@ -654,7 +653,7 @@
 
 void client_group::exchange(const std::string &id, const std::string &text, milliseconds deadline) {
     tcp_socket to;
-    outcome out{.status = -1, .kept = false, .machine = machine_.callers()};
+    outcome out{.status = -1, .kept = false, .machine = machine_.callers(), .sent = record_.now()};
     {
         const std::scoped_lock lock{mutex_};
         while (!idle_.empty() && !to.open()) {
@@ -683,10 +682,12 @@
             }
         }
     }
+    out.taken = record_.now() - out.sent;
     record_.write("client: " + id + (out.kept ? " on a kept connection: " : ": ") +
                   (out.status > 0    ? std::to_string(out.status)
                    : out.status == 0 ? std::string{"no whole answer"}
-                                     : std::string{"no connection"}));
+                                     : std::string{"no connection"}) +
+                  " after " + std::to_string(out.taken) + " s");
     const std::scoped_lock lock{mutex_};
     outcomes_.emplace(id, out);
 }
--- a/review/standin-2/drill.hpp
+++ b/review/standin-2/drill.hpp
@@ -153,13 +153,19 @@
     milliseconds work{60};
 };
 
+/** @brief What a runner in trouble sends for each request, until its caller closes the connection. */
+struct endless_bytes {
+    std::string head;      /**< Sent at once. */
+    std::string repeated;  /**< Sent again and again. */
+    milliseconds pause{0}; /**< Before each repetition. */
+};
+
 /** @brief A runner. In trouble it sends bytes that are no answer until its caller closes the connection. */
 class runner {
 public:
     runner(runner_options options, object_store &store, event_record &record);
 
-    /** @param head Sent at once for each request; one byte follows every half second. */
-    void set_trouble(std::optional<std::string> head);
+    void set_trouble(std::optional<endless_bytes> what);
     /** @return True if a request was handed to this runner while it was sound. */
     [[nodiscard]] bool ran(const std::string &id);
 
@@ -174,7 +180,7 @@
     std::condition_variable slot_free_;
     std::size_t running_{0};
     std::size_t waiting_{0};
-    std::optional<std::string> trouble_;
+    std::optional<endless_bytes> trouble_;
     std::map<std::string, int> runs_;
     tcp_server server_;
 };
@@ -218,6 +224,8 @@
     int status{0};    /**< 0 if the connection ended without an answer, -1 if there was no connection. */
     bool kept{false}; /**< It was sent on a connection that had served another request. */
     std::string machine;
+    double sent{0};
+    double taken{0}; /**< Seconds until the answer or the end of the connection. */
 };
 
 /** @brief Clients of one front machine, which send requests at a rate on connections that they keep. */
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -159,7 +159,7 @@
         const char *text = std::getenv("ENGINES");
         const auto n = text == nullptr ? it.all_engines.size() : static_cast<std::size_t>(std::atoi(text));
         for (std::size_t engine = 0; engine < n; ++engine) {
-            it.all_engines.at(engine)->set_trouble(endless_answer());
+            it.all_engines.at(engine)->set_trouble(endless_bytes{endless_answer(), "x", milliseconds{500}});
         }
     }
     senders.clear();
@@ -186,8 +186,8 @@
 
 /** Some clients send prompts of very many parts, within the limit on heads, one after the other. */
 int many_parts(site &it, bool trouble, unsigned seed) {
-    constexpr std::chrono::seconds length{105};
-    constexpr unsigned clients = 12;
+    constexpr std::chrono::seconds length{80};
+    constexpr unsigned clients = 24;
     std::vector<std::unique_ptr<client_group>> groups;
     std::vector<std::unique_ptr<client_group>> others;
     std::vector<std::jthread> senders;
@@ -203,7 +203,7 @@
             while (steady::now() < until) {
                 to.send("query", query_of_many_parts(trouble, random), milliseconds{3000});
                 to.wait();
-                std::this_thread::sleep_for(milliseconds{20});
+                std::this_thread::sleep_for(milliseconds{5});
             }
         });
     }
