review: case 9, requests to removed runners while the store cuts off watches

Each watch that the store cuts off counts as an outage of the store, because the next watch waits for 100 ms by itself. Removals that are learned shortly afterwards are applied after a grace that further cuts make longer.

The case is a script; the store stand-in can end watches, and runners can leave without a report. Entries are now written once, as a change of the sequence alone is no change.

--- a/review/standin-2/drill.cpp
+++ b/review/standin-2/drill.cpp
@@ -25,7 +25,6 @@
 constexpr std::size_t memory_limit_kb = std::size_t{260} * 1024;
 constexpr int events_of_stream = 8;
 constexpr milliseconds event_gap{10};
-constexpr milliseconds heartbeat{1200};
 constexpr milliseconds restart_delay{1000};
 // Connections that are idle for longer are not used again; the configuration allows 15 s.
 constexpr std::size_t most_idle = 64;
@@ -279,6 +278,9 @@
     message_reader in{from};
     while (const auto request = in.next()) {
         const auto [status, body] = answer(*request);
+        if (status == 0) {
+            return;
+        }
         const auto text = body.dump();
         if (!from.write("HTTP/1.1 " + std::to_string(status) +
                         " S\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) +
@@ -342,7 +344,9 @@
 }
 
 std::pair<int, json> object_store::watch(const std::string &kind, std::uint64_t since, milliseconds wait) {
-    const auto until = steady::now() + wait;
+    const auto limit = watch_limit_.load();
+    const bool cut = limit < wait;
+    const auto until = steady::now() + std::min(limit, wait);
     std::unique_lock lock{mutex_};
     if (!history_.empty() && since + 1 < history_.front().revision && history_.size() == kept_changes) {
         return {410, json::object()};
@@ -354,7 +358,11 @@
                 events.push_back({{"Deleted", it.deleted}, {"Object", shown(it.name, it.revision, it.spec)}});
             }
         }
-        if (!events.empty() || changed_.wait_until(lock, until) == std::cv_status::timeout) {
+        const bool over = events.empty() && changed_.wait_until(lock, until) == std::cv_status::timeout;
+        if (over && cut) {
+            return {0, json{}};
+        }
+        if (over || !events.empty()) {
             return {200, {{"events", std::move(events)}, {"StoreRevision", revision_}}};
         }
     }
@@ -408,25 +416,25 @@
     store_locked(kind, name, std::move(spec));
 }
 
+void object_store::remove(const std::string &kind, const std::string &name) {
+    (void)erase(kind, name, 0);
+}
+
 runner::runner(runner_options options, object_store &store, event_record &record)
     : options_{std::move(options)}, record_{record}, server_{[this](const tcp_socket &from) { serve(from); }} {
-    std::thread{[this, &store] {
-        const auto born =
-            std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-        for (std::uint64_t sequence = 1;; ++sequence) {
-            store.put("servers", options_.id,
-                      {{"Service", options_.service},
-                       {"Address", server_.address()},
-                       {"Zone", "rajkot"},
-                       {"Version", "v1"},
-                       {"Slots", options_.slots},
-                       {"State", "ready"},
-                       {"ColdRemainingMs", 0},
-                       {"Sequence", sequence},
-                       {"born", born}});
-            std::this_thread::sleep_for(heartbeat);
-        }
-    }}.detach();
+    const auto born =
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    // An entry changes only when more than its sequence changes, so it is written once.
+    store.put("servers", options_.id,
+              {{"Service", options_.service},
+               {"Address", server_.address()},
+               {"Zone", "rajkot"},
+               {"Version", "v1"},
+               {"Slots", options_.slots},
+               {"State", "ready"},
+               {"ColdRemainingMs", 0},
+               {"Sequence", 1},
+               {"born", born}});
 }
 
 void runner::set_trouble(std::optional<endless_bytes> what) {
@@ -434,6 +442,20 @@
     trouble_ = std::move(what);
 }
 
+void runner::leave(object_store &store) {
+    {
+        const std::scoped_lock lock{mutex_};
+        store.remove("servers", options_.id);
+        left_at_ = steady::now();
+    }
+    record_.write("runner " + options_.id + ": its entry is removed, it serves on");
+}
+
+int runner::came_after_leaving(milliseconds limit) {
+    const std::scoped_lock lock{mutex_};
+    return static_cast<int>(std::ranges::count_if(after_leaving_, [limit](auto it) { return it > limit; }));
+}
+
 bool runner::ran(const std::string &id) {
     const std::scoped_lock lock{mutex_};
     return runs_.contains(id);
@@ -457,6 +479,11 @@
     std::optional<endless_bytes> trouble;
     {
         std::unique_lock lock{mutex_};
+        if (left_at_) {
+            after_leaving_.push_back(std::chrono::duration_cast<milliseconds>(steady::now() - *left_at_));
+            record_.write("runner " + options_.id + " gets " + id + " " +
+                          std::to_string(after_leaving_.back().count()) + " ms after the removal");
+        }
         trouble = trouble_;
         if (!trouble && running_ + waiting_ >= options_.slots + options_.queue) {
             lock.unlock();
--- a/review/standin-2/drill.hpp
+++ b/review/standin-2/drill.hpp
@@ -110,6 +110,9 @@
 
     [[nodiscard]] const std::string &address() const noexcept { return server_.address(); }
     void put(const std::string &kind, const std::string &name, nlohmann::json spec);
+    void remove(const std::string &kind, const std::string &name);
+    /** @brief Ends the connection of each watch that has waited for so long. */
+    void cut_watches_after(milliseconds limit) { watch_limit_ = limit; }
 
 private:
     struct object {
@@ -138,6 +141,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::uint64_t revision_{100};
+    std::atomic<milliseconds> watch_limit_{milliseconds::max()};
     std::map<std::string, std::map<std::string, object>> objects_;
     std::deque<change> history_;
     tcp_server server_;
@@ -168,6 +172,10 @@
     void set_trouble(std::optional<endless_bytes> what);
     /** @return True if a request was handed to this runner while it was sound. */
     [[nodiscard]] bool ran(const std::string &id);
+    /** @brief Removes its entry without a report that it leaves, and serves on. */
+    void leave(object_store &store);
+    /** @return Requests that have come later than this after the removal of its entry. */
+    [[nodiscard]] int came_after_leaving(milliseconds limit);
 
 private:
     void serve(const tcp_socket &from);
@@ -182,6 +190,8 @@
     std::size_t waiting_{0};
     std::optional<endless_bytes> trouble_;
     std::map<std::string, int> runs_;
+    std::optional<steady::time_point> left_at_;
+    std::vector<milliseconds> after_leaving_; /**< Times of requests since the removal. */
     tcp_server server_;
 };
 
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -169,6 +169,41 @@
     return judge(it, groups);
 }
 
+/** The store cuts off watches that wait, and runners leave without a report. */
+int cut_watches(site &it, bool trouble, unsigned seed) {
+    constexpr std::chrono::seconds calm{10};
+    constexpr std::chrono::seconds length{8};
+    constexpr milliseconds drain{2000};
+    constexpr std::size_t leavers = 4;
+    std::vector<std::unique_ptr<client_group>> groups;
+    std::vector<std::jthread> senders;
+    if (trouble) {
+        it.store.cut_watches_after(milliseconds{250});
+    }
+    const auto until = steady::now() + calm + length;
+    for (unsigned n = 0; n < machines; ++n) {
+        groups.push_back(std::make_unique<client_group>(*it.fronts[n], "c" + std::to_string(n), it.record));
+        senders.emplace_back([&to = *groups.back(), until, seed, n] { send_mix(to, usual_rate, until, seed + n); });
+    }
+    std::this_thread::sleep_for(calm);
+    for (std::size_t n = 0; n < leavers; ++n) {
+        it.all_engines.at(n)->leave(it.store);
+        std::this_thread::sleep_for(milliseconds{1300});
+    }
+    senders.clear();
+    for (auto &group : groups) {
+        group->wait();
+    }
+    int late = 0;
+    for (std::size_t n = 0; n < leavers; ++n) {
+        late += it.all_engines.at(n)->came_after_leaving(drain);
+    }
+    std::cout << "requests that reached a runner later than " << drain.count() << " ms after its removal: " << late
+              << '\n'
+              << (late > 0 ? "the rule is broken" : "the rule held") << std::endl;
+    return late > 0 ? exit_broken : exit_held;
+}
+
 /** @return Prompt of many parts within the limit on heads, or one of the usual kind. */
 std::string query_of_many_parts(bool many, std::mt19937 &random) {
     constexpr int parts = 1700;
@@ -234,6 +269,7 @@
         if (it.wait_until_ready(std::chrono::seconds{15})) {
             out = name == "endless-heads" ? endless_heads(it, trouble, seed)
                   : name == "many-parts"  ? many_parts(it, trouble, seed)
+                  : name == "cut-watches" ? cut_watches(it, trouble, seed)
                                           : exit_no_run;
         }
         it.fronts.clear();
