Count an answer without a length as whole only at an orderly end

Callers of bookings got part of an answer as a complete one: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the write of the upload met the reset first. A failed write takes the error from the socket, so the read after it returned the end of the input, and `pooled_client` took any end of the input for the end of such an answer. The same happened where a server ended its output with the request unread, and where the reset came after that end, whichever call met it first.

`answer_reader::is_whole_at` now decides alone whether an answer is whole, from how the connection has ended. `end_of_connection` tells that: orderly only if the socket holds no error, has taken the whole request, and the peer has acknowledged all of it. A kernel that resets a connection with unread bytes, or whose process has gone, doesn't acknowledge them. The call ends as `connection_lost`: 502 with `ran` unknown, or an aborted stream; a booking is not sent again. Answers with a length or chunks don't depend on it.

--- a/src/http/answer_reader.hpp
+++ b/src/http/answer_reader.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "http/connection_end.hpp"
 #include "http/message.hpp"
 
 namespace dotterelstack::http {
@@ -20,7 +21,10 @@
     too_long   /**< Heads or trailers exceed their limit. */
 };
 
-/** @brief Reads one HTTP/1.1 answer from a sequence of inputs. Does no I/O; single-threaded. */
+/**
+ * @brief Reads one HTTP/1.1 answer from a sequence of inputs, and alone decides whether it is whole. Does no I/O;
+ * single-threaded.
+ */
 class answer_reader {
 public:
     /**
@@ -33,8 +37,10 @@
     /** @brief Consumes input up to the next step; what is consumed is removed from its front. */
     [[nodiscard]] read_step next(std::string_view &in);
 
-    /** @return True if the answer is complete when the connection ends here. */
-    [[nodiscard]] bool ends_here() const noexcept { return state_ == state::until_end || state_ == state::done; }
+    /** @return True if the answer is whole when its connection has ended like this after the input so far. */
+    [[nodiscard]] bool is_whole_at(connection_end how) const noexcept {
+        return state_ == state::done || (state_ == state::until_end && how == connection_end::orderly);
+    }
 
     /** @return Part of the body that was found last, inside of the input. */
     [[nodiscard]] std::string_view part() const noexcept { return part_; }
--- a/src/http/pooled_client.cpp
+++ b/src/http/pooled_client.cpp
@@ -281,7 +281,7 @@
             } else if (internal::would_block()) {
                 break;
             } else {
-                // The server may have answered before it closed the connection.
+                // The server may have answered before it closed the connection. The socket no longer reports the error.
                 it.write_failed = true;
             }
         }
@@ -312,7 +312,7 @@
         }
         if (n < 0) {
             lose(it, "connection_lost", std::generic_category().message(errno));
-        } else if (it.bytes_seen && it.reader->ends_here() && !it.skipping) {
+        } else if (!it.skipping && it.reader->is_whole_at(end_of_connection(it.connection.get(), it.all_sent()))) {
             complete(it, false);
         } else {
             lose(it, "connection_lost", "the connection ended before the answer");
--- a/test/http/answer_reader.cpp
+++ b/test/http/answer_reader.cpp
@@ -36,7 +36,7 @@
     out.status = it.status();
     out.framed = it.framed();
     out.persistent = it.persistent();
-    out.ends_here = it.ends_here();
+    out.ends_here = it.is_whole_at(http::connection_end::orderly);
     return out;
 }
 
--- a/test/support/kept_connection.cpp
+++ b/test/support/kept_connection.cpp
@@ -139,7 +139,8 @@
         }
         if (n <= 0) {
             out.error = n < 0 ? errno : 0;
-            out.how = n == 0 && reader.ends_here() ? kept_outcome::ending::answered : kept_outcome::ending::cut;
+            const bool whole = n == 0 && reader.is_whole_at(http::end_of_connection(fd_, true));
+            out.how = whole ? kept_outcome::ending::answered : kept_outcome::ending::cut;
             out.answer.status = reader.status();
             out.answer.fields = reader.fields();
             // The connection has ended with its answer.
