Use a handle of libcurl for one transfer only

What callers would see: the gateway, or any other process that reads the answer through libcurl, ends, and with it all its open requests. Found by the test of broken heads: an answer whose first field line is folded (begins with a blank), to a transfer whose handle had already read another answer.

Cause: libcurl 7.88 keeps a pointer to the last field of an answer in the handle. The next transfer frees those fields, not the pointer, and appends a folded line to what it points to. Handles were reused in `async_client` (64 idle ones) and in `curl_client` (one with each kept connection).

Each transfer now has a handle of its own; connections belong to the multi handle and are kept as before.

--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -25,8 +25,6 @@
 constexpr std::chrono::milliseconds longest_wait{1000};
 // Events read by one call; further ones are returned by the next call.
 constexpr std::size_t event_batch = 64;
-// Idle libcurl handles that are kept. Creating one costs more than resetting it.
-constexpr std::size_t kept_handles = 64;
 
 /** A descriptor that is closed with its owner. */
 class descriptor {
@@ -83,7 +81,6 @@
     const internal::descriptor poller{epoll_create1(EPOLL_CLOEXEC)};
     const internal::descriptor wakeup{eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)};
     std::optional<wait_clock::time_point> timer; /**< When libcurl wants to be called. */
-    std::vector<internal::easy_ptr> idle_handles;
     multi_ptr multi{curl_multi_init(), &curl_multi_cleanup};
     std::map<CURL *, std::unique_ptr<internal::async_transfer>> active;
     std::thread thread;
@@ -131,27 +128,15 @@
 
     void end(std::unique_ptr<internal::async_transfer> it, base::result<response> answer) {
         curl_multi_remove_handle(multi.get(), it->handle.get());
-        if (idle_handles.size() < internal::kept_handles) {
-            idle_handles.push_back(std::move(it->handle));
-        }
         it->handlers.on_end(std::move(answer));
     }
 
-    internal::easy_ptr take_handle() {
-        if (idle_handles.empty()) {
-            return internal::easy_ptr{curl_easy_init(), &curl_easy_cleanup};
-        }
-        auto out = std::move(idle_handles.back());
-        idle_handles.pop_back();
-        return out;
-    }
-
     static base::result<response> cancelled() {
         return base::fail(base::error_kind::unknown_outcome, "cancelled", "the call was cancelled by its caller");
     }
 
     void start(std::unique_ptr<internal::async_transfer> it) {
-        it->handle = take_handle();
+        it->handle = internal::new_handle();
         if (it->handlers.on_data) {
             it->detail.sink = &it->handlers.on_data;
         }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -19,18 +19,17 @@
 // The resolution of libcurl's limits, where zero would mean none.
 constexpr base::duration shortest_call = std::chrono::milliseconds{1};
 
-/** A handle, and the one connection that is kept for it. */
-struct connected_handle {
+/** At most one connection, which is kept for a later transfer. */
+struct single_connection {
     multi_ptr connections{curl_multi_init(), &curl_multi_cleanup};
-    easy_ptr handle{curl_easy_init(), &curl_easy_cleanup};
 
     // A new connection replaces the one that has been kept.
-    connected_handle() { curl_multi_setopt(connections.get(), CURLMOPT_MAXCONNECTS, 1L); }
+    single_connection() { curl_multi_setopt(connections.get(), CURLMOPT_MAXCONNECTS, 1L); }
 };
 
-struct idle_handle {
+struct idle_connection {
     std::string address;
-    connected_handle handle;
+    single_connection connection;
 };
 
 } // namespace internal
@@ -39,32 +38,32 @@
     const base::boottime_clock time{};
     std::atomic<base::instant> end{base::instant::max()};
     std::mutex mutex;
-    std::vector<internal::idle_handle> idle; /**< In the order in which they were given back. */
+    std::vector<internal::idle_connection> idle; /**< In the order in which they were given back. */
 
-    internal::connected_handle take(std::string_view address) {
+    internal::single_connection take(std::string_view address) {
         const std::scoped_lock lock{mutex};
-        const auto newest = std::ranges::find(idle.rbegin(), idle.rend(), address, &internal::idle_handle::address);
+        const auto newest = std::ranges::find(idle.rbegin(), idle.rend(), address, &internal::idle_connection::address);
         if (newest == idle.rend()) {
             return {};
         }
-        auto handle = std::move(newest->handle);
+        auto out = std::move(newest->connection);
         idle.erase(std::next(newest).base());
-        return handle;
+        return out;
     }
 
-    void give_back(std::string_view address, internal::connected_handle handle) {
-        std::optional<internal::idle_handle> closed;
+    void give_back(std::string_view address, internal::single_connection connection) {
+        std::optional<internal::idle_connection> closed;
         const std::scoped_lock lock{mutex};
         if (idle.size() == internal::max_idle_connections) {
             closed = std::move(idle.front());
             idle.erase(idle.begin());
         }
-        idle.push_back({std::string{address}, std::move(handle)});
+        idle.push_back({std::string{address}, std::move(connection)});
     }
 
     /** What made a call fail may concern all connections to the address, and a silent one shows it only to a call. */
     void close_idle(std::string_view address) {
-        std::vector<internal::idle_handle> closed;
+        std::vector<internal::idle_connection> closed;
         const std::scoped_lock lock{mutex};
         const auto rest = std::stable_partition(idle.begin(), idle.end(),
                                                 [address](const auto &it) { return it.address != address; });
@@ -82,8 +81,9 @@
             }
             options.timeout = options.timeout > base::duration{0} ? std::min(options.timeout, longest) : longest;
         }
-        auto taken = options.fresh_connection ? internal::connected_handle{} : take(address);
-        internal::prepare(taken.handle.get(), it, address, options);
+        auto taken = options.fresh_connection ? internal::single_connection{} : take(address);
+        const auto handle = internal::new_handle();
+        internal::prepare(handle.get(), it, address, options);
         const auto ended = internal::perform(taken.connections.get(), it, options, longest);
         auto answer = internal::conclude(ended, it, address);
         if (!answer) {
--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -200,8 +200,11 @@
     (void)global;
 }
 
+easy_ptr new_handle() {
+    return {curl_easy_init(), &curl_easy_cleanup};
+}
+
 void prepare(CURL *handle, transfer &it, std::string_view address, const call_options &options) {
-    curl_easy_reset(handle);
     it.handle = handle;
     it.head_left = options.head_limit;
     it.body_left = options.body_limit;
--- a/src/http/curl_transfer.hpp
+++ b/src/http/curl_transfer.hpp
@@ -37,6 +37,12 @@
 /** @brief Initialises libcurl once for the process. */
 void ensure_curl();
 
+/**
+ * @return Handle for one transfer. A handle must not be used for another one: libcurl 7.88 keeps a pointer to the last
+ * field of an answer, and an answer to the next transfer whose first field line is folded has it written through.
+ */
+[[nodiscard]] easy_ptr new_handle();
+
 /** @brief Prepares an easy handle for a transfer. */
 void prepare(CURL *handle, transfer &it, std::string_view address, const call_options &options);
 
--- a/test/http/broken_answers.cpp
+++ b/test/http/broken_answers.cpp
@@ -11,6 +11,7 @@
 #include "http/async_client.hpp"
 #include "http/client.hpp"
 #include "http/pooled_client.hpp"
+#include "support/scripted_server.hpp"
 #include "support/stepped_server.hpp"
 
 using namespace dotterelstack;
@@ -220,3 +221,22 @@
         }
     }
 }
+
+// Guards against a process that is ended by a head whose first field line is folded.
+TEST_CASE("a folded line after an earlier answer ends no process") {
+    constexpr int rounds = 20;
+    for (const auto which : {reader::pooled, reader::async, reader::blocking}) {
+        CAPTURE(name_of(which));
+        test::scripted_server server{[](int, int, const std::string &text) {
+            const auto *line = text.starts_with("GET /folded") ? " Name: x\r\n" : "Name: x\r\n";
+            return test::scripted_answer{"HTTP/1.1 200 OK\r\n" + std::string{line} +
+                                         "Last-Name: x\r\nContent-Length: 1\r\n\r\nx"};
+        }};
+        caller it{which};
+        for (int n = 0; n < rounds; ++n) {
+            REQUIRE(it.call(server.address(), get, false).whole());
+            (void)it.call(server.address(), {"GET", "/folded", {}, ""}, false);
+        }
+        CHECK(server.requests() == 2 * rounds);
+    }
+}
