Read answers that come through libcurl with the same strict reader

Callers got answers in whose head the name of a field held a blank, a tab or a control byte, with that line passed on or without it, or with a body that the line would have framed otherwise ("Content-Length : 2"). So did every call to the store, to peers and of an agent to its backend servers.

Cause: libcurl 7.88 accepts such lines, and `curl_transfer` took each line with a colon for a field and left the others out. Servers of services without `MaxConnections` are read through it. `pooled_client` refused blanks and control bytes, but accepted delimiters and bytes above 127.

Now libcurl only carries bytes: `answer_reader` gets every line of a head and, with libcurl's decoding switched off, the body with its chunk lines and trailers. It alone tells fields, framing and whether the answer is whole, for both clients; a name must be a token (RFC 9110). A broken head is reported to nobody and ends the call as unknown, code `answer_unreadable`; so does what libcurl takes for HTTP/0.9. Trailers no longer count as fields of the head.

The limit of heads counted chunk lines, which would cut off long streams of small chunks now read here, and did so in `pooled_client`. Each chunk line has a limit of its own, 4 KiB.

--- a/src/http/answer_reader.cpp
+++ b/src/http/answer_reader.cpp
@@ -35,6 +35,13 @@
     return (value < first_printable && it != '\t') || value == del;
 }
 
+/** @return True for the characters of a token, RFC 9110, section 5.6.2. */
+bool is_token_char(char it) noexcept {
+    constexpr std::string_view marks{"!#$%&'*+-.^_`|~"};
+    const bool letter = (it >= 'a' && it <= 'z') || (it >= 'A' && it <= 'Z');
+    return letter || (it >= '0' && it <= '9') || marks.find(it) != std::string_view::npos;
+}
+
 /** @return The number that makes up the whole text, or nothing. */
 std::optional<std::uint64_t> to_number(std::string_view text, int base) noexcept {
     std::uint64_t out = 0;
@@ -45,17 +52,17 @@
 
 } // namespace internal
 
-bool answer_reader::take_line(std::string_view &in) {
+bool answer_reader::take_line(std::string_view &in, std::size_t &left) {
     if (std::exchange(line_taken_, false)) {
         line_.clear();
     }
     const auto end = in.find('\n');
     const auto n = end == std::string_view::npos ? in.size() : end + 1;
-    if (n > head_left_) {
+    if (n > left) {
         too_long_ = true;
         return false;
     }
-    head_left_ -= n;
+    left -= n;
     line_.append(in.substr(0, n));
     in.remove_prefix(n);
     if (end == std::string_view::npos) {
@@ -91,7 +98,7 @@
         return false;
     }
     const auto name = line.substr(0, colon);
-    if (name.find_first_of(" \t") != std::string_view::npos) {
+    if (!std::ranges::all_of(name, &internal::is_token_char)) {
         return false;
     }
     fields_.push_back({std::string{name}, std::string{internal::trimmed(line.substr(colon + 1))}});
@@ -147,7 +154,7 @@
 }
 
 read_step answer_reader::read_head(std::string_view &in) {
-    while (take_line(in)) {
+    while (take_line(in, head_left_)) {
         if (state_ == state::status_line) {
             if (!read_status(line_)) {
                 return read_step::malformed;
@@ -183,9 +190,10 @@
 }
 
 read_step answer_reader::read_chunk_line(std::string_view &in) {
-    if (!take_line(in)) {
+    if (!take_line(in, chunk_line_left_)) {
         return too_long_ ? read_step::too_long : read_step::more;
     }
+    chunk_line_left_ = chunk_line_limit;
     const auto size = std::string_view{line_}.substr(0, line_.find(';'));
     const auto value = internal::to_number(internal::trimmed(size), internal::hexadecimal);
     if (!value) {
@@ -197,7 +205,7 @@
 }
 
 read_step answer_reader::read_trailers(std::string_view &in) {
-    while (take_line(in)) {
+    while (take_line(in, head_left_)) {
         if (line_.empty()) {
             state_ = state::done;
             return read_step::done;
@@ -218,7 +226,7 @@
     case state::chunk:
         return read_part(in, state::chunk_end);
     case state::chunk_end:
-        if (!take_line(in)) {
+        if (!take_line(in, chunk_line_left_)) {
             return too_long_ ? read_step::too_long : read_step::more;
         }
         if (!line_.empty()) {
--- a/src/http/answer_reader.hpp
+++ b/src/http/answer_reader.hpp
@@ -18,7 +18,7 @@
     part,      /**< A part of the body; see `answer_reader::part`. */
     done,      /**< The answer is complete; what is left of the input does not belong to it. */
     malformed, /**< The input is no answer in HTTP/1.1. */
-    too_long   /**< Heads or trailers exceed their limit. */
+    too_long   /**< Heads and trailers, or a chunk line, exceed their limit. */
 };
 
 /**
@@ -29,7 +29,7 @@
 public:
     /**
      * @param method Method of the request.
-     * @param head_limit Bytes of all heads, chunk lines and trailers that are accepted.
+     * @param head_limit Bytes of all heads and trailers that are accepted; each chunk line has a limit of its own.
      */
     answer_reader(std::string_view method, std::size_t head_limit) noexcept
         : without_body_{method == "HEAD"}, head_left_{head_limit} {}
@@ -71,14 +71,18 @@
     [[nodiscard]] read_step read_part(std::string_view &in, state after);
     [[nodiscard]] read_step read_chunk_line(std::string_view &in);
     [[nodiscard]] read_step read_trailers(std::string_view &in);
-    [[nodiscard]] bool take_line(std::string_view &in);
+    [[nodiscard]] bool take_line(std::string_view &in, std::size_t &left);
     [[nodiscard]] bool read_status(std::string_view line);
     [[nodiscard]] bool read_field(std::string_view line);
     [[nodiscard]] bool choose_framing();
     [[nodiscard]] bool has_token(std::string_view name, std::string_view token) const;
 
+    // A longer one is no size; extensions are not used.
+    static constexpr std::size_t chunk_line_limit = 4096;
+
     const bool without_body_;
     std::size_t head_left_;
+    std::size_t chunk_line_left_{chunk_line_limit};
     state state_{state::status_line};
     bool too_long_{false};
     bool line_taken_{false}; /**< The line in `line_` has been returned, and the next one replaces it. */
--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -14,65 +14,63 @@
 
 // Longest wait for events of a transfer; only the limits of the call end it earlier.
 constexpr base::duration longest_poll = std::chrono::seconds{1};
-// Smaller statuses announce an answer that is yet to come.
-constexpr long first_final_status = 200;
-
-/** Subtracts from what is left; false when the response is longer than permitted. */
-bool within_limit(transfer &it, std::size_t &left, std::size_t n) {
-    it.too_long = it.too_long || n > left;
-    left -= std::min(left, n);
+/** @return False if the transfer must end. */
+bool take_part(transfer &it, std::string_view part) {
+    if (it.sink != nullptr && it.answer.status == 200) {
+        it.sink_stopped = !(*it.sink)(part);
+        return !it.sink_stopped;
+    }
+    const auto size = it.answer.body.size() + part.size();
+    it.too_long = size > it.body_limit || (it.held && !it.held->resize(size));
+    if (!it.too_long) {
+        it.answer.body.append(part);
+    }
     return !it.too_long;
 }
 
+void take_head(transfer &it) {
+    it.answer.status = it.reader->status();
+    it.answer.fields = it.reader->fields();
+    if (it.head != nullptr) {
+        (*it.head)(it.answer.status, it.answer.fields);
+    }
+}
+
+/** @return False if the transfer must end. */
+bool read_answer(transfer &it, std::string_view in) {
+    while (true) {
+        switch (it.reader->next(in)) {
+        case read_step::more:
+        case read_step::done:
+            return true;
+        case read_step::head:
+            take_head(it);
+            break;
+        case read_step::part:
+            if (!take_part(it, it.reader->part())) {
+                return false;
+            }
+            break;
+        case read_step::malformed:
+            it.malformed = true;
+            return false;
+        case read_step::too_long:
+            it.too_long = true;
+            return false;
+        }
+    }
+}
+
 std::size_t on_body(char *data, std::size_t size, std::size_t count, void *user) {
     auto &it = *static_cast<transfer *>(user);
     const std::string_view part{data, size * count};
     it.received += part.size();
-    if (it.sink != nullptr) {
-        long status = 0;
-        curl_easy_getinfo(it.handle, CURLINFO_RESPONSE_CODE, &status);
-        if (status == 200) {
-            if (!(*it.sink)(part)) {
-                it.sink_stopped = true;
-                return 0;
-            }
-            return part.size();
-        }
-    }
-    if (!within_limit(it, it.body_left, part.size())) {
-        return 0;
-    }
-    if (it.held && !it.held->resize(it.answer.body.size() + part.size())) {
-        it.too_long = true;
-        return 0;
-    }
-    it.answer.body.append(part);
-    return part.size();
+    return read_answer(it, part) ? part.size() : 0;
 }
 
 std::size_t on_header(char *data, std::size_t size, std::size_t count, void *user) {
-    auto &it = *static_cast<transfer *>(user);
-    std::string_view line{data, size * count};
-    const auto colon = line.find(':');
-    if (!within_limit(it, it.head_left, line.size())) {
-        return 0;
-    }
-    if (line.starts_with("HTTP/")) {
-        it.answer.fields.clear();
-    } else if (it.head != nullptr && (line == "\r\n" || line == "\n")) {
-        long status = 0;
-        curl_easy_getinfo(it.handle, CURLINFO_RESPONSE_CODE, &status);
-        if (status >= first_final_status) {
-            (*it.head)(static_cast<int>(status), it.answer.fields);
-        }
-    } else if (colon != std::string_view::npos) {
-        auto value = line.substr(colon + 1);
-        const auto first = value.find_first_not_of(" \t");
-        const auto last = value.find_last_not_of(" \t\r\n");
-        value = first == std::string_view::npos ? std::string_view{} : value.substr(first, last - first + 1);
-        it.answer.fields.push_back({std::string{line.substr(0, colon)}, std::string{value}});
-    }
-    return line.size();
+    const std::string_view line{data, size * count};
+    return read_answer(*static_cast<transfer *>(user), line) ? line.size() : 0;
 }
 
 std::size_t on_read(char *buf, std::size_t size, std::size_t count, void *user) {
@@ -186,7 +184,8 @@
     if (ec == CURLE_OPERATION_TIMEDOUT && request_bytes == 0 && sent_bytes == 0) {
         return {base::error_kind::unavailable, "connect_timeout", where + "; check that the server is reachable"};
     }
-    if (ec == CURLE_WEIRD_SERVER_REPLY) {
+    // libcurl takes a status line that it can't read for HTTP/0.9.
+    if (ec == CURLE_WEIRD_SERVER_REPLY || ec == CURLE_UNSUPPORTED_PROTOCOL || it.malformed) {
         return {base::error_kind::unknown_outcome, "answer_unreadable", where + "; the answer is not HTTP"};
     }
     const auto *code = ec == CURLE_OPERATION_TIMEDOUT ? "no_answer" : "connection_lost";
@@ -206,8 +205,8 @@
 
 void prepare(CURL *handle, transfer &it, std::string_view address, const call_options &options) {
     it.handle = handle;
-    it.head_left = options.head_limit;
-    it.body_left = options.body_limit;
+    it.reader.emplace(it.message.method, options.head_limit);
+    it.body_limit = options.body_limit;
     it.held = options.budget == nullptr ? nullptr : std::make_unique<base::byte_holding>(options.budget);
     const std::string url = "http://" + std::string{address} + it.message.target;
     it.headers = make_headers(it.message);
@@ -228,6 +227,7 @@
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &it);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &on_header);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &it);
+    curl_easy_setopt(handle, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
 }
 
 CURLcode perform(CURLM *connections, transfer &it, const call_options &options, base::duration longest) {
@@ -269,13 +269,14 @@
 }
 
 base::result<response> conclude(CURLcode ec, transfer &it, std::string_view address) {
-    long status = 0;
-    curl_easy_getinfo(it.handle, CURLINFO_RESPONSE_CODE, &status);
-    it.answer.status = static_cast<int>(status);
-    if (ec == CURLE_OK || it.sink_stopped) {
+    if (it.sink_stopped) {
+        return std::move(it.answer);
+    }
+    // libcurl reports an end of the connection that is not in order as an error.
+    if (ec == CURLE_OK && it.reader->is_whole_at(connection_end::orderly)) {
         return std::move(it.answer);
     }
-    return boost::outcome_v2::failure(describe(ec, it, address));
+    return boost::outcome_v2::failure(describe(ec == CURLE_OK ? CURLE_PARTIAL_FILE : ec, it, address));
 }
 
 } // namespace dotterelstack::http::internal
--- a/src/http/curl_transfer.hpp
+++ b/src/http/curl_transfer.hpp
@@ -3,8 +3,10 @@
 #include <cstddef>
 #include <curl/curl.h>
 #include <memory>
+#include <optional>
 #include <string_view>
 
+#include "http/answer_reader.hpp"
 #include "http/client.hpp"
 
 namespace dotterelstack::http::internal {
@@ -21,15 +23,16 @@
     const head_sink *head{nullptr};
     const final_check *check{nullptr};
     CURL *handle{nullptr};
+    std::optional<answer_reader> reader{}; /**< Gets all bytes of the answer; libcurl decodes none of them. */
     response answer{};
     std::size_t sent{0};
     bool checked{false};
     bool check_failed{false};
     bool sink_stopped{false};
-    std::size_t head_left{0}; /**< Bytes of heads that are still accepted. */
-    std::size_t body_left{0}; /**< Bytes of a body that is not streamed that are still accepted. */
+    std::size_t body_limit{0}; /**< Bytes of a body that is not streamed that are accepted. */
     bool too_long{false};
-    std::size_t received{0};                    /**< Bytes of the body. */
+    bool malformed{false};
+    std::size_t received{0};                    /**< Bytes of the body, with its chunk lines and trailers. */
     std::unique_ptr<base::byte_holding> held{}; /**< What the body has taken of the budget, if there is one. */
     list_ptr headers{nullptr, &curl_slist_free_all};
 };
--- a/test/http/broken_answers.cpp
+++ b/test/http/broken_answers.cpp
@@ -1,4 +1,5 @@
 #include <array>
+#include <atomic>
 #include <doctest/doctest.h>
 #include <functional>
 #include <future>
@@ -16,6 +17,8 @@
 
 using namespace dotterelstack;
 using namespace std::chrono_literals;
+using test::scripted_answer;
+using then = test::scripted_answer::then;
 
 namespace {
 
@@ -26,7 +29,9 @@
     blocking /**< `curl_client`. */
 };
 
-constexpr std::array readers{reader::pooled};
+constexpr std::array readers{reader::pooled, reader::async, reader::blocking};
+// Those that tell an orderly end of a connection from another one.
+constexpr std::array end_readers{reader::pooled};
 
 std::string name_of(reader which) {
     return which == reader::pooled ? "pooled" : which == reader::async ? "async" : "blocking";
@@ -104,6 +109,47 @@
 const http::request get{"GET", "/", {}, ""};
 const http::request post{"POST", "/", {}, "body"};
 
+/** Sends one answer to each reader, on a new and on a kept connection, and checks that no call takes it for whole. */
+void check_refused(const std::string &text, bool head_is_sound) {
+    std::atomic<int> sound_answers{0};
+    test::scripted_server server{[&](int, int, const std::string &) {
+        return sound_answers-- > 0 ? scripted_answer{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"}
+                                   : scripted_answer{text, then::close};
+    }};
+    for (const auto which : readers) {
+        caller it{which};
+        it.keep_connections_to(server.address());
+        for (const auto &message : {get, post}) {
+            for (const bool kept : {false, true}) {
+                for (const bool streamed : {false, true}) {
+                    CAPTURE(text);
+                    CAPTURE(name_of(which));
+                    CAPTURE(message.method);
+                    CAPTURE(kept);
+                    CAPTURE(streamed);
+                    sound_answers = kept ? 1 : 0;
+                    REQUIRE((!kept || it.call(server.address(), get, false).whole()));
+                    const int before = server.requests();
+                    const auto out = it.call(server.address(), message, streamed);
+                    CHECK(server.requests() == before + 1);
+                    CHECK_FALSE(out.whole());
+                    CHECK((out.whole() || out.end->error().kind == base::error_kind::unknown_outcome));
+                    CHECK((head_is_sound || out.heads.empty()));
+                    CHECK((head_is_sound || out.streamed.empty()));
+                }
+            }
+        }
+    }
+}
+
+std::string head_with(std::string_view line) {
+    return "HTTP/1.1 200 OK\r\n" + std::string{line} + "\r\nContent-Length: 5\r\n\r\nhello";
+}
+
+std::string chunked(std::string_view body) {
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string{body};
+}
+
 /** How a server ends the connection while the client is held. */
 enum class ending {
     reset,           /**< Resets it. */
@@ -160,7 +206,7 @@
 }
 
 void check_cut_off(const http::request &message, reading how_far, ending how) {
-    for (const auto which : readers) {
+    for (const auto which : end_readers) {
         for (const bool streamed : {false, true}) {
             for (const int status : {200, 500}) {
                 // Without a head or a part that is handed over there is nothing that holds the client.
@@ -229,8 +275,8 @@
         CAPTURE(name_of(which));
         test::scripted_server server{[](int, int, const std::string &text) {
             const auto *line = text.starts_with("GET /folded") ? " Name: x\r\n" : "Name: x\r\n";
-            return test::scripted_answer{"HTTP/1.1 200 OK\r\n" + std::string{line} +
-                                         "Last-Name: x\r\nContent-Length: 1\r\n\r\nx"};
+            return scripted_answer{"HTTP/1.1 200 OK\r\n" + std::string{line} +
+                                   "Last-Name: x\r\nContent-Length: 1\r\n\r\nx"};
         }};
         caller it{which};
         for (int n = 0; n < rounds; ++n) {
@@ -240,3 +286,82 @@
         CHECK(server.requests() == 2 * rounds);
     }
 }
+
+const std::vector<std::string> broken_lines{
+    "Bad Name: x",
+    "Name : x",
+    "Name\t: x",
+    " Name: x",
+    "\tName: x",
+    "Na\x01me: x",
+    "Na\x7fme: x",
+    "Na\rme: x",
+    std::string{"Na\0me: x", 8},
+    "Na\x0bme: x",
+    "Name\x01: x",
+    "\x01Name: x",
+    "Na(me): x",
+    "Na\xc3\xa4me: x",
+    ": x",
+    "no colon",
+    "HTTP/1.1 200 OK",
+    "Content-Length : 2",
+    "Transfer-Encoding : chunked",
+    "Name: x\x01y",
+    "Name: x\ry",
+    std::string{"Name: x\0y", 9},
+};
+
+// Guards against a field that is passed on although its name is none, and against a body that is framed by it.
+TEST_CASE("an answer with a broken line in its head is broken") {
+    for (const auto &line : broken_lines) {
+        check_refused(head_with(line), false);
+        check_refused(head_with("Name: x\r\n" + line), false);
+        check_refused("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + line + "\r\n\r\nhello", false);
+        check_refused("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\nhello", false);
+        check_refused("HTTP/1.1 503 Busy\r\n" + line + "\r\nContent-Length: 5\r\n\r\nhello", false);
+    }
+    check_refused("HTTP/1.1 100 Continue\r\nBad Name: x\r\n\r\n" + head_with("Name: x"), false);
+}
+
+// Guards against long answers that are cut off, and against wrong bodies, through what frames them.
+TEST_CASE("sound answers of all framings arrive whole through all readers") {
+    std::string many;
+    for (int n = 0; n < 40'000; ++n) {
+        many += "1;a=b\r\nx\r\n";
+    }
+    const std::string hello{
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX!#$%&'*+-.^_`|~9: \xc3\xa4\tb\r\nEmpty:\r\n"};
+    const std::vector<std::pair<std::string, std::string>> answers{
+        {hello + "Content-Length: 5\r\n\r\nhello", "hello"},
+        {hello + "Content-Length: 0\r\n\r\n", ""},
+        {hello + "\r\nhello", "hello"},
+        {hello + "\r\n", ""},
+        {"HTTP/1.0 200 OK\r\n\r\nhello", "hello"},
+        {"HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nhello", "hello"},
+        {"HTTP/1.1 200 OK\nContent-Length: 5\n\nhello", "hello"},
+        {"HTTP/1.1 100 Continue\r\nA: b\r\n\r\n" + hello + "Content-Length: 5\r\n\r\nhello", "hello"},
+        {chunked("5 ; a=\"b c\"\r\nhello\r\n1\r\n!\r\n0\r\nTrailer: 1\r\n\r\n"), "hello!"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n5\r\nhello\r\n000\r\n\r\n", "hello"},
+        {chunked(many + "0\r\n\r\n"), std::string(40'000, 'x')},
+    };
+    for (const auto which : readers) {
+        for (const auto &[text, body] : answers) {
+            for (const bool streamed : {false, true}) {
+                CAPTURE(name_of(which));
+                CAPTURE(text.substr(0, 200));
+                CAPTURE(streamed);
+                const auto &answer = text;
+                test::scripted_server server{[&answer](int, int, const std::string &) {
+                    return scripted_answer{answer, then::close};
+                }};
+                caller it{which};
+                const auto out = it.call(server.address(), post, streamed);
+                REQUIRE(out.whole());
+                CHECK((streamed ? out.streamed : out.body()) == body);
+                CHECK(out.end->value().status == 200);
+                CHECK((which == reader::blocking || out.heads == std::vector<int>{200}));
+            }
+        }
+    }
+}
