Refuse statuses outside of 100 to 599 and broken status lines

Statuses 000, 099, 99, of four digits and not of digits were refused already, by `answer_reader` and by libcurl; their tests stay. Callers still got answers with 600 to 999, which RFC 9110 calls invalid, with a control byte in the reason and, on kept connections, with a version like "HTTP/1.x".

Cause: a status was any number from 100 on, and the rest of the line was not read. `to_status` now tells what a status is, for all readers of answers.

--- a/src/http/answer_reader.cpp
+++ b/src/http/answer_reader.cpp
@@ -5,16 +5,15 @@
 #include <strings.h>
 #include <utility>
 
+#include "http/status.hpp"
+
 namespace dotterelstack::http {
 
 namespace internal {
 
-constexpr int first_final_status = 200;
 constexpr int switching_protocols = 101;
 constexpr std::string_view version_prefix{"HTTP/1."};
-// "HTTP/1.1 200" without the reason.
-constexpr std::size_t shortest_status_line = 12;
-constexpr std::size_t status_offset = 9;
+constexpr std::size_t version_size = 8;
 constexpr std::size_t status_digits = 3;
 constexpr int hexadecimal = 16;
 
@@ -77,17 +76,22 @@
 }
 
 bool answer_reader::read_status(std::string_view line) {
-    if (line.size() < internal::shortest_status_line || !line.starts_with(internal::version_prefix) ||
-        line[internal::status_offset - 1] != ' ') {
+    if (line.size() < internal::version_size || !line.starts_with(internal::version_prefix) ||
+        std::ranges::any_of(line, &internal::is_control)) {
+        return false;
+    }
+    const char minor_version = line[internal::version_size - 1];
+    const auto rest = line.substr(internal::version_size);
+    if (minor_version < '0' || minor_version > '9' || !rest.starts_with(' ')) {
         return false;
     }
-    const auto number = internal::to_number(line.substr(internal::status_offset, internal::status_digits), 10);
-    constexpr std::size_t reason = internal::status_offset + internal::status_digits;
-    if (!number || *number < 100 || (line.size() > reason && line[reason] != ' ')) {
+    const auto number = to_status(rest.substr(1, internal::status_digits));
+    const auto reason = rest.substr(std::min(rest.size(), 1 + internal::status_digits));
+    if (!number || (!reason.empty() && reason.front() != ' ')) {
         return false;
     }
-    status_ = static_cast<int>(*number);
-    old_version_ = line[internal::version_prefix.size()] == '0';
+    status_ = *number;
+    old_version_ = minor_version == '0';
     fields_.clear();
     return true;
 }
@@ -164,7 +168,7 @@
             if (!read_field(line_)) {
                 return read_step::malformed;
             }
-        } else if (status_ >= internal::first_final_status) {
+        } else if (status_ >= first_final_status) {
             return choose_framing() ? read_step::head : read_step::malformed;
         } else if (status_ == internal::switching_protocols) {
             return read_step::malformed;
--- a/test/http/broken_answers.cpp
+++ b/test/http/broken_answers.cpp
@@ -285,6 +285,24 @@
     }
 }
 
+// Guards against a status that is none being handed to a caller.
+TEST_CASE("an answer without a valid status is broken") {
+    for (const auto *status : {"000 OK", "000", "099 OK", "99 OK", "99", "2000 OK", "0200 OK", "20x OK", "+20 OK",
+                               "-20 OK", " 200 OK", "200OK", "200\tOK", "600 OK", "999 OK", "", "OK"}) {
+        check_refused("HTTP/1.1 " + std::string{status} + "\r\nContent-Length: 5\r\n\r\nhello", false);
+        check_refused("HTTP/1.1 " + std::string{status} + "\r\n\r\nhello", false);
+    }
+    for (const auto *line :
+         {"HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.x 200 OK", "HTTP/1.12 200 OK", "HTTP/2 200 OK",
+          "HTTP/2.0 200 OK", "http/1.1 200 OK", " HTTP/1.1 200 OK", "200 OK", "HTTP/1.", "HTTP/1.1", "HTTP/1.1 "}) {
+        check_refused(std::string{line} + "\r\nContent-Length: 5\r\n\r\nhello", false);
+    }
+    check_refused(std::string{"HTTP/1.1 200 O\0K\r\nContent-Length: 5\r\n\r\nhello", 45}, false);
+    check_refused("HTTP/1.1 200 O\rK\r\nContent-Length: 5\r\n\r\nhello", false);
+    check_refused("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nhello", false);
+    check_refused("HTTP/1.1 000 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false);
+}
+
 const std::vector<std::string> broken_lines{
     "Bad Name: x",
     "Name : x",
