Refuse an answer with a broken line among its trailers

Callers got an answer as whole whose end was not one: a line without a colon, a name with a blank or a control byte, or the head of another answer among the trailers, before the empty line that ends it.

Cause: `answer_reader` skipped the lines of trailers unread, and through libcurl they were taken for fields of the head.

--- a/src/http/answer_reader.cpp
+++ b/src/http/answer_reader.cpp
@@ -41,6 +41,16 @@
     return letter || (it >= '0' && it <= '9') || marks.find(it) != std::string_view::npos;
 }
 
+/** @return The name in a field line, or nothing if the line is no field. What follows its colon is the value. */
+std::optional<std::string_view> field_name(std::string_view line) noexcept {
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0 || std::ranges::any_of(line, &is_control)) {
+        return std::nullopt;
+    }
+    const auto name = line.substr(0, colon);
+    return std::ranges::all_of(name, &is_token_char) ? std::optional{name} : std::nullopt;
+}
+
 /** @return The number that makes up the whole text, or nothing. */
 std::optional<std::uint64_t> to_number(std::string_view text, int base) noexcept {
     std::uint64_t out = 0;
@@ -97,16 +107,11 @@
 }
 
 bool answer_reader::read_field(std::string_view line) {
-    const auto colon = line.find(':');
-    if (colon == std::string_view::npos || colon == 0 || std::ranges::any_of(line, &internal::is_control)) {
-        return false;
+    const auto name = internal::field_name(line);
+    if (name) {
+        fields_.push_back({std::string{*name}, std::string{internal::trimmed(line.substr(name->size() + 1))}});
     }
-    const auto name = line.substr(0, colon);
-    if (!std::ranges::all_of(name, &internal::is_token_char)) {
-        return false;
-    }
-    fields_.push_back({std::string{name}, std::string{internal::trimmed(line.substr(colon + 1))}});
-    return true;
+    return name.has_value();
 }
 
 bool answer_reader::has_token(std::string_view name, std::string_view token) const {
@@ -214,6 +219,9 @@
             state_ = state::done;
             return read_step::done;
         }
+        if (!internal::field_name(line_)) {
+            return read_step::malformed;
+        }
     }
     return too_long_ ? read_step::too_long : read_step::more;
 }
--- a/test/http/broken_answers.cpp
+++ b/test/http/broken_answers.cpp
@@ -340,6 +340,14 @@
     check_refused("HTTP/1.1 100 Continue\r\nBad Name: x\r\n\r\n" + head_with("Name: x"), false);
 }
 
+// Guards against a broken end of an answer that makes it a whole one.
+TEST_CASE("an answer with a broken line among its trailers is broken") {
+    for (const auto &line : broken_lines) {
+        check_refused(chunked("5\r\nhello\r\n0\r\n" + line + "\r\n\r\n"), true);
+        check_refused(chunked("5\r\nhello\r\n0\r\nName: x\r\n" + line + "\r\n\r\n"), true);
+    }
+}
+
 // Guards against long answers that are cut off, and against wrong bodies, through what frames them.
 TEST_CASE("sound answers of all framings arrive whole through all readers") {
     std::string many;
