Refuse an answer with a broken chunk line

Callers got an answer as whole although one of its chunk lines began with a blank or held a control byte, so that its body may have ended elsewhere than its server meant. Chunk data without its end, sizes with other bytes in them, and answers without their last chunk or the line after it were refused already; their tests stay.

Cause: blanks on both sides of the size were dropped, and extensions were not read. `chunk_size` allows blanks behind the size only, and no control bytes.

--- a/src/http/answer_reader.cpp
+++ b/src/http/answer_reader.cpp
@@ -59,6 +59,15 @@
     return ec == std::errc{} && it == end && !text.empty() ? std::optional{out} : std::nullopt;
 }
 
+/** @return Bytes of the chunk that a line announces, or nothing. Blanks may follow the size, as before extensions. */
+std::optional<std::uint64_t> chunk_size(std::string_view line) noexcept {
+    if (std::ranges::any_of(line, &is_control)) {
+        return std::nullopt;
+    }
+    const auto size = line.substr(0, line.find(';'));
+    return to_number(size.substr(0, size.find_last_not_of(" \t") + 1), hexadecimal);
+}
+
 } // namespace internal
 
 bool answer_reader::take_line(std::string_view &in, std::size_t &left) {
@@ -203,8 +212,7 @@
         return too_long_ ? read_step::too_long : read_step::more;
     }
     chunk_line_left_ = chunk_line_limit;
-    const auto size = std::string_view{line_}.substr(0, line_.find(';'));
-    const auto value = internal::to_number(internal::trimmed(size), internal::hexadecimal);
+    const auto value = internal::chunk_size(line_);
     if (!value) {
         return read_step::malformed;
     }
--- a/test/http/broken_answers.cpp
+++ b/test/http/broken_answers.cpp
@@ -348,6 +348,21 @@
     }
 }
 
+// Guards against a body that ends elsewhere than the server meant.
+TEST_CASE("an answer with a broken chunk line is broken") {
+    for (const auto &line :
+         std::vector<std::string>{"", " 5", "5x", "5 5", "+5", "-5", "0x5", "5\x01", "5\r", "5;a\x01", "5;a\rb",
+                                  std::string{"5;\0", 3}, "5,", "g", "10000000000000000", "10000000000000005"}) {
+        check_refused(chunked(line + "\r\nhello\r\n0\r\n\r\n"), true);
+    }
+    check_refused(chunked("5\r\nhello0\r\n\r\n"), true);
+    check_refused(chunked("5\r\nhelloxx\r\n0\r\n\r\n"), true);
+    check_refused(chunked("5\r\nhello\r\n"), true);
+    check_refused(chunked("5\r\nhello\r\n0\r\n"), true);
+    check_refused(chunked("5\r\nhello\r\n0\r\nName: x\r\n"), true);
+    check_refused(chunked("5\r\nhell"), true);
+}
+
 // Guards against long answers that are cut off, and against wrong bodies, through what frames them.
 TEST_CASE("sound answers of all framings arrive whole through all readers") {
     std::string many;
