Refuse an answer with a transfer coding that is not decoded

Callers got a body in a coding which its head no longer named, as complete: the gateway drops Transfer-Encoding, which belongs to the connection, and "gzip", "identity" or "chunked, chunked" were read to the end of the connection or as simple chunks. Lengths that are no number, or differ, were refused already.

Cause: `chunked` was looked for anywhere in the list, and any other coding was taken for an answer that ends with its connection. Now the field may only be "chunked", once, and not from HTTP/1.0 (RFC 9112, section 6.1). An answer with a length besides the chunks is still read by its chunks, as the RFC allows, and its connection not kept.

--- a/src/http/answer_reader.cpp
+++ b/src/http/answer_reader.cpp
@@ -152,11 +152,20 @@
         }
         length = value;
     }
-    const bool encoded = find_field(fields_, "Transfer-Encoding").has_value();
-    const bool chunked = has_token("Transfer-Encoding", "chunked");
+    bool chunked = false;
+    for (const auto &it : fields_) {
+        if (!internal::same_text(it.name, "Transfer-Encoding")) {
+            continue;
+        }
+        // No other coding is asked for or decoded, and HTTP/1.0 has none.
+        if (chunked || old_version_ || !internal::same_text(it.value, "chunked")) {
+            return false;
+        }
+        chunked = true;
+    }
     // Both together leave open where the answer ends.
-    persistent_ = !old_version_ && !has_token("Connection", "close") && !(encoded && length);
-    framed_ = chunked || (length && !encoded);
+    persistent_ = !old_version_ && !has_token("Connection", "close") && !(chunked && length);
+    framed_ = chunked || length;
     if (without_body_ || status_ == 204 || status_ == 304) {
         framed_ = true;
         state_ = state::done;
--- a/test/http/broken_answers.cpp
+++ b/test/http/broken_answers.cpp
@@ -363,6 +363,21 @@
     check_refused(chunked("5\r\nhell"), true);
 }
 
+// Guards against a body that is passed on in a form which the caller does not know, or with an end in doubt.
+TEST_CASE("an answer with a framing that the readers do not know is broken") {
+    for (const auto *fields :
+         {"Transfer-Encoding: gzip", "Transfer-Encoding: identity", "Transfer-Encoding: chunked, gzip",
+          "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, chunked", "Transfer-Encoding: xchunked",
+          "Transfer-Encoding:", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: gzip\r\nContent-Length: 15", "Content-Length: x",
+          "Content-Length:", "Content-Length: +15", "Content-Length: -1", "Content-Length: 15x", "Content-Length: 1 5",
+          "Content-Length: 15, 15", "Content-Length: 15\r\nContent-Length: 5",
+          "Content-Length: 99999999999999999999"}) {
+        check_refused("HTTP/1.1 200 OK\r\n" + std::string{fields} + "\r\n\r\n5\r\nhello\r\n0\r\n\r\n", false);
+    }
+    check_refused("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", false);
+}
+
 // Guards against long answers that are cut off, and against wrong bodies, through what frames them.
 TEST_CASE("sound answers of all framings arrive whole through all readers") {
     std::string many;
