Refuse a status that is none over HTTP/2, and skip informational answers

An entry would take an answer of an agent or of another entry with the status 000, 099 or 600 for an answer, and an informational one (103) for the final one, whose own head it then ignored. Our agents and entries send neither; nothing was seen outside of tests.

Cause: nghttp2 accepts any three digits, and the first head of a stream counted as its answer. A status that `to_status` refuses now resets the stream, so that the call ends as unknown; heads below 200 are passed over.

Names and values of fields that are none, streams that are cut off, and bodies that differ from their content-length were refused by nghttp2 already: their tests stay, and nothing else is changed for them.

--- a/src/transport/h2_client.cpp
+++ b/src/transport/h2_client.cpp
@@ -12,6 +12,7 @@
 #include <set>
 #include <vector>
 
+#include "http/status.hpp"
 #include "http/time_limit.hpp"
 
 namespace dotterelstack::transport {
@@ -134,12 +135,15 @@
         if (it == calls_.end() || it->second.head_seen) {
             return;
         }
-        it->second.head_seen = true;
         int status = 0;
         if (!fields.empty() && fields.front().name == ":status") {
-            status = std::stoi(fields.front().value);
+            status = http::to_status(fields.front().value).value_or(0);
             fields.erase(fields.begin());
         }
+        if (status < http::first_final_status) {
+            return;
+        }
+        it->second.head_seen = true;
         it->second.handlers.on_head(status, fields);
     }
 
--- a/src/transport/h2_connection.cpp
+++ b/src/transport/h2_connection.cpp
@@ -8,6 +8,8 @@
 #include <sys/socket.h>
 #include <utility>
 
+#include "http/status.hpp"
+
 namespace dotterelstack::transport::internal {
 
 namespace {
@@ -40,9 +42,13 @@
     static int header(nghttp2_session * /*session*/, const nghttp2_frame *frame, const std::uint8_t *name,
                       std::size_t name_size, const std::uint8_t *value, std::size_t value_size, std::uint8_t /*flags*/,
                       void *user) {
-        self(user).incoming_fields_[frame->hd.stream_id].push_back(
-            {std::string{reinterpret_cast<const char *>(name), name_size},
-             std::string{reinterpret_cast<const char *>(value), value_size}});
+        http::field it{std::string{reinterpret_cast<const char *>(name), name_size},
+                       std::string{reinterpret_cast<const char *>(value), value_size}};
+        // nghttp2 accepts any three digits.
+        if (it.name == ":status" && !http::to_status(it.value)) {
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+        }
+        self(user).incoming_fields_[frame->hd.stream_id].push_back(std::move(it));
         return 0;
     }
 
