Read the status of a service that an agent states as a status

An entry would give a caller the status 99, 20 (of "20x") or 2000 if an agent stated one in `ds-status`. An agent reads the answers of its service strictly and can't come to state one; nothing was seen outside of tests.

Cause: the field was read as the number at its begin, whatever followed. It is now what `to_status` accepts, from 200 on, or the answer is broken: the agent is probed, and a call that may have run is not repeated.

Evidence: `an answer of an agent without a valid status of its service is broken` failed at "099" before and passes now.

--- a/src/entry/service_exchange.cpp
+++ b/src/entry/service_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "http/status.hpp"
+
 namespace dotterelstack::entry {
 
 namespace internal {
@@ -23,7 +25,7 @@
 }
 
 void service_exchange::on_response_head(const http::field_list &fields) {
-    status_ = static_cast<int>(internal::numeric_field(fields, "ds-status"));
+    status_ = http::to_status(http::find_field(fields, "ds-status").value_or("")).value_or(0);
     content_type_ = http::find_field(fields, "ds-content-type").value_or("");
     total_ = internal::numeric_field(fields, "ds-total");
 }
@@ -40,8 +42,8 @@
 }
 
 dispatch::call_event_result service_exchange::on_end(dispatch::call_end how, const http::response & /*answer*/) {
-    const bool received_all =
-        how == dispatch::call_end::complete && !was_refused() && status_ != 0 && body_.size() == total_;
+    const bool received_all = how == dispatch::call_end::complete && !was_refused() &&
+                              status_ >= http::first_final_status && body_.size() == total_;
     return received_all ? dispatch::call_event_result{dispatch::call_complete{}} : failure(how);
 }
 
--- a/test/entry/dispatcher.cpp
+++ b/test/entry/dispatcher.cpp
@@ -363,6 +363,24 @@
     }
 }
 
+// Guards against a status that is none, or the begin of one, being handed to a caller.
+TEST_CASE("an answer of an agent without a valid status of its service is broken") {
+    for (const std::string status : {"", "000", "099", "103", "20x", "2000", "600", "-1"}) {
+        CAPTURE(status);
+        fixture it;
+        const auto caller = it.call("POST", "/bookings");
+        const auto run = it.agents.runs.at(0);
+        it.dispatcher.on_head(run.call, 200, {{"ds-status", status}, {"ds-total", "2"}});
+        it.dispatcher.on_data(run.call, "ok");
+        it.dispatcher.on_end(run.call, call_end::complete);
+        it.dispatcher.on_cancel_outcome(run.field("ds-request"), "finished");
+        REQUIRE(caller->answers.size() == 1);
+        CHECK(caller->answers[0].status == 502);
+        CHECK(caller->ran() == "unknown");
+        CHECK(it.agents.runs.size() == 1);
+    }
+}
+
 // Guards against a caller that waits without end for a probe that is never answered.
 TEST_CASE("a probe without an answer ends as unknown after its time-out") {
     fixture it;
