--- a/test/support/forward_site.cpp
+++ b/test/support/forward_site.cpp
@@ -56,6 +56,14 @@
     (void)runners_[id]->address("runner");
 }
 
+void forward_site::register_server(const std::string &id, const std::string &address) {
+    const json entry{
+        {"Service", "desk"}, {"Address", address}, {"Zone", "east"},       {"Version", "v1"},
+        {"Slots", 6},        {"State", "ready"},   {"ColdRemainingMs", 0}, {"Sequence", ++server_sequence_}};
+    const json body{{"Metadata", {{"Name", id}}}, {"Spec", entry}};
+    (void)client_.call(store_, {"PUT", "/objects/servers/" + id, {}, body.dump()}, {});
+}
+
 void forward_site::kill_runner(const std::string &id) {
     auto node = runners_.extract(id);
     node.mapped()->signal(SIGKILL);
@@ -145,9 +153,13 @@
         const auto prefix = "idle-" + std::to_string(n);
         routes.push_back(route(prefix, "safe", "desk", 3));
     }
+    json desk{{"Name", "desk"}};
+    if (max_connections_ > 0) {
+        desk["MaxConnections"] = max_connections_;
+    }
     return {{"Version", ++version_},
             {"Routes", std::move(routes)},
-            {"Services", {{{"Name", "llm"}, {"Engine", {{"Slots", 6}}}}, {{"Name", "desk"}}}},
+            {"Services", {{{"Name", "llm"}, {"Engine", {{"Slots", 6}}}}, std::move(desk)}},
             {"Tenants", {std::move(organisation)}}};
 }
 
--- a/test/support/forward_site.hpp
+++ b/test/support/forward_site.hpp
@@ -41,6 +41,9 @@
      */
     void start_runner(const std::string &id, const std::string &stage, const std::vector<std::string> &more = {});
 
+    /** @brief Writes the entry of a server of the booking service that the test runs itself. Entries lapse soon. */
+    void register_server(const std::string &id, const std::string &address);
+
     /** @brief Drops the runners that have ended by themselves; what they ran stays known. @return Their ids. */
     std::vector<std::string> drop_ended_runners();
 
@@ -75,6 +78,9 @@
     /** @brief Sets the latency objective of all routes in later configurations. */
     void set_objective_ms(int objective_ms) noexcept { objective_ms_ = objective_ms; }
 
+    /** @brief Sets the connections to servers that later configurations permit to keep; 0 for none. */
+    void set_max_connections(int max_connections) noexcept { max_connections_ = max_connections; }
+
     /** @brief Sets how many routes without traffic later configurations have. */
     void set_idle_routes(int idle_routes) noexcept { idle_routes_ = idle_routes; }
 
@@ -161,6 +167,8 @@
     std::uint64_t version_{1};
     int objective_ms_{2000};
     int idle_routes_{0};
+    int max_connections_{0};
+    std::uint64_t server_sequence_{0};
     int memory_mb_{256};
     int descriptors_{4096};
     bool fresh_connections_{false};
