Read the whole body of a request in the stepped server

The server of the sound cases counted the head as a part of the body, so that it could close the connection with the last bytes of the request unread, which resets it, and the answer was rightly broken.

--- a/test/http/broken_answers.cpp
+++ b/test/http/broken_answers.cpp
@@ -187,7 +187,7 @@
     });
     server.read_until("\r\n\r\n");
     if (how_far == reading::all) {
-        server.read_total(message.body.size());
+        server.read_body(message.body.size());
     }
     server.send("HTTP/1.1 " + std::to_string(status) + " X\r\nA: b\r\n\r\nfirst part");
     reached.get_future().wait();
--- a/test/support/stepped_server.cpp
+++ b/test/support/stepped_server.cpp
@@ -64,9 +64,11 @@
     }
 }
 
-void stepped_server::read_total(std::size_t bytes) {
-    accept();
-    while (received_.size() < bytes) {
+void stepped_server::read_body(std::size_t bytes) {
+    constexpr std::string_view end_of_head{"\r\n\r\n"};
+    read_until(end_of_head);
+    const auto whole = received_.find(end_of_head) + end_of_head.size() + bytes;
+    while (received_.size() < whole) {
         read_more();
     }
 }
--- a/test/support/stepped_server.hpp
+++ b/test/support/stepped_server.hpp
@@ -23,8 +23,8 @@
     /** @brief Waits for a connection, and reads from it until a text has come; what follows it may be read, too. */
     void read_until(std::string_view text);
 
-    /** @brief Reads until this many bytes of the connection have been read in all. */
-    void read_total(std::size_t bytes);
+    /** @brief Reads until this many bytes have come after the first empty line. */
+    void read_body(std::size_t bytes);
 
     void send(std::string_view text) const;
 
