Accept an upload that libcurl has written twice as written

No caller was seen to be affected; found while reading the change. Where libcurl repeats a request that may arrive twice, on a new connection, its count of written bytes may go beyond the body, and an answer without a length would have been called broken. Not shown by a test: our own processes frame their answers.

--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -15,6 +15,7 @@
 
 // Longest wait for events of a transfer; only the limits of the call end it earlier.
 constexpr base::duration longest_poll = std::chrono::seconds{1};
+
 /** @return False if the transfer must end. */
 bool take_part(transfer &it, std::string_view part) {
     if (it.sink != nullptr && it.answer.status == 200) {
@@ -236,7 +237,7 @@
         auto &user = *it.mapped();
         curl_off_t written = 0;
         curl_easy_getinfo(user.handle, CURLINFO_SIZE_UPLOAD_T, &written);
-        user.end = end_of_connection(socket, static_cast<std::size_t>(written) == user.message.body.size());
+        user.end = end_of_connection(socket, static_cast<std::size_t>(written) >= user.message.body.size());
     }
     return ::close(socket);
 }
