Let the soak have servers with broken answers

Every second faulty server of a soak sends broken answers instead of bytes without end: resets without a length, broken names and trailers, a status 000 and an unknown coding. The draws of the series are unchanged.

Clients take no answer for whole that isn't the runner's, as before.

--- a/test/process/soak.cpp
+++ b/test/process/soak.cpp
@@ -10,6 +10,7 @@
 #include "process/soak_clients.hpp"
 #include "process/soak_gateways.hpp"
 #include "support/endless_server.hpp"
+#include "support/scripted_server.hpp"
 #include "support/site.hpp"
 
 using namespace dotterelstack;
@@ -186,7 +187,7 @@
         case 14:
             return write_unreadable();
         case 15:
-            return add_endless_server();
+            return add_faulty_server();
         case 17:
             stop(n);
             return stop((n + 1) % gateways_->size());
@@ -281,15 +282,39 @@
         site_.write_foreign("servers/" + name, texts.at(static_cast<std::size_t>(draw(0, 5))));
     }
 
-    /** Adds a desk that answers each request with bytes without end. */
-    void add_endless_server() {
-        endless_.push_back(
-            std::make_unique<test::endless_server>("HTTP/1.1 500 Broken\r\n\r\n", std::string(65536, 'x')));
-        const nlohmann::json entry{{"Service", "desk"},    {"Address", endless_.back()->address()},
-                                   {"Zone", "east"},       {"Version", "v1"},
-                                   {"Slots", 6},           {"State", "ready"},
-                                   {"ColdRemainingMs", 0}, {"Sequence", 1}};
-        site_.write_foreign("servers/endless-" + std::to_string(endless_.size()), entry.dump());
+    /** Adds a desk that answers each request with bytes without end or, in turn, one whose answers are broken. */
+    void add_faulty_server() {
+        const auto n = endless_.size() + broken_.size() + 1;
+        std::string address;
+        if (n % 2 == 1) {
+            endless_.push_back(
+                std::make_unique<test::endless_server>("HTTP/1.1 500 Broken\r\n\r\n", std::string(65536, 'x')));
+            address = endless_.back()->address();
+        } else {
+            broken_.push_back(std::make_unique<test::scripted_server>(&broken_answer));
+            address = broken_.back()->address();
+        }
+        site_.write_foreign("servers/faulty-" + std::to_string(n), test::desk_entry(address, 1).dump());
+    }
+
+    /** @return An answer that is never whole, of another kind for each request on a connection and each connection. */
+    static test::scripted_answer broken_answer(int connection, int request, const std::string &text) {
+        using then = test::scripted_answer::then;
+        const auto at = text.find("Attempt-Id: ");
+        const auto id = at == std::string::npos ? "" : text.substr(at, text.find('\n', at) + 1 - at);
+        const auto head = "HTTP/1.1 200 OK\r\nResponse-Signature: broken\r\n" + id;
+        switch ((connection + request) % 5) {
+        case 0:
+            return {head + "\r\nhello", then::reset};
+        case 1:
+            return {head + "Bad Name: x\r\nContent-Length: 5\r\n\r\nhello"};
+        case 2:
+            return {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nBad Name: x\r\n\r\n"};
+        case 3:
+            return {"HTTP/1.1 000 OK\r\n" + id + "Content-Length: 5\r\n\r\nhello"};
+        default:
+            return {head + "Transfer-Encoding: gzip\r\n\r\nhello", then::close};
+        }
     }
 
     void start_desk(const std::string &id) { site_.start_runner(id, "", {"--crash-target", "/read/bad/1"}); }
@@ -340,6 +365,7 @@
     const unsigned int seed_;
     const bool large_; /**< The configuration is large, and the links to the store are slow. */
     std::vector<std::unique_ptr<test::endless_server>> endless_;
+    std::vector<std::unique_ptr<test::scripted_server>> broken_;
     test::forward_site site_;
     std::unique_ptr<test::soak_gateways> gateways_;
     std::unique_ptr<test::soak_clients> clients_;
--- a/test/support/forward_site.cpp
+++ b/test/support/forward_site.cpp
@@ -30,6 +30,11 @@
 
 } // namespace internal
 
+json desk_entry(const std::string &address, std::uint64_t sequence) {
+    return {{"Service", "desk"}, {"Address", address}, {"Zone", "east"},       {"Version", "v1"},
+            {"Slots", 6},        {"State", "ready"},   {"ColdRemainingMs", 0}, {"Sequence", sequence}};
+}
+
 std::string whole_stream(const std::string &id, int events) {
     std::string out;
     for (int n = 1; n <= events; ++n) {
@@ -57,10 +62,7 @@
 }
 
 void forward_site::register_server(const std::string &id, const std::string &address) {
-    const json entry{
-        {"Service", "desk"}, {"Address", address}, {"Zone", "east"},       {"Version", "v1"},
-        {"Slots", 6},        {"State", "ready"},   {"ColdRemainingMs", 0}, {"Sequence", ++server_sequence_}};
-    const json body{{"Metadata", {{"Name", id}}}, {"Spec", entry}};
+    const json body{{"Metadata", {{"Name", id}}}, {"Spec", desk_entry(address, ++server_sequence_)}};
     (void)client_.call(store_, {"PUT", "/objects/servers/" + id, {}, body.dump()}, {});
 }
 
--- a/test/support/forward_site.hpp
+++ b/test/support/forward_site.hpp
@@ -174,6 +174,9 @@
     bool fresh_connections_{false};
 };
 
+/** @return The entry of a server of the booking service that the test runs itself. */
+[[nodiscard]] nlohmann::json desk_entry(const std::string &address, std::uint64_t sequence);
+
 /** @return The whole stream that the runner makes for a request. */
 [[nodiscard]] std::string whole_stream(const std::string &id, int events);
 
