Fix what the linter found in the tests of broken answers

A text of 44 bytes was taken with 45, so that its last byte was undefined; and bindings were captured by lambdas, which clang does not compile in C++20. Both programs pass.

--- a/test/http/broken_answers.cpp
+++ b/test/http/broken_answers.cpp
@@ -17,6 +17,7 @@
 
 using namespace dotterelstack;
 using namespace std::chrono_literals;
+using namespace std::string_literals;
 using test::scripted_answer;
 using then = test::scripted_answer::then;
 
@@ -297,7 +298,7 @@
           "HTTP/2.0 200 OK", "http/1.1 200 OK", " HTTP/1.1 200 OK", "200 OK", "HTTP/1.", "HTTP/1.1", "HTTP/1.1 "}) {
         check_refused(std::string{line} + "\r\nContent-Length: 5\r\n\r\nhello", false);
     }
-    check_refused(std::string{"HTTP/1.1 200 O\0K\r\nContent-Length: 5\r\n\r\nhello", 45}, false);
+    check_refused("HTTP/1.1 200 O\0K\r\nContent-Length: 5\r\n\r\nhello"s, false);
     check_refused("HTTP/1.1 200 O\rK\r\nContent-Length: 5\r\n\r\nhello", false);
     check_refused("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nhello", false);
     check_refused("HTTP/1.1 000 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false);
@@ -386,7 +387,11 @@
     }
     const std::string hello{
         "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX!#$%&'*+-.^_`|~9: \xc3\xa4\tb\r\nEmpty:\r\n"};
-    const std::vector<std::pair<std::string, std::string>> answers{
+    struct sound_answer {
+        std::string text;
+        std::string body;
+    };
+    const std::vector<sound_answer> answers{
         {hello + "Content-Length: 5\r\n\r\nhello", "hello"},
         {hello + "Content-Length: 0\r\n\r\n", ""},
         {hello + "\r\nhello", "hello"},
@@ -400,19 +405,18 @@
         {chunked(many + "0\r\n\r\n"), std::string(40'000, 'x')},
     };
     for (const auto which : readers) {
-        for (const auto &[text, body] : answers) {
+        for (const auto &answer : answers) {
             for (const bool streamed : {false, true}) {
                 CAPTURE(name_of(which));
-                CAPTURE(text.substr(0, 200));
+                CAPTURE(answer.text.substr(0, 200));
                 CAPTURE(streamed);
-                const auto &answer = text;
                 test::scripted_server server{[&answer](int, int, const std::string &) {
-                    return scripted_answer{answer, then::close};
+                    return scripted_answer{answer.text, then::close};
                 }};
                 caller it{which};
                 const auto out = it.call(server.address(), post, streamed);
                 REQUIRE(out.whole());
-                CHECK((streamed ? out.streamed : out.body()) == body);
+                CHECK((streamed ? out.streamed : out.body()) == answer.body);
                 CHECK(out.end->value().status == 200);
                 CHECK((which == reader::blocking || out.heads == std::vector<int>{200}));
             }
--- a/test/process/broken_answers.cpp
+++ b/test/process/broken_answers.cpp
@@ -20,6 +20,11 @@
     return text.substr(at, text.find('\r', at) - at);
 }
 
+struct broken_head {
+    std::string status_line;
+    std::string further_line;
+};
+
 /** A gateway before one server, which gives sound answers until the test has it break them. */
 struct fixture {
     std::mutex mutex;
@@ -67,20 +72,19 @@
     for (const int max_connections : {0, 8}) {
         CAPTURE(max_connections);
         fixture it{max_connections};
-        for (const auto &[status, further] :
-             std::vector<std::pair<std::string, std::string>>{{"HTTP/1.1 000 OK", ""},
-                                                              {"HTTP/1.1 099 OK", ""},
-                                                              {"HTTP/1.1 2000 OK", ""},
-                                                              {"HTTP/1.1 200 OK", "Bad Name: x\r\n"},
-                                                              {"HTTP/1.1 200 OK", "Name\t: x\r\n"},
-                                                              {"HTTP/1.1 200 OK", "Na\x01me: x\r\n"},
-                                                              {"HTTP/1.1 200 OK", "Content-Length : 2\r\n"},
-                                                              {"HTTP/1.1 200 OK", "Transfer-Encoding: gzip\r\n"}}) {
-            CAPTURE(status);
-            CAPTURE(further);
+        for (const auto &broken : std::vector<broken_head>{{"HTTP/1.1 000 OK", ""},
+                                                           {"HTTP/1.1 099 OK", ""},
+                                                           {"HTTP/1.1 2000 OK", ""},
+                                                           {"HTTP/1.1 200 OK", "Bad Name: x\r\n"},
+                                                           {"HTTP/1.1 200 OK", "Name\t: x\r\n"},
+                                                           {"HTTP/1.1 200 OK", "Na\x01me: x\r\n"},
+                                                           {"HTTP/1.1 200 OK", "Content-Length : 2\r\n"},
+                                                           {"HTTP/1.1 200 OK", "Transfer-Encoding: gzip\r\n"}}) {
+            CAPTURE(broken.status_line);
+            CAPTURE(broken.further_line);
             it.set_answer("HTTP/1.1 200 OK", "");
             REQUIRE(eventually([&it] { return it.send("read").status == 200; }));
-            it.set_answer(status, further);
+            it.set_answer(broken.status_line, broken.further_line);
             const auto before = it.server.requests();
             const auto booking = it.send("book");
             CHECK(booking.status == 502);
