Hand over an answer that libcurl has whole although the upload was cut

Callers got a refusal for an answer that was complete by its length, where its server did not take the rest of a long upload; `pooled_client` hands it over. Found on the last reading of the change, by a test of what docs/design/server-connections.md says of both.

Cause: an error of libcurl's write overruled the reader, which alone should say whether an answer is whole. Such an error now only means that the connection has not ended in order, which matters to an answer without a length. An order that was abandoned by its check stays abandoned.

--- a/src/http/curl_transfer.cpp
+++ b/src/http/curl_transfer.cpp
@@ -319,8 +319,8 @@
     }
     // libcurl takes the end of the input for that of an answer, whatever the socket says, and reports only the errors
     // of its own reads and writes. An end that was not seen here is one without such an error.
-    const bool whole = it.reader->is_whole_at(it.end.value_or(connection_end::orderly));
-    if (ec == CURLE_OK && whole) {
+    const auto end = ec == CURLE_OK ? it.end.value_or(connection_end::orderly) : connection_end::broken;
+    if (!it.check_failed && it.reader->is_whole_at(end)) {
         return std::move(it.answer);
     }
     return boost::outcome_v2::failure(describe(ec == CURLE_OK ? CURLE_PARTIAL_FILE : ec, it, address));
--- a/test/http/broken_answers.cpp
+++ b/test/http/broken_answers.cpp
@@ -167,11 +167,11 @@
 constexpr std::size_t upload_bytes = std::size_t{16} << 20U;
 
 /**
- * Sends an answer without a length to a request, holds the client after the head or the first part until the
- * connection has ended, and then lets the client go on.
+ * Sends an answer to a request, without a length unless `framing` states one, holds the client after the head or the
+ * first part until the connection has ended, and then lets the client go on.
  */
 report call_and_end(reader which, const http::request &message, reading how_far, ending how, bool streamed,
-                    int status = 200) {
+                    int status = 200, const std::string &framing = "") {
     test::stepped_server server;
     std::promise<void> reached;
     std::promise<void> ended;
@@ -190,7 +190,7 @@
     if (how_far == reading::all) {
         server.read_body(message.body.size());
     }
-    server.send("HTTP/1.1 " + std::to_string(status) + " X\r\nA: b\r\n\r\nfirst part");
+    server.send("HTTP/1.1 " + std::to_string(status) + " X\r\nA: b\r\n" + framing + "\r\nfirst part");
     reached.get_future().wait();
     if (how == ending::ended || how == ending::ended_and_reset) {
         server.end_output();
@@ -286,6 +286,20 @@
     }
 }
 
+// Guards against a sound answer that is refused because its server does not take the rest of the upload.
+TEST_CASE("an answer that has its length is whole, whatever becomes of its connection") {
+    const http::request upload{"POST", "/", {}, std::string(upload_bytes, 'x')};
+    for (const auto which : readers) {
+        for (const auto how : {ending::reset, ending::closed, ending::ended_and_reset, ending::ended}) {
+            CAPTURE(name_of(which));
+            CAPTURE(static_cast<int>(how));
+            const auto out = call_and_end(which, upload, reading::head, how, true, 200, "Content-Length: 10\r\n");
+            CHECK(out.whole());
+            CHECK(out.streamed == "first part");
+        }
+    }
+}
+
 // Guards against a status that is none being handed to a caller.
 TEST_CASE("an answer without a valid status is broken") {
     for (const auto *status : {"000 OK", "000", "099 OK", "99 OK", "99", "2000 OK", "0200 OK", "20x OK", "+20 OK",
